Let a stream outlive its entry at engines that resume streams; say organisation

Ruled out: the recall path (the pair was not recalled, its holder was forgotten). Change: evidence that an entry is gone frees its pins only streamLingerMs (new setting) after it was first seen, where some engine resumes streams. Before: the new test of keeper.test.ts fails (the unload is ordered at once). After: 20 passed.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -72,7 +72,7 @@
       kind: "adapter",
       id: adapter,
       generation: 1,
-      value: {baseModel: "base-a", tenant: "cotejo"}
+      value: {baseModel: "base-a", organisation: "cotejo"}
     })
     records.push({kind: "version", id: `${adapter}@1`, generation: 1, value})
   }
@@ -80,9 +80,9 @@
 }
 
 function makeConfig(adapters: number, engines = 0, cells = 1): Configuration {
-  const tenant = {keyHashes: [], classes: ["till" as const], maxInProgress: 100_000}
+  const organisation = {keyHashes: [], classes: ["till" as const], maxInProgress: 100_000}
   const records: SnapshotRecord[] = [
-    {kind: "tenant", id: "cotejo", generation: 1, value: tenant},
+    {kind: "organisation", id: "cotejo", generation: 1, value: organisation},
     ...makeRecords(adapters, engines, cells)
   ]
   return restoreSnapshot(records, 1)
@@ -123,7 +123,7 @@
         const record = {
           kind: "adapter" as const,
           id: "new",
-          value: {baseModel: "b", tenant: "t"}
+          value: {baseModel: "b", organisation: "t"}
         }
         const change = {
           generation,
@@ -173,7 +173,7 @@
       t: "ask" as const,
       cell: "cell-1",
       request,
-      tenant: "cotejo",
+      organisation: "cotejo",
       class: "till" as const,
       model: "base-a/adapter-0@1",
       patienceMs: 10_000
@@ -242,7 +242,7 @@
     type: "arrive" as const,
     arrival: {
       request,
-      tenant: "cotejo",
+      organisation: "cotejo",
       class: "till" as const,
       target: {kind: "model" as const, model: "base-a/adapter-0@1"},
       streamed: true,
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -1,5 +1,5 @@
 /**
- * The main job on a fresh machine, with the stand-ins: two tenants, 500 adapters on 24 slots,
+ * The main job on a fresh machine, with the stand-ins: two organisations, 500 adapters on 24 slots,
  * an engine restarted empty and an owner killed on the way. The table is counted from what
  * callers saw and engines logged.
  */
@@ -31,7 +31,7 @@
       loadMs: 60
     })),
     adapters: 250,
-    tenants: ["cotejo", "tatrapay"],
+    organisations: ["cotejo", "tatrapay"],
     loadsPerSecond: 40,
     loadsAtOnce: 8
   })
@@ -77,10 +77,10 @@
 function report(calls: readonly Call[], engines: readonly EngineReport[]): number {
   const violations = judge(calls, engines)
   const stalls = measureStalls(calls, engines)
-  const tenants = [...new Set(calls.map(call => call.tenant))].sort()
-  const rows = tenants.map(tenant => {
-    const own = calls.filter(call => call.tenant === tenant)
-    return describeTenant(tenant, own, stalls, engines)
+  const organisations = [...new Set(calls.map(call => call.organisation))].sort()
+  const rows = organisations.map(organisation => {
+    const own = calls.filter(call => call.organisation === organisation)
+    return describeOrganisation(organisation, own, stalls, engines)
   })
   console.table(rows)
   const zeros = Object.fromEntries(
@@ -95,8 +95,8 @@
   return countViolations(violations) === 0 ? 0 : 1
 }
 
-function describeTenant(
-  tenant: string,
+function describeOrganisation(
+  organisation: string,
   calls: readonly Call[],
   stalls: ReadonlyMap<string, number>,
   engines: readonly EngineReport[]
@@ -106,7 +106,7 @@
   for (const {tag} of answered) histogram.recordValue(stalls.get(tag) ?? 0)
   const count = (test: (call: Call) => boolean) => calls.filter(test).length
   return {
-    tenant,
+    organisation,
     requests: calls.length,
     answered: answered.length,
     "refused not run": count(({result}) => result.outcome === "not-run"),
@@ -120,13 +120,13 @@
     "stall p50 ms": histogram.getValueAtPercentile(50),
     "stall p95 ms": histogram.getValueAtPercentile(95),
     "stall p99 ms": histogram.getValueAtPercentile(99),
-    "batch efficiency": batchEfficiency(tenant, calls, engines).toFixed(3)
+    "batch efficiency": batchEfficiency(organisation, calls, engines).toFixed(3)
   }
 }
 
-/** How full the steps were in which the tenant's tokens were made, on the mean. */
+/** How full the steps were in which the organisation's tokens were made, on the mean. */
 function batchEfficiency(
-  _tenant: string,
+  _organisation: string,
   calls: readonly Call[],
   engines: readonly EngineReport[]
 ): number {
--- a/bench/policy-load.ts
+++ b/bench/policy-load.ts
@@ -177,7 +177,7 @@
       t: "ask",
       cell: "cell-1",
       request,
-      tenant: "t",
+      organisation: "t",
       class: arrival.urgent ? "till" : "overnight",
       model: arrival.model,
       patienceMs: arrival.urgent ? URGENT_PATIENCE_MS : PATIENCE_MS
@@ -289,7 +289,7 @@
   for (let index = 0; index < ADAPTERS; index++) {
     const adapter = `a${index}`
     const value = {adapter, version: "1", weights: adapter}
-    const owner = {baseModel: "base", tenant: "t"}
+    const owner = {baseModel: "base", organisation: "t"}
     records.push({kind: "adapter", id: adapter, generation: 1, value: owner})
     records.push({kind: "version", id: `${adapter}@1`, generation: 1, value})
   }
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -60,12 +60,12 @@
   pid: number
 ): Promise<Sample> {
   const model = deployment.models[0] ?? ""
-  const tenant = deployment.tenantOf(model)
+  const organisation = deployment.organisationOf(model)
   const before = cpuOf(pid)
   const latencies: number[] = []
   const worker = async () => {
     for (let count = 0; count < REQUESTS / PARALLEL; count++) {
-      const result = await callModel({entry, model, tenant, tokens: TOKENS})
+      const result = await callModel({entry, model, organisation, tokens: TOKENS})
       if (result.kind !== "answered")
         throw new Error(`a call was ${result.kind}: ${result.code}`)
       latencies.push(result.firstTokenMs)
--- a/bench/rules.ts
+++ b/bench/rules.ts
@@ -16,7 +16,12 @@
   evict: "adapter.heat / adapter.copies"
 }
 
-const REQUEST: RequestView = {tenant: "t", class: "till", model: "base/x@1", waitedMs: 5}
+const REQUEST: RequestView = {
+  organisation: "t",
+  class: "till",
+  model: "base/x@1",
+  waitedMs: 5
+}
 
 function makeEngine(index: number): EngineView {
   const models = new Map(
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -1,4 +1,4 @@
-/** Skewed traffic of several tenants against a deployment. */
+/** Skewed traffic of several organisations against a deployment. */
 import type {RandomGenerator} from "pure-rand"
 import {createRandom, uniformFloat64} from "../src/utils/random.js"
 import {callModel} from "../test/support/caller.js"
@@ -108,20 +108,29 @@
   calls: Call[]
 ): Promise<void> {
   const {tag, model, tokens, stream, once} = plan
-  const tenant = deployment.tenantOf(model)
+  const organisation = deployment.organisationOf(model)
   const box = deployment.boxes[boxIndex % deployment.boxes.length]
   const sentAt = Date.now()
   const entry = box?.entry
   const result = await callModel({
     entry: box?.entryAddress ?? "",
     model,
-    tenant,
+    organisation,
     tokens,
     stream,
     prompt: tag,
     key: once ? tag : undefined
   })
-  calls.push({tag, tenant, model, tokens, once, sentAt, result, entryDied: entry?.ending})
+  calls.push({
+    tag,
+    organisation,
+    model,
+    tokens,
+    once,
+    sentAt,
+    result,
+    entryDied: entry?.ending
+  })
 }
 
 function shuffle<T>(items: readonly T[], draw: () => number): T[] {
--- a/src/adapters/caller-requests.ts
+++ b/src/adapters/caller-requests.ts
@@ -1,7 +1,7 @@
 /** Reads and checks what callers send; everything wrong with it is an error of the table. */
 import type {IncomingMessage} from "node:http"
 import {z} from "zod"
-import {findRecord, findTenantByKey, resolveModel} from "../core/configuration.js"
+import {findRecord, findOrganisationByKey, resolveModel} from "../core/configuration.js"
 import type {Arrival} from "../core/entry-state.js"
 import {SedgeError} from "../errors.js"
 import {type Configuration, REQUEST_CLASSES, type RequestClass} from "../types/config.js"
@@ -39,7 +39,7 @@
 
 /** The header that tells engines the name of a prompt's start; their cache events use it. */
 const PREFIX_HEADER = "x-sedge-prefix"
-/** How much of a prompt has a name: about the shared instructions of a tenant's requests. */
+/** How much of a prompt has a name: about the shared instructions of an organisation's requests. */
 const PREFIX_CHARS = 1_024
 
 export interface ParsedRequest {
@@ -50,14 +50,14 @@
   readonly body: Buffer
 }
 
-/** The tenant a request comes from, by its key. */
+/** The organisation a request comes from, by its key. */
 export function authenticate(req: IncomingMessage, config: Configuration): string {
   if (config.generation === 0) throw new SedgeError("not-ready", "", 1_000)
   const match = /^Bearer (\S+)$/.exec(req.headers.authorization ?? "")
-  const tenant =
-    match?.[1] === undefined ? undefined : findTenantByKey(config, sha256(match[1]))
-  if (tenant === undefined) throw new SedgeError("unauthorized")
-  return tenant
+  const organisation =
+    match?.[1] === undefined ? undefined : findOrganisationByKey(config, sha256(match[1]))
+  if (organisation === undefined) throw new SedgeError("unauthorized")
+  return organisation
 }
 
 /** Whether a path is one that callers may use. */
@@ -69,15 +69,15 @@
 export function parseRequest(
   req: IncomingMessage,
   body: Buffer,
-  tenant: string,
+  organisation: string,
   id: string,
   config: Configuration
 ): ParsedRequest {
-  const common = parseHeaders(req, tenant, config)
+  const common = parseHeaders(req, organisation, config)
   const bodyHash = shortHash(
     Buffer.concat([Buffer.from(`${req.method} ${req.url}\n`), body])
   )
-  const arrival = {...common, request: id, tenant, body: bodyHash}
+  const arrival = {...common, request: id, organisation, body: bodyHash}
   const service = SERVICE_PATH.exec(req.url ?? "")
   if (service) return parseService(req, body, arrival, service)
   return parseCompletion(req, body, arrival, config)
@@ -87,10 +87,10 @@
 
 function parseHeaders(
   req: IncomingMessage,
-  tenant: string,
+  organisation: string,
   config: Configuration
 ): Pick<Arrival, "class" | "repeatable" | "key" | "patienceMs"> {
-  const allowed = findRecord(config, "tenant", tenant)?.value.classes ?? []
+  const allowed = findRecord(config, "organisation", organisation)?.value.classes ?? []
   const asked = headerOf(req, CLASS_HEADER) ?? allowed[0] ?? "overnight"
   const requestClass = REQUEST_CLASSES.find(name => name === asked)
   if (!requestClass) throw new SedgeError("bad-request", `unknown class ${asked}`)
@@ -105,7 +105,7 @@
   return {
     class: requestClass,
     repeatable: key === undefined && headerOf(req, NOT_REPEATABLE_HEADER) !== "true",
-    key: key === undefined ? undefined : shortHash(`${tenant}\n${key}`),
+    key: key === undefined ? undefined : shortHash(`${organisation}\n${key}`),
     patienceMs: parseDeadline(headerOf(req, DEADLINE_HEADER))
   }
 }
@@ -132,7 +132,7 @@
     path,
     headers: {
       "content-type": headerOf(req, "content-type") ?? "application/octet-stream",
-      "x-sedge-tenant": arrival.tenant
+      "x-sedge-organisation": arrival.organisation
     },
     body
   }
@@ -152,14 +152,16 @@
   }
   const {model, stream} = parsed.data
   const resolved = resolveModel(config, model)
-  const owner = resolved && findRecord(config, "adapter", resolved.adapter)?.value.tenant
+  const owner =
+    resolved && findRecord(config, "adapter", resolved.adapter)?.value.organisation
   // Another firm's adapter is not even named as existing.
-  if (!resolved || owner !== arrival.tenant) throw new SedgeError("unknown-model", model)
+  if (!resolved || owner !== arrival.organisation)
+    throw new SedgeError("unknown-model", model)
   const outgoing = {
     ...parsed.data,
     priority: PRIORITIES[arrival.class],
-    // Cached prefixes are never shared between tenants.
-    cache_salt: shortHash(`cache\n${arrival.tenant}`)
+    // Cached prefixes are never shared between organisations.
+    cache_salt: shortHash(`cache\n${arrival.organisation}`)
   }
   const prefix = namePrefix(outgoing.cache_salt, parsed.data)
   const target = {kind: "model", model} as const
@@ -172,7 +174,7 @@
   }
 }
 
-/** A name for the start of a prompt within a tenant's part of the prefix caches. */
+/** A name for the start of a prompt within an organisation's part of the prefix caches. */
 function namePrefix(salt: string, {model, prompt, messages}: CompletionBody): string {
   const text = typeof prompt === "string" ? prompt : JSON.stringify(messages ?? prompt)
   return shortHash(`${salt}\n${model}\n${(text ?? "").slice(0, PREFIX_CHARS)}`)
--- a/src/adapters/entry-process.ts
+++ b/src/adapters/entry-process.ts
@@ -168,8 +168,8 @@
 
   private take(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
     const id = `${this.context_.incarnation}-${this.nextRequest_++}`
-    const tenant = authenticate(req, this.sync_.config)
-    const parsed = parseRequest(req, body, tenant, id, this.sync_.config)
+    const organisation = authenticate(req, this.sync_.config)
+    const parsed = parseRequest(req, body, organisation, id, this.sync_.config)
     if (this.draining_) res.setHeader("connection", "close")
     this.exchanges_.open(id, {...parsed, method: req.method ?? "POST"}, res)
     this.loop_.post({type: "arrive", arrival: parsed.arrival})
--- a/src/adapters/exchanges.ts
+++ b/src/adapters/exchanges.ts
@@ -151,6 +151,6 @@
   }
 }
 
-function labelsOf({arrival}: Exchange): {tenant: string; class: string} {
-  return {tenant: arrival.tenant, class: arrival.class}
+function labelsOf({arrival}: Exchange): {organisation: string; class: string} {
+  return {organisation: arrival.organisation, class: arrival.class}
 }
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -1,4 +1,4 @@
-/** Measures: a histogram for each tenant and class, and counters, as Prometheus text. */
+/** Measures: a histogram for each organisation and class, and counters, as Prometheus text. */
 import {build, type Histogram} from "hdr-histogram-js"
 
 type Labels = Readonly<Record<string, string>>
--- a/src/core/cell-requests.ts
+++ b/src/core/cell-requests.ts
@@ -13,7 +13,7 @@
   draft.waiting.set(ask.request, {
     request: ask.request,
     entry,
-    tenant: ask.tenant,
+    organisation: ask.organisation,
     class: ask.class,
     model: ask.model,
     prefix: ask.prefix ?? "",
--- a/src/core/cell-schedule.ts
+++ b/src/core/cell-schedule.ts
@@ -82,17 +82,17 @@
   return true
 }
 
-/** Whether the tenant and class have as many requests in progress as the policy lets them. */
+/** Whether the organisation and class have as many requests in progress as the policy lets them. */
 function isLimited(
   draft: CellDraft,
   context: CellContext,
-  {tenant, class: requestClass}: Waiting
+  {organisation, class: requestClass}: Waiting
 ): boolean {
-  const limit = decide(draft, context, policy => policy.limit(tenant, requestClass))
+  const limit = decide(draft, context, policy => policy.limit(organisation, requestClass))
   if (limit === Infinity) return false
   const running = countWhere(
     draft.running.values(),
-    request => request.tenant === tenant && request.class === requestClass
+    request => request.organisation === organisation && request.class === requestClass
   )
   return running >= limit
 }
@@ -104,7 +104,7 @@
 }
 
 function grant(draft: CellDraft, waiting: Waiting, engine: string): void {
-  const {request, entry, model, tenant} = waiting
+  const {request, entry, model, organisation} = waiting
   draft.waiting.delete(request)
   draft.grants++
   draft.running.set(request, {
@@ -112,7 +112,7 @@
     entry,
     engine,
     model,
-    tenant,
+    organisation,
     class: waiting.class
   })
   addHolder(draft, pairKey(engine, model), entry, draft.grants)
--- a/src/core/cell-state.ts
+++ b/src/core/cell-state.ts
@@ -46,7 +46,7 @@
 export interface Waiting {
   readonly request: string
   readonly entry: string
-  readonly tenant: string
+  readonly organisation: string
   readonly class: RequestClass
   readonly model: string
   /** Names the start of the prompt, for prefix caches; empty when there is none. */
@@ -63,7 +63,7 @@
   readonly engine: string
   readonly model: string
   /** Unknown of requests that an earlier owner granted. */
-  readonly tenant?: string
+  readonly organisation?: string
   readonly class?: RequestClass
 }
 
--- a/src/core/cell-views.ts
+++ b/src/core/cell-views.ts
@@ -12,8 +12,8 @@
 
 /** A request as policies see it. */
 export function viewRequest(draft: CellDraft, waiting: Waiting): RequestView {
-  const {tenant, model, arrivedAt} = waiting
-  return {tenant, class: waiting.class, model, waitedMs: draft.now - arrivedAt}
+  const {organisation, model, arrivedAt} = waiting
+  return {organisation, class: waiting.class, model, waitedMs: draft.now - arrivedAt}
 }
 
 /** An engine as policies see it. */
--- a/src/core/changes.ts
+++ b/src/core/changes.ts
@@ -129,13 +129,13 @@
     case "adapter": {
       const adapter = value as Adapter
       need("baseModel", adapter.baseModel, "/value/baseModel")
-      need("tenant", adapter.tenant, "/value/tenant")
+      need("organisation", adapter.organisation, "/value/organisation")
       const before = findRecord(config, "adapter", id)?.value
       if (before && before.baseModel !== adapter.baseModel) {
         say("/value/baseModel", "cannot change; create another adapter")
       }
-      if (before && before.tenant !== adapter.tenant) {
-        say("/value/tenant", "cannot change; create another adapter")
+      if (before && before.organisation !== adapter.organisation) {
+        say("/value/organisation", "cannot change; create another adapter")
       }
       return
     }
@@ -159,7 +159,7 @@
     case "activation":
       return need("policy", (value as {policy: string}).policy, "/value/policy")
     case "baseModel":
-    case "tenant":
+    case "organisation":
     case "operator":
       return
   }
@@ -213,8 +213,8 @@
           ["adapter", adapter, "baseModel"],
           ["backend", backend, "baseModel"]
         ]
-      : kind === "tenant"
-        ? [["adapter", adapter, "tenant"]]
+      : kind === "organisation"
+        ? [["adapter", adapter, "organisation"]]
         : kind === "adapter"
           ? [["version", version, "adapter"]]
           : kind === "policy"
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -20,7 +20,7 @@
       baseModel: new Map(),
       adapter: new Map(),
       version: new Map(),
-      tenant: new Map(),
+      organisation: new Map(),
       backend: new Map(),
       policy: new Map(),
       activation: new Map(),
@@ -191,12 +191,12 @@
   return indexBackends(config).services.get(service) ?? new Map()
 }
 
-/** The tenant whose key has this hash. */
-export function findTenantByKey(
+/** The organisation whose key has this hash. */
+export function findOrganisationByKey(
   config: Configuration,
   keyHash: string
 ): string | undefined {
-  for (const [id, {value}] of config.tables.tenant) {
+  for (const [id, {value}] of config.tables.organisation) {
     if (value.keyHashes.includes(keyHash)) return id
   }
   return undefined
--- a/src/core/entry-requests.ts
+++ b/src/core/entry-requests.ts
@@ -53,11 +53,15 @@
   advanceRequest(draft, arrival.request)
 }
 
-function checkLimits(draft: EntryDraft, {tenant}: Arrival): ErrorCode | undefined {
+function checkLimits(draft: EntryDraft, {organisation}: Arrival): ErrorCode | undefined {
   if (draft.requests.size >= draft.options.maxInProgress) return "box-limit"
-  const limit = findRecord(draft.state.config, "tenant", tenant)?.value.maxInProgress ?? 0
-  const ofTenant = countRequests(draft, request => request.tenant === tenant)
-  return ofTenant >= limit ? "tenant-limit" : undefined
+  const limit =
+    findRecord(draft.state.config, "organisation", organisation)?.value.maxInProgress ?? 0
+  const ofOrganisation = countRequests(
+    draft,
+    request => request.organisation === organisation
+  )
+  return ofOrganisation >= limit ? "organisation-limit" : undefined
 }
 
 /** The cell whose engines serve a model: the same on every entry. Empty for plain services. */
@@ -142,7 +146,7 @@
     t: "ask",
     cell: request.cell,
     request: request.attempt,
-    tenant: request.tenant,
+    organisation: request.organisation,
     class: request.class,
     model: request.target.model,
     prefix: request.prefix,
--- a/src/core/entry-state.ts
+++ b/src/core/entry-state.ts
@@ -25,16 +25,16 @@
 /** A checked request of a caller. */
 export interface Arrival {
   readonly request: string
-  readonly tenant: string
+  readonly organisation: string
   readonly class: RequestClass
   readonly target: Target
-  /** Names the start of the prompt, never alike for two tenants. */
+  /** Names the start of the prompt, never alike for two organisations. */
   readonly prefix?: string
   /** The answer is a stream: it may be resumed where the engine can. */
   readonly streamed: boolean
   /** A request that may not be repeated runs at most once. */
   readonly repeatable: boolean
-  /** Digest of tenant and idempotency key, when the caller gave one. */
+  /** Digest of organisation and idempotency key, when the caller gave one. */
   readonly key?: string
   readonly body: string
   /** The caller's own limit on the wait, milliseconds. */
--- a/src/core/keeper-entries.ts
+++ b/src/core/keeper-entries.ts
@@ -73,15 +73,32 @@
   if (since === undefined || links.has(entry)) return
   const lapsed = draft.now - since >= draft.options.timing.entryGoneMs
   if (verdict !== "gone" && !lapsed) return
+  if (!lapsed && mayStillStream(draft, entry)) return
   changeCells(draft, cell => entryGone(cell, entry, verdict))
   update(draft, {
     entries: withoutEntry(entries, entry),
     silentSince: withoutEntry(silentSince, entry),
-    probedAt: withoutEntry(probedAt, entry)
+    probedAt: withoutEntry(probedAt, entry),
+    goneSince: withoutEntry(draft.state.goneSince, entry)
   })
   draft.effects.push({type: "forget-entry", entry})
 }
 
+/**
+ * An engine that resumes streams goes on with those of a dead entry for a while: its end is no
+ * evidence yet that nothing of it runs. Counted from the first sign of the end, which may be late.
+ */
+function mayStillStream(draft: KeeperDraft, entry: string): boolean {
+  const {config, goneSince} = draft.state
+  const resumes = [...config.tables.backend.values()].some(
+    ({value}) => value.kind === "model-engine" && value.resumesStreams === true
+  )
+  if (!resumes) return false
+  const since = goneSince.get(entry) ?? draft.now
+  update(draft, {goneSince: withEntry(goneSince, entry, since)})
+  return draft.now - since < draft.options.timing.streamLingerMs
+}
+
 function awaitEntries(draft: KeeperDraft, entries: readonly string[]): void {
   if (entries.length === 0) return
   changeCells(draft, cell => {
--- a/src/core/keeper-state.ts
+++ b/src/core/keeper-state.ts
@@ -41,6 +41,8 @@
   readonly silentSince: ReadonlyMap<string, number>
   /** Entries being looked for. */
   readonly probedAt: ReadonlyMap<string, number>
+  /** When an entry was first found gone while engines may still run its streams. */
+  readonly goneSince: ReadonlyMap<string, number>
   readonly leaving: ReadonlySet<string>
   /** Orders under way, by cell. */
   readonly orders: ReadonlyMap<string, number>
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -41,6 +41,7 @@
     entries: new Map(),
     silentSince: new Map(),
     probedAt: new Map(),
+    goneSince: new Map(),
     leaving: new Set(),
     orders: new Map(),
     stopping: false,
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -32,7 +32,7 @@
 
 /** A request as a policy sees it. */
 export interface RequestView {
-  readonly tenant: string
+  readonly organisation: string
   readonly class: RequestClass
   readonly model: string
   readonly waitedMs: number
@@ -63,8 +63,8 @@
   readonly reservedLoads: number
   /** Whether an adapter that is loaded already is to be loaded on one more engine. */
   wantsCopy(demand: DemandView): boolean
-  /** Requests of a tenant and class that a cell runs at once, at most. */
-  limit(tenant: string, requestClass: RequestClass): number
+  /** Requests of an organisation and class that a cell runs at once, at most. */
+  limit(organisation: string, requestClass: RequestClass): number
 }
 
 /** The time in which an adapter's heat halves. */
--- a/src/core/timing.ts
+++ b/src/core/timing.ts
@@ -20,6 +20,8 @@
   readonly entryGoneMs: number
   /** As above on engines that check fences, once they have confirmed the cancel. */
   readonly entrySilentMs: number
+  /** How long an engine that resumes streams goes on with one whose entry is gone. */
+  readonly streamLingerMs: number
   /** How long a load may take before it counts as failed. */
   readonly loadTimeoutMs: number
   /** The first pause after a failed load; doubled each time, up to 32 times. */
@@ -46,6 +48,7 @@
   ownerlessMs: 300_000,
   entryGoneMs: 330_000,
   entrySilentMs: 8_000,
+  streamLingerMs: 10_000,
   loadTimeoutMs: 30_000,
   loadBackoffMs: 500,
   holdMs: 20_000,
@@ -70,6 +73,8 @@
     "A silent entry is taken for gone after this on engines that check no fences",
   entrySilentMs:
     "As above on engines that check fences, once they have confirmed the cancel",
+  streamLingerMs:
+    "How long an engine that resumes streams goes on with one whose entry is gone",
   loadTimeoutMs: "How long a load may take before it counts as failed",
   loadBackoffMs: "The first pause after a failed load; doubled each time, up to 32 times",
   holdMs: "A pair unused for so long is released by its entry",
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -55,11 +55,11 @@
     outcome: "not-run",
     title: "The request did not arrive in time"
   },
-  "tenant-limit": {
+  "organisation-limit": {
     number: 9,
     status: 429,
     outcome: "not-run",
-    title: "The tenant has too many requests in progress"
+    title: "The organisation has too many requests in progress"
   },
   "box-limit": {
     number: 10,
--- a/src/plugins/rule-policy.ts
+++ b/src/plugins/rule-policy.ts
@@ -23,7 +23,8 @@
       ? requestClass => Number(slackMs({request: {class: requestClass}}))
       : builtIn.slackMs,
     limit: limit
-      ? (tenant, requestClass) => Number(limit({request: {tenant, class: requestClass}}))
+      ? (organisation, requestClass) =>
+          Number(limit({request: {organisation, class: requestClass}}))
       : builtIn.limit
   }
 }
--- a/src/plugins/rules.ts
+++ b/src/plugins/rules.ts
@@ -40,7 +40,12 @@
   cachesPrefix: "bool",
   coldest: "double"
 }
-const REQUEST = {tenant: "string", class: "string", model: "string", waitedMs: "double"}
+const REQUEST = {
+  organisation: "string",
+  class: "string",
+  model: "string",
+  waitedMs: "double"
+}
 const ADAPTER = {
   name: "string",
   running: "double",
@@ -60,7 +65,7 @@
   evict: {variables: {engine: ENGINE, adapter: ADAPTER}, type: "double"},
   copy: {variables: {demand: DEMAND}, type: "bool"},
   slackMs: {variables: {request: {class: "string"}}, type: "double"},
-  limit: {variables: {request: {tenant: "string", class: "string"}}, type: "double"}
+  limit: {variables: {request: {organisation: "string", class: "string"}}, type: "double"}
 }
 
 const FUNCTIONS: ReadonlySet<string> = new Set(["double", "min", "max"])
--- a/src/types/config.ts
+++ b/src/types/config.ts
@@ -10,7 +10,7 @@
 
 export interface Adapter {
   readonly baseModel: string
-  readonly tenant: string
+  readonly organisation: string
 }
 
 /** Immutable once named. */
@@ -21,8 +21,8 @@
   readonly weights: string
 }
 
-export interface Tenant {
-  /** Hex SHA-256 of each key of the tenant; the keys themselves are never kept. */
+export interface Organisation {
+  /** Hex SHA-256 of each key of the organisation; the keys themselves are never kept. */
   readonly keyHashes: readonly string[]
   readonly classes: readonly RequestClass[]
   /** Requests in progress on one box. */
@@ -89,7 +89,7 @@
   baseModel: BaseModel
   adapter: Adapter
   version: AdapterVersion
-  tenant: Tenant
+  organisation: Organisation
   backend: BackendServer
   policy: PolicyRecord
   activation: Activation
@@ -102,7 +102,7 @@
   "baseModel",
   "adapter",
   "version",
-  "tenant",
+  "organisation",
   "backend",
   "policy",
   "activation",
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -40,7 +40,7 @@
   readonly t: "ask"
   readonly cell: string
   readonly request: string
-  readonly tenant: string
+  readonly organisation: string
   readonly class: RequestClass
   readonly model: string
   /** Names the start of the prompt; engines' cache events name it too. */
--- a/src/types/records.ts
+++ b/src/types/records.ts
@@ -45,13 +45,13 @@
 
 export const RECORD_SCHEMAS: Readonly<Record<RecordKind, z.ZodType>> = {
   baseModel: z.strictObject({description: z.string().max(1000).optional()}),
-  adapter: z.strictObject({baseModel: name, tenant: name}),
+  adapter: z.strictObject({baseModel: name, organisation: name}),
   version: z.strictObject({
     adapter: name,
     version: name,
     weights: z.string().min(1).max(1000)
   }),
-  tenant: z.strictObject({
+  organisation: z.strictObject({
     keyHashes: z.array(hash).max(16),
     classes: z.array(z.enum(REQUEST_CLASSES)).min(1),
     maxInProgress: count
--- a/test/bad-input.test.ts
+++ b/test/bad-input.test.ts
@@ -8,7 +8,7 @@
 
 t.test("bad input is answered, and the entry goes on", async t => {
   const deployment = await Deployment.start({
-    tenants: ["cotejo", "tatrapay"],
+    organisations: ["cotejo", "tatrapay"],
     serviceMembers: 1,
     entry: {maxBodyBytes: 10_000, headerTimeoutMs: 600, bodyTimeoutMs: 600}
   })
@@ -50,7 +50,7 @@
   t.match(
     await send(ask({model: "base-a/base-a-a1@1"})),
     {status: 404, code: "unknown-model"},
-    "another tenant's adapter is not named as existing"
+    "another organisation's adapter is not named as existing"
   )
   t.match(await send(ask({prompt: "x".repeat(20_000)})), {
     status: 413,
@@ -80,7 +80,7 @@
   const slow = callModel({
     entry,
     model,
-    tenant: "cotejo",
+    organisation: "cotejo",
     tokens: 5000,
     signal: hangUp.signal
   })
@@ -94,7 +94,7 @@
     const metrics = await request(`http://${deployment.boxes[0]?.entryOps}/metrics`)
     return /sedge_requests_in_progress 0/.test(await metrics.body.text())
   })
-  t.match(await callModel({entry, model, tenant: "cotejo"}), {kind: "answered"})
+  t.match(await callModel({entry, model, organisation: "cotejo"}), {kind: "answered"})
 })
 
 /** Sends bytes as they are, and reads until the other end closes. */
--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -150,8 +150,8 @@
   await t.rejects(
     deployment.change([
       {kind: "adapter", id: "base-a-a1"},
-      {kind: "tenant", id: "cotejo"},
-      {kind: "tenant", id: "bad name", value: {classes: []}}
+      {kind: "organisation", id: "cotejo"},
+      {kind: "organisation", id: "bad name", value: {classes: []}}
     ]),
     {code: "invalid-change"}
   )
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -27,7 +27,12 @@
 
 const RECORDS: SnapshotRecord[] = [
   {kind: "backend", id: "engine-0", generation: 1, value: ENGINE},
-  {kind: "adapter", id: "x", generation: 1, value: {baseModel: "base", tenant: "t"}},
+  {
+    kind: "adapter",
+    id: "x",
+    generation: 1,
+    value: {baseModel: "base", organisation: "t"}
+  },
   {
     kind: "version",
     id: "x@1",
@@ -35,7 +40,7 @@
     value: {adapter: "x", version: "1", weights: "x"}
   },
   {
-    kind: "tenant",
+    kind: "organisation",
     id: "t",
     generation: 1,
     value: {keyHashes: [], classes: ["till"], maxInProgress: 10}
@@ -57,7 +62,7 @@
   const arrive = (key?: string) => {
     const arrival = {
       request: "r1",
-      tenant: "t",
+      organisation: "t",
       class: "till" as const,
       target: {kind: "model" as const, model: "base/x@1"},
       streamed: true,
--- a/test/keeper.test.ts
+++ b/test/keeper.test.ts
@@ -42,7 +42,7 @@
       kind: "adapter",
       id: adapter,
       generation: 1,
-      value: {baseModel: "base", tenant: "t"}
+      value: {baseModel: "base", organisation: "t"}
     },
     {
       kind: "version",
@@ -125,7 +125,7 @@
       t: "ask",
       cell: "cell-1",
       request: `r-${model}`,
-      tenant: "t",
+      organisation: "t",
       class: "till",
       model,
       patienceMs: 60_000
@@ -169,6 +169,26 @@
   t.same(subject.orders(), ["unload"])
 })
 
+t.test("a stream may outlive its entry at an engine that resumes streams", async t => {
+  const resuming = RECORDS.map((record): SnapshotRecord => {
+    const {value} = record
+    if (!value || !("kind" in value) || value.kind !== "model-engine") return record
+    return {...record, value: {...value, resumesStreams: true}} as SnapshotRecord
+  })
+  const subject = new Subject().own()
+  subject.take({type: "config", config: restoreSnapshot(resuming, 2)})
+  const entries = new Map([["entry-1", {address: "", ops: "", dataCentre: "a"}]])
+  const keepers = new Map([["keeper-0", {address: "", ops: "", dataCentre: "a"}]])
+  subject.take({type: "shares", shares: new Map(), keepers, entries})
+  subject.ask("base/y@1")
+  subject.take({type: "probed", entry: "entry-1", verdict: "gone"})
+  t.same(subject.orders(), [], "the engine may still run what the entry had there")
+  subject.now += DEFAULT_TIMING.streamLingerMs
+  subject.take({type: "lease-renewed", sentAt: subject.now})
+  subject.take({type: "probed", entry: "entry-1", verdict: "gone"})
+  t.same(subject.orders(), ["unload"])
+})
+
 t.test("a release that crosses a newer grant is void", async t => {
   const subject = new Subject().own().ask("base/x@1")
   t.match(subject.effects, [{message: {t: "grant", grant: 1}}])
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -29,7 +29,7 @@
     return ctl(["put", kind, id, file, ...flags])
   }
 
-  const adapter = {baseModel: "base-a", tenant: "cotejo"}
+  const adapter = {baseModel: "base-a", organisation: "cotejo"}
   t.match(await put("adapter", "thesis", {...adapter, baseModel: "none"}), {
     code: 1,
     output: /\/records\/0\/value\/baseModel: no baseModel is named none/
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -8,16 +8,22 @@
   t.teardown(() => deployment.stop())
   const [model = ""] = deployment.models
   const entry = deployment.boxes[0]?.entryAddress ?? ""
-  const streamed = await callModel({entry, model, tenant: "cotejo", tokens: 5})
+  const streamed = await callModel({entry, model, organisation: "cotejo", tokens: 5})
   t.match(streamed, {kind: "answered", model, tokens: 5})
   const whole = await callModel({
     entry,
     model,
-    tenant: "cotejo",
+    organisation: "cotejo",
     tokens: 3,
     stream: false
   })
   t.match(whole, {kind: "answered", model, tokens: 3})
-  const chat = await callModel({entry, model, tenant: "cotejo", tokens: 3, chat: true})
+  const chat = await callModel({
+    entry,
+    model,
+    organisation: "cotejo",
+    tokens: 3,
+    chat: true
+  })
   t.match(chat, {kind: "answered", model, tokens: 3})
 })
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -40,7 +40,7 @@
       {place: "/rules/evict:1:1", message: "answers bool, not double"}
     ]
   )
-  t.same(findings({limit: "request.tenant == 'cotejo' ? 8 : 100"}), [])
+  t.same(findings({limit: "request.organisation == 'cotejo' ? 8 : 100"}), [])
   t.match(checkPolicy({program: "rules"}), [{place: "/rules"}])
   t.match(checkPolicy({program: "warm-first", rules: {}}), [{place: "/rules"}])
   t.match(checkPolicy({program: "nothing"}), [{place: "/program"}])
@@ -49,8 +49,8 @@
 t.test("what could loop, grow or take its time does not pass the check", async t => {
   const bad = [
     "[1, 2].map(x, x)[0]",
-    "request.tenant.matches('(a+)+$') ? 1.0 : 0.0",
-    "size(request.tenant) * 1.0",
+    "request.organisation.matches('(a+)+$') ? 1.0 : 0.0",
+    "size(request.organisation) * 1.0",
     "{'a': 1.0}.a",
     Array.from({length: 300}, () => "engine.running").join(" + "),
     `${"(".repeat(60)}1.0${")".repeat(60)}`
@@ -62,14 +62,16 @@
   const fullest = createSubject(rulePolicy({serve: "-engine.running"}))
   t.equal(fullest.place("r0"), "engine-0")
   t.equal(fullest.place("r1"), "engine-0", "batches are filled one after the other")
-  const limited = createSubject(rulePolicy({limit: "request.tenant == 'cotejo' ? 1 : 9"}))
-  t.ok(limited.place("r0", {tenant: "cotejo"}))
+  const limited = createSubject(
+    rulePolicy({limit: "request.organisation == 'cotejo' ? 1 : 9"})
+  )
+  t.ok(limited.place("r0", {organisation: "cotejo"}))
   t.equal(
-    limited.place("r1", {tenant: "cotejo"}),
+    limited.place("r1", {organisation: "cotejo"}),
     undefined,
     "as many as the policy lets it"
   )
-  t.ok(limited.place("r2", {tenant: "other"}), "nobody else waits for it")
+  t.ok(limited.place("r2", {organisation: "other"}), "nobody else waits for it")
 })
 
 t.test(
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -7,7 +7,12 @@
 const ADAPTERS = ["a", "b", "c", "d", "e", "f", "g"]
 const MODELS = ADAPTERS.map(adapter => `base/${adapter}@1`)
 const RECORDS = ADAPTERS.flatMap((adapter): SnapshotRecord[] => [
-  {kind: "adapter", id: adapter, generation: 1, value: {baseModel: "base", tenant: "t"}},
+  {
+    kind: "adapter",
+    id: adapter,
+    generation: 1,
+    value: {baseModel: "base", organisation: "t"}
+  },
   {
     kind: "version",
     id: `${adapter}@1`,
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -1,11 +1,11 @@
-/** A caller: sends requests as tenants do, and checks that what comes back is whole and its own. */
+/** A caller: sends requests as organisations do, and checks that what comes back is whole and its own. */
 import {request} from "undici"
 import {agent, keyOf} from "./deployment.js"
 
 export interface CallOptions {
   readonly entry: string
   readonly model: string
-  readonly tenant: string
+  readonly organisation: string
   readonly tokens?: number
   readonly stream?: boolean
   /** A chat completion. */
@@ -93,7 +93,7 @@
 
 function headersOf(options: CallOptions): Record<string, string> {
   return {
-    authorization: `Bearer ${keyOf(options.tenant)}`,
+    authorization: `Bearer ${keyOf(options.organisation)}`,
     "content-type": "application/json",
     ...(options.class && {"x-sedge-class": options.class}),
     ...(options.key && {"idempotency-key": options.key}),
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -3,7 +3,7 @@
 import type {Box, Deployment} from "./deployment.js"
 import {type Call, countViolations, judge, readEngines} from "./oracle.js"
 
-export type CallChoice = Partial<Omit<CallOptions, "entry" | "tenant">> & {
+export type CallChoice = Partial<Omit<CallOptions, "entry" | "organisation">> & {
   readonly tag?: string
 }
 
@@ -17,19 +17,19 @@
   async send(box: Box, choice: CallChoice = {}): Promise<CallResult> {
     const model = choice.model ?? this.deployment_.models[0] ?? ""
     const tag = choice.tag ?? `call-${this.next_++}`
-    const tenant = this.deployment_.tenantOf(model)
+    const organisation = this.deployment_.organisationOf(model)
     const tokens = choice.tokens ?? 4
     const sentAt = Date.now()
     const result = await callModel({
       ...choice,
       entry: box.entryAddress,
       model,
-      tenant,
+      organisation,
       tokens,
       prompt: tag
     })
     const once = choice.key !== undefined || choice.notRepeatable === true
-    this.made.push({tag, tenant, model, tokens, once, sentAt, result})
+    this.made.push({tag, organisation, model, tokens, once, sentAt, result})
     return result
   }
 
--- a/test/support/cell.ts
+++ b/test/support/cell.ts
@@ -22,7 +22,7 @@
 
 export interface TestAsk {
   readonly model?: string
-  readonly tenant?: string
+  readonly organisation?: string
   readonly class?: RequestClass
   readonly prefix?: string
 }
@@ -61,7 +61,7 @@
       t: "ask",
       cell: "cell-1",
       request,
-      tenant: ask.tenant ?? "t",
+      organisation: ask.organisation ?? "t",
       class: ask.class ?? "till",
       model: ask.model ?? this.options_.models[0] ?? "",
       prefix: ask.prefix ?? "",
--- a/test/support/chaos-round.ts
+++ b/test/support/chaos-round.ts
@@ -134,7 +134,7 @@
       {slots: 3, fences: true}
     ],
     adapters: 16,
-    tenants: ["cotejo", "tatrapay"]
+    organisations: ["cotejo", "tatrapay"]
   })
   try {
     const load = runWorkload(deployment, {
--- a/test/support/core-sim.ts
+++ b/test/support/core-sim.ts
@@ -443,7 +443,7 @@
     if (this.sim_.oneByOne && requests.size + endings.size > 0) return
     const arrival = {
       request: `r${this.order_++}|${model}`,
-      tenant: "cotejo",
+      organisation: "cotejo",
       class: "till" as const,
       target: {kind: "model" as const, model},
       streamed: false,
@@ -483,7 +483,7 @@
 function makeConfig({slots, models}: SimOptions) {
   const records: SnapshotRecord[] = [
     {
-      kind: "tenant",
+      kind: "organisation",
       id: "cotejo",
       generation: 1,
       value: {keyHashes: [], classes: ["till"], maxInProgress: 100}
@@ -511,7 +511,7 @@
       kind: "adapter",
       id: adapter,
       generation: 1,
-      value: {baseModel: "base-a", tenant: "cotejo"}
+      value: {baseModel: "base-a", organisation: "cotejo"}
     })
     records.push({kind: "version", id: `${adapter}@1`, generation: 1, value: version})
   }
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -26,6 +26,7 @@
   ownerlessMs: 8_000,
   entryGoneMs: 20_000,
   entrySilentMs: 1_500,
+  streamLingerMs: 2_000,
   loadTimeoutMs: 5_000,
   loadBackoffMs: 100,
   holdMs: 2_000,
@@ -46,9 +47,9 @@
 export interface DeploymentOptions {
   readonly boxes?: number
   readonly engines?: readonly EngineOptions[]
-  /** Adapters of each base model; `a0`, `a1` and so on, version 1, tenants in turn. */
+  /** Adapters of each base model; `a0`, `a1` and so on, version 1, organisations in turn. */
   readonly adapters?: number
-  readonly tenants?: readonly string[]
+  readonly organisations?: readonly string[]
   readonly timing?: Partial<typeof TEST_TIMING>
   readonly patienceMs?: Partial<Record<"till" | "merchant" | "overnight", number>>
   readonly entry?: Readonly<Record<string, unknown>>
@@ -95,12 +96,12 @@
   readonly services: StandIn[] = []
   kv!: StandIn
   platform!: StandIn
-  readonly tenants: readonly string[]
+  readonly organisations: readonly string[]
   readonly models: string[] = []
   private readonly dir_ = mkdtempSync(join(tmpdir(), "sedgeglade-"))
 
   private constructor(readonly options: DeploymentOptions) {
-    this.tenants = options.tenants ?? ["cotejo"]
+    this.organisations = options.organisations ?? ["cotejo"]
   }
 
   /** Starts everything, and waits until it serves. */
@@ -271,12 +272,12 @@
       id,
       value: {}
     }))
-    for (const tenant of this.tenants) {
+    for (const organisation of this.organisations) {
       records.push({
-        kind: "tenant",
-        id: tenant,
+        kind: "organisation",
+        id: organisation,
         value: {
-          keyHashes: [sha256(keyOf(tenant))],
+          keyHashes: [sha256(keyOf(organisation))],
           classes: ["till", "merchant", "overnight"],
           maxInProgress: 400
         }
@@ -329,8 +330,8 @@
     const records: ProposedRecord[] = []
     for (let index = 0; index < (this.options.adapters ?? 4); index++) {
       const adapter = `${base}-a${index}`
-      const tenant = this.tenants[index % this.tenants.length]
-      records.push({kind: "adapter", id: adapter, value: {baseModel: base, tenant}})
+      const organisation = this.organisations[index % this.organisations.length]
+      records.push({kind: "adapter", id: adapter, value: {baseModel: base, organisation}})
       records.push({
         kind: "version",
         id: `${adapter}@1`,
@@ -383,16 +384,16 @@
     return other
   }
 
-  /** The tenant that owns a model. */
-  tenantOf(model: string): string {
+  /** The organisation that owns a model. */
+  organisationOf(model: string): string {
     const index = Number(/-a(\d+)@/.exec(model)?.[1] ?? 0)
-    return this.tenants[index % this.tenants.length] ?? ""
+    return this.organisations[index % this.organisations.length] ?? ""
   }
 }
 
-/** A tenant's key in tests. */
-export function keyOf(tenant: string): string {
-  return `key-of-${tenant}`
+/** An organisation's key in tests. */
+export function keyOf(organisation: string): string {
+  return `key-of-${organisation}`
 }
 
 /** A JSON document. */
--- a/test/support/oracle.ts
+++ b/test/support/oracle.ts
@@ -7,7 +7,7 @@
 export interface Call {
   /** The prompt, new for each request; calls that repeat an idempotency key share it. */
   readonly tag: string
-  readonly tenant: string
+  readonly organisation: string
   readonly model: string
   readonly tokens: number
   readonly once: boolean
