--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -1,7 +1,6 @@
 /** What the leader of a fleet knows of its engines, and who waits for which weights. */
 import type {EngineNews, Need} from "../types/box-messages.js"
 import type {FleetService} from "../types/fleet.js"
-import {SlidingCount} from "./rate-windows.js"
 
 /** Where an adapter stands on an engine. */
 export type PlacePhase = "loading" | "ready" | "unloading"
@@ -125,8 +124,7 @@
   readonly uses: Map<string, Map<string, number>>
   /** How often each adapter is asked for: counts that halve with time. */
   readonly heat: Map<string, {score: number; at: number}>
-  /** Loads from the weight store, lately. */
-  readonly loads: SlidingCount
+  /** Base models that may be loaded from the weight store now, and when that was counted. */
   loadTokens: number
   loadTokensAt: number
   /** How long a load takes, learned: from the weight store and from near copies, milliseconds. */
@@ -135,9 +133,6 @@
   effects: FleetEffect[]
 }
 
-/** The span over which loads are counted, milliseconds. */
-const LOAD_SPAN_MS = 5_000
-
 /** A fleet of which nothing is known. */
 export function createFleet(now: number): Fleet {
   return {
@@ -147,7 +142,6 @@
     waiting: new Map(),
     uses: new Map(),
     heat: new Map(),
-    loads: new SlidingCount(LOAD_SPAN_MS),
     loadTokens: 0,
     loadTokensAt: now,
     storeLoadMs: 320,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -24,11 +24,11 @@
   warm
 } from "./placement-state.js"
 
-/** Loads that may be saved up. */
-const MAX_LOAD_TOKENS = 3
+/** Loads of base models that may be saved up. */
+const MAX_LOAD_TOKENS = 2
 
-/** Loads from the weight store at once: more make each slower. */
-const MAX_STORE_LOADS = 2
+/** Adapters on their way from the weight store for each engine: more make each slower. */
+const STORE_LOADS_PER_ENGINE = 2
 
 /** How often an engine is asked while loads are on their way, milliseconds. */
 const ASK_MS = 400
@@ -43,6 +43,9 @@
 /** A place that an engine does not confirm in this time after its order is lost, milliseconds. */
 const LOST_PLACE_MS = 2_500
 
+/** An engine with more work than this makes a request wait longer than a load does, tokens. */
+const BUSY_TOKENS = 12_000
+
 /** The work on one engine past which a hot adapter gets another, tokens. */
 const COPY_LOAD_TOKENS = 9_000
 
@@ -226,10 +229,11 @@
     if (pending.has(adapter)) continue
     const place = engine.places.get(adapter)
     if (!place) engine.places.set(adapter, createPlace(version, "ready", now, now))
-    else if (place.version === version) {
+    else if (place.version === version || place.version === 0) {
+      place.version = version
       place.phase = "ready"
       place.readyAt = Math.min(place.readyAt, now)
-    } else if (place.version === 0 || now - place.orderedAt > LOST_PLACE_MS) {
+    } else if (now - place.orderedAt > LOST_PLACE_MS) {
       place.version = version
       place.phase = "ready"
     }
@@ -351,7 +355,7 @@
   const model = limits?.models[0]
   if (!limits || !model || model.weightsMb > limits.weightsMb) return
   if (fleet.loadTokens < 1) return
-  spendLoad(fleet, now)
+  fleet.loadTokens--
   give(fleet, engine, {operation: "load", model: model.name})
 }
 
@@ -366,8 +370,6 @@
         if (place.running === 0) unload(fleet, engine, adapter, now)
         continue
       }
-      if (fleet.loadTokens < 1) return
-      spendLoad(fleet, now)
       place.version = version
       place.phase = "loading"
       place.orderedAt = now
@@ -396,13 +398,15 @@
 /** Places the adapters that requests wait for, what is worth most first. */
 function placeWanted(fleet: Fleet, now: number): void {
   const wanted = listWanted(fleet, now)
-  let storeLoads = countStoreLoads(fleet, now)
+  let room = STORE_LOADS_PER_ENGINE * fleet.engines.size - countStoreLoads(fleet, now)
   for (const {adapter, service} of wanted) {
     if (isComing(fleet, adapter, now)) continue
-    const store = storeLoads < MAX_STORE_LOADS && fleet.loadTokens >= 1
+    const store = room > 0 && !hasNearCopy(fleet, adapter, now)
     const spot = chooseSpot(fleet, service, adapter, store, now)
     if (!spot) continue
-    if (takeSpot(fleet, spot, adapter, now) && !spot.near) storeLoads++
+    takeSpot(fleet, spot, adapter, now)
+    // A place made free is for the load that follows: evictions never run ahead of loads.
+    if (!spot.near) room--
   }
   copyHot(fleet, now)
 }
@@ -437,6 +441,16 @@
   return false
 }
 
+/** Whether an engine can bring it from a near copy soon, so that the store need not be asked. */
+function hasNearCopy(fleet: Fleet, adapter: string, now: number): boolean {
+  for (const engine of fleet.engines.values()) {
+    if (engine.leaving || !engine.copies.has(adapter)) continue
+    if (engine.failures > 0 || engine.quietUntil > now + QUIET_MS) continue
+    if (engine.load < BUSY_TOKENS) return true
+  }
+  return false
+}
+
 /** A hot adapter whose engines are busy gets one more place, where a copy is cheap or due. */
 function copyHot(fleet: Fleet, now: number): void {
   let least = Infinity
@@ -451,7 +465,7 @@
       countHolders(fleet, adapter) > 1 + heatOf(fleet, adapter, now) / 6
     )
       continue
-    const store = fleet.loadTokens >= 2 && countStoreLoads(fleet, now) === 0
+    const store = countStoreLoads(fleet, now) === 0
     const spot = chooseSpot(fleet, engine.service, adapter, store, now)
     if (spot && spot.engine.load * 2 < engine.load) takeSpot(fleet, spot, adapter, now)
   }
@@ -478,7 +492,6 @@
     return false
   }
   const version = fleet.versions.get(adapter) ?? 0
-  if (!near) spendLoad(fleet, now)
   const time = near ? fleet.copyLoadMs : fleet.storeLoadMs
   engine.places.set(adapter, createPlace(version, "loading", now + time, now))
   giveLoad(fleet, engine, adapter, version)
@@ -534,11 +547,6 @@
   fleet.loadTokensAt = now
 }
 
-function spendLoad(fleet: Fleet, now: number): void {
-  fleet.loadTokens--
-  fleet.loads.add(now)
-}
-
 function countStoreLoads(fleet: Fleet, now: number): number {
   let count = 0
   for (const engine of fleet.engines.values()) {
