--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -149,7 +149,6 @@
 
 export interface LeaderLinkEvents {
   readonly message: (message: FromLeader) => void
-  readonly up: () => void
   readonly down: () => void
 }
 
@@ -178,7 +177,6 @@
     socket.once("open", () => {
       this.link_.heardAt = performance.now()
       this.link_.send(hello)
-      events.up()
     })
   }
 
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -141,7 +141,8 @@
         },
         ttlMs: settings.store.leaseTtlMs,
         marginMs: LEASE_MARGIN_MS,
-        handoverMs: settings.handoverMs
+        checksFences: settings.orders.checksFences,
+        orderGapMs: settings.orders.leaseMs
       },
       {
         won: fence => this.lead(fence),
@@ -246,7 +247,9 @@
   }
 
   private lead(fence: number): void {
-    this.context_.log("leading", {fence, orderFromMs: this.context_.settings.handoverMs})
+    const {orderFrom} = this.election_.leadership
+    const waitMs = Math.round(orderFrom - performance.now())
+    this.context_.log("leading", {fence, waitMs})
     this.link_?.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "leader-new"})
@@ -268,17 +271,19 @@
       incarnation: this.incarnation_
     }
     const link = new LeaderLink(leader.address, hello, {
-      up: () => {
-        this.linked_ = true
-        log("leader-linked", {leader: leader.box})
-        this.loop_.post({type: "leader-new"})
-      },
       down: () => {
         if (this.link_ === link) this.link_ = undefined
+        if (this.linked_) log("leader-lost", {leader: leader.box})
         this.linked_ = false
-        log("leader-lost", {leader: leader.box})
       },
-      message: message => this.takeLeader(message)
+      message: message => {
+        if (!this.linked_) {
+          this.linked_ = true
+          log("leader-linked", {leader: leader.box})
+          this.loop_.post({type: "leader-new"})
+        }
+        this.takeLeader(message)
+      }
     })
     this.link_ = link
   }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -89,6 +89,8 @@
   table: RouteTable | undefined
   backends: BackendList
   readonly engines: Map<string, EngineView>
+  /** Adapters that each engine held lately, newest last: what a new leader begins with. */
+  readonly held: Map<string, Map<string, number>>
   readonly versions: Map<string, NewestVersion>
   readonly requests: Map<string, BoxRequest>
   /** Requests in progress at each backend server, of this box. */
@@ -158,6 +160,7 @@
     table: undefined,
     backends: createBackendList(),
     engines: new Map(),
+    held: new Map(),
     versions: new Map(),
     requests: new Map(),
     busy: new Map(),
@@ -202,10 +205,32 @@
         {version, readyAt: now + readyInMs}
       ])
     )
+    noteHeld(box, engine, views.keys(), now)
     box.engines.set(engine, {models: new Set(models), places: views, load, toldAt: now})
   }
 }
 
+/** Adapters remembered of each engine. */
+const MAX_HELD = 34
+
+function noteHeld(
+  box: BoxServing,
+  engine: string,
+  adapters: Iterable<string>,
+  now: number
+): void {
+  const held = box.held.get(engine) ?? new Map<string, number>()
+  box.held.set(engine, held)
+  for (const adapter of adapters) {
+    held.delete(adapter)
+    held.set(adapter, now)
+  }
+  for (const oldest of held.keys()) {
+    if (held.size <= MAX_HELD) return
+    held.delete(oldest)
+  }
+}
+
 /** Takes the newest versions of adapters; none ever goes down. */
 export function takeVersions(
   box: BoxServing,
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -7,8 +7,15 @@
   readonly ttlMs: number
   /** Taken off the lease by its holder. */
   readonly marginMs: number
-  /** Between the last order of one leader and the first of the next, milliseconds. */
-  readonly handoverMs: number
+  /** Engines refuse orders with an old fence, so that a new leader need not wait. */
+  readonly checksFences: boolean
+  /** Where they do not: the least time between orders of two leaders, milliseconds. */
+  readonly orderGapMs: number
+}
+
+/** How long a new leader waits: an earlier one may believe in its lease for all its time. */
+function handoverMs({checksFences, orderGapMs, ttlMs}: LeadershipOptions): number {
+  return checksFences ? 0 : orderGapMs + ttlMs
 }
 
 export interface Leadership {
@@ -44,8 +51,8 @@
   leadership.lease = claim.lease
   leadership.validUntil = claim.sentAt + options.ttlMs - options.marginMs
   // Another that led meanwhile would have waited as long before its first order.
-  const own = now - leadership.endedAt < options.handoverMs
-  leadership.orderFrom = own ? now : now + options.handoverMs
+  const own = now - leadership.endedAt < handoverMs(options)
+  leadership.orderFrom = own ? now : now + handoverMs(options)
 }
 
 /** The lease was renewed by a call sent at `sentAt`. */
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -237,6 +237,10 @@
     takeFleetVersion(state.fleet, adapter, version)
   }
   listEngines(state)
+  for (const [id, held] of state.serving.held) {
+    const engine = state.fleet.engines.get(id)
+    for (const [adapter, at] of held) engine?.copies.set(adapter, at)
+  }
 }
 
 function listEngines({fleet, serving}: RoutedState): void {
@@ -259,6 +263,7 @@
 }
 
 /** Views of engines that are gone. */
-function forgetEngines({engines, backends}: BoxServing): void {
+function forgetEngines({engines, held, backends}: BoxServing): void {
   for (const id of engines.keys()) if (!backends.known.has(id)) engines.delete(id)
+  for (const id of held.keys()) if (!backends.known.has(id)) held.delete(id)
 }
--- a/src/types/routed-settings.ts
+++ b/src/types/routed-settings.ts
@@ -16,9 +16,12 @@
     watchMs: positiveMs.describe("How long a watch waits for changes"),
     leaseTtlMs: positiveMs.describe("Lease of the leader")
   }),
-  handoverMs: positiveMs.describe(
-    "Between the last order of one leader and the first of the next"
-  ),
+  orders: z.strictObject({
+    checksFences: z.boolean().describe("Engines refuse orders with an old fence"),
+    leaseMs: positiveMs.describe(
+      "Where they do not: the least time between orders of two leaders"
+    )
+  }),
   graceS: z
     .number()
     .positive()
