--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -9,7 +9,7 @@
 const MAX_MESSAGE_BYTES = 16 << 20
 const CONNECT_MS = 600
 
-const packr = new Packr({structuredClone: false, useRecords: false})
+const packr = new Packr({structuredClone: false})
 
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -126,6 +126,8 @@
     let heardAt = 0
     const fail = (failure: "not-sent" | "refused" | "misplaced" | "broken"): void => {
       if (!current()) return
+      // The rest of this attempt's answer is nobody's.
+      exchange.attempt = -1
       const last = exchange.lastEventId
       post({type: "failed", id, attempt, failure, lastEventId: last})
     }
