Refuse what a stopping box cannot end

Change: a stopping box lets requests wait 500 ms at most, and after 2.5 s refuses new ones at once as not run. Test: the last of platform-path.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -188,6 +188,7 @@
     const {log, settings} = this.context_
     const deadline = performance.now() + settings.graceS * 900
     log("stopping", {open: this.relay_.open})
+    this.loop_.post({type: "stop"})
     const released = this.election_.stop()
     const listenUntil =
       performance.now() + Math.min(STOP_LISTEN_MS, settings.graceS * 500)
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -40,6 +40,12 @@
 /** Before an answer begins, the multiple of the target after which another is asked. */
 const FIRST_SILENCE_FACTOR = 1.8
 
+/** How long after a stop was asked for requests are still sent to backend servers, milliseconds. */
+const STOP_SEND_MS = 2_500
+
+/** A box that stops lets requests wait so long at most, milliseconds. */
+const STOP_HOLD_MS = 500
+
 /** How an attempt ended without a whole answer. */
 export type AttemptFailure =
   /** Nothing was sent. */
@@ -60,7 +66,7 @@
     arrival,
     arrivedAt: now,
     giveUpAt: now + limit,
-    holdUntil: now + holdTime(box, arrival, limit),
+    holdUntil: holdEnd(box, arrival, limit, now),
     attempt: undefined,
     attempts: 0,
     runs: 0,
@@ -71,9 +77,21 @@
     lastEventId: arrival.lastEventId
   }
   box.requests.set(arrival.id, request)
+  const {stoppingAt} = box
+  if (stoppingAt !== undefined && now - stoppingAt > STOP_SEND_MS) {
+    return giveUp(box, request, "not-run", now)
+  }
   advance(box, request, now)
 }
 
+/** The box stops: what waits is soon refused, and what runs may end. */
+export function stopServing(box: BoxServing, now: number): void {
+  box.stoppingAt = now
+  for (const request of box.requests.values()) {
+    request.holdUntil = Math.min(request.holdUntil, now + STOP_HOLD_MS)
+  }
+}
+
 /** Sends the request if it can be sent now; otherwise it waits. */
 function advance(box: BoxServing, request: BoxRequest, now: number): void {
   if (request.attempt) return
@@ -136,11 +154,12 @@
   })
 }
 
-function holdTime(box: BoxServing, arrival: Arrival, limit: number): number {
-  const share = arrival.weights ? limit * HOLD_SHARE : Infinity
-  return hasBackends(box, arrival.service)
-    ? Math.min(share, limit)
+function holdEnd(box: BoxServing, arrival: Arrival, limit: number, now: number): number {
+  const share = arrival.weights ? limit * HOLD_SHARE : limit
+  const hold = hasBackends(box, arrival.service)
+    ? share
     : Math.min(limit, arrival.route.targetMs * NO_SERVER_SHARE)
+  return now + (box.stoppingAt === undefined ? hold : Math.min(hold, STOP_HOLD_MS))
 }
 
 /** Bytes of the attempt may have left from here on. */
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -100,6 +100,8 @@
   readonly budgets: Map<string, RetryBudget>
   /** Boxes that share budgets and connections. */
   boxes: number
+  /** When the box was asked to stop; undefined: it was not. */
+  stoppingAt: number | undefined
   effects: BoxEffect[]
 }
 
@@ -167,6 +169,7 @@
     suspects: new Map(),
     budgets: new Map(),
     boxes: 1,
+    stoppingAt: undefined,
     effects: []
   }
 }
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -18,6 +18,7 @@
   attemptStarted,
   hangUp,
   refuseNeed,
+  stopServing,
   tellLeader,
   tickRequests
 } from "./box-requests.js"
@@ -94,6 +95,7 @@
     }
   | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
   | {readonly type: "leader-new"}
+  | {readonly type: "stop"}
   | {readonly type: "boxes"; readonly boxes: number}
   | {readonly type: "tick"; readonly mayOrder: boolean}
 
@@ -160,6 +162,8 @@
       return refuseNeed(serving, event.request, event.retryAfterMs, now)
     case "leader-new":
       return tellLeader(serving)
+    case "stop":
+      return stopServing(serving, now)
     case "tick":
       return tick(state, event.mayOrder, now)
     default:
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -142,3 +142,37 @@
     else t.equal(status, 502)
   }
 })
+
+t.test("a box that stops answers whatever it took, and is gone in time", async t => {
+  const bed = await PlatformBed.start({
+    boxes: 1,
+    engines: 1,
+    engine: {events: 40, gapMs: 30}
+  })
+  t.teardown(() => bed.stop())
+  const box = first(bed)
+  const [engine] = bed.engines
+  const running = bed.call(box, "/stream/x", {adapter: "a1"})
+  await until("the stream runs", () => bed.judge.runs.length > 0)
+  if (engine) engine.faults = {shedding: true}
+  const begun = performance.now()
+  box.child.signal("SIGTERM")
+  await until("it is not ready", async () => !(await bed.isReady(box)))
+  const waiting: Promise<unknown>[] = []
+  const answers: number[] = []
+  const late = setInterval(() => {
+    if (box.child.ended || performance.now() - begun > 5_000) return
+    const call = bed.call(box, "/stream/x", {adapter: "a2"}).then(({status, broken}) => {
+      if (!broken || status !== 0) answers.push(status)
+    })
+    waiting.push(call)
+  }, 400)
+  t.teardown(() => clearInterval(late))
+  t.match(await running, {status: 200, broken: false})
+  await until("the box is gone", () => box.child.ended)
+  t.ok(performance.now() - begun < 8_000)
+  clearInterval(late)
+  await Promise.all(waiting)
+  t.ok(answers.length > 0)
+  t.ok(answers.every(status => status === 503))
+})
