Places: orders without an answer do not stall an engine; few copies of hot adapters

A request refused as misplaced was sent to the same engine four times. Ruled out: processor time of boxes (0.05 cores), prefill of engines (about half used). Change: copies from 45,000 tokens up; after a lost answer the next order carries the same count, so that at most one of both is carried out; 421 takes the place out of use until the engine was asked, only a refusal of fresh weights means late.

--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -5,7 +5,7 @@
 import type {BackendRecord} from "../types/fleet.js"
 import type {BackendPools} from "./backend-pools.js"
 
-const ORDER_TIMEOUT_MS = 700
+const ORDER_TIMEOUT_MS = 300
 const REPORT_TIMEOUT_MS = 600
 const CONNECTIONS = 4
 
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -354,7 +354,12 @@
       case "use":
         return post({type: "uses", box, changes: message.changes})
       case "missing":
-        return post({type: "missing", engine: message.engine, adapter: message.adapter})
+        return post({
+          type: "missing",
+          engine: message.engine,
+          adapter: message.adapter,
+          late: message.late
+        })
       case "hello":
       case "pong":
         return
@@ -379,9 +384,9 @@
         this.uses_.push(effect.change)
         return
       case "missing": {
-        const {engine, adapter} = effect
-        if (this.leading) this.loop_.post({type: "missing", engine, adapter})
-        else this.link_?.send({t: "missing", engine, adapter})
+        const {engine, adapter, late} = effect
+        if (this.leading) this.loop_.post({type: "missing", engine, adapter, late})
+        else this.link_?.send({t: "missing", engine, adapter, late})
         return
       }
       case "order":
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -24,7 +24,8 @@
   if (told) return told
   const places = backend.models.flatMap(({name, adapters}) =>
     [...adapters].map(
-      ([adapter, version]) => [adapterKey(name, adapter), {version, readyAt: 0}] as const
+      ([adapter, version]) =>
+        [adapterKey(name, adapter), {version, readyAt: 0, fresh: false}] as const
     )
   )
   return {
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -224,7 +224,9 @@
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   const ran = attempt.started && failure === "broken"
-  if (failure === "misplaced") forgetPlace(box, request, attempt)
+  if (failure === "misplaced" || failure === "refused") {
+    doubtPlace(box, request, attempt, failure === "refused", now)
+  }
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
@@ -402,12 +404,24 @@
   box.effects.push({type: "use", change: {engine: backend, adapter, change, tokens}})
 }
 
-function forgetPlace(box: BoxServing, request: BoxRequest, {backend}: Attempt): void {
+/** An engine refused a request for an adapter that it was believed to hold. */
+function doubtPlace(
+  box: BoxServing,
+  request: BoxRequest,
+  {backend}: Attempt,
+  late: boolean,
+  now: number
+): void {
   const {weights} = request.arrival
   if (weights?.adapter === undefined) return
   const adapter = adapterKey(weights.model, weights.adapter)
-  box.engines.get(backend)?.places.delete(adapter)
-  box.effects.push({type: "missing", engine: backend, adapter})
+  const places = box.engines.get(backend)?.places
+  const place = places?.get(adapter)
+  if (!places || !place) return
+  if (!late) places.delete(adapter)
+  else if (place.fresh) places.set(adapter, {...place, readyAt: now + REFUSED_PAUSE_MS})
+  else return
+  box.effects.push({type: "missing", engine: backend, adapter, late})
 }
 
 function suspect(box: BoxServing, backend: string, now: number): void {
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -61,6 +61,8 @@
 export interface PlaceView {
   readonly version: number
   readonly readyAt: number
+  /** Its weights came lately: a refusal may mean that they are on their way. */
+  readonly fresh: boolean
 }
 
 /** An engine as the leader told it, or as it said itself. */
@@ -141,7 +143,12 @@
   | {readonly type: "need"; readonly need: Need}
   | {readonly type: "drop"; readonly request: string}
   | {readonly type: "use"; readonly change: UseChange}
-  | {readonly type: "missing"; readonly engine: string; readonly adapter: string}
+  | {
+      readonly type: "missing"
+      readonly engine: string
+      readonly adapter: string
+      readonly late: boolean
+    }
   | {readonly type: "note"; readonly event: BoxNote; readonly fields: NoteFields}
 
 /** The events of the catalogue that a box's decisions raise. */
@@ -205,7 +212,11 @@
     const views = new Map(
       places.map(({adapter, version, readyInMs}) => [
         adapter,
-        {version, readyAt: now + readyInMs}
+        {
+          version,
+          readyAt: now + readyInMs,
+          fresh: readyInMs > 0 || isFresh(box, engine, adapter, now)
+        }
       ])
     )
     noteHeld(box, engine, views.keys(), now)
@@ -213,6 +224,14 @@
   }
 }
 
+/** How long after it was due a place counts as fresh, milliseconds. */
+const FRESH_MS = 400
+
+function isFresh(box: BoxServing, engine: string, adapter: string, now: number): boolean {
+  const known = box.engines.get(engine)?.places.get(adapter)
+  return known !== undefined && known.fresh && now - known.readyAt < FRESH_MS
+}
+
 /** Adapters remembered of each engine. */
 const MAX_HELD = 34
 
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -15,6 +15,8 @@
   lastUsed: number
   /** Requests in progress with it, from all boxes. */
   running: number
+  /** It came from a near copy, not from the weight store. */
+  near: boolean
 }
 
 /** An order to an engine. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -40,14 +40,23 @@
 const QUIET_MS = 300
 const MAX_QUIET_MS = 4_000
 
+/** Reports tell how things stood so long ago, milliseconds. */
+const REPORT_LAG_MS = 250
+
+/** Weights that are late are believed to need so much longer, milliseconds. */
+const LATE_MS = 60
+
+/** Orders in a row without an answer after which an engine is left alone for a while. */
+const MAX_UNKNOWN = 4
+
 /** A place that an engine does not confirm in this time after its order is lost, milliseconds. */
 const LOST_PLACE_MS = 2_500
 
 /** An engine with more work than this makes a request wait longer than a load does, tokens. */
-const BUSY_TOKENS = 12_000
+const BUSY_TOKENS = 60_000
 
-/** The work on one engine past which a hot adapter gets another, tokens. */
-const COPY_LOAD_TOKENS = 9_000
+/** Work on one engine past which a hot adapter gets another: each copy costs a place, tokens. */
+const COPY_LOAD_TOKENS = 45_000
 
 /** Takes the engines of the fleet as they are listed now. */
 export function takeEngines(
@@ -164,14 +173,20 @@
 ): void {
   const engine = fleet.engines.get(id)
   const place = engine?.places.get(adapter)
-  if (!engine || !place) return
-  // It is on its way, and took longer than believed.
-  if (now - place.readyAt < 300) {
-    place.readyAt = now + 60
-    learnLoadTime(fleet, place, 1.15)
-  } else {
-    engine.askAt = Math.min(engine.askAt, now)
-  }
+  if (!engine || !place || place.readyAt > now) return
+  // What it holds is asked, since another version may stand there; reports lag.
+  place.readyAt = Infinity
+  engine.askAt = Math.min(engine.askAt, now + REPORT_LAG_MS)
+  engine.changed = true
+}
+
+/** It said so of what is on its way: that takes longer than believed. */
+export function takeLate(fleet: Fleet, id: string, adapter: string, now: number): void {
+  const engine = fleet.engines.get(id)
+  const place = engine?.places.get(adapter)
+  if (!engine || !place || place.phase !== "loading" || place.readyAt > now) return
+  learnLoadTime(fleet, place)
+  place.readyAt = now + LATE_MS
   engine.changed = true
 }
 
@@ -202,12 +217,17 @@
   engine.sequence = report.sequence
   engine.models = new Set(report.models.map(({name}) => name))
   if (report.busy) engine.quietUntil = now + QUIET_MS / 3
-  adoptPlaces(engine, report, now)
+  adoptPlaces(fleet, engine, report, now)
   engine.askAt = now + (hasLoads(engine, now) ? ASK_MS : ASK_IDLE_MS)
   engine.changed = true
 }
 
-function adoptPlaces(engine: FleetEngine, report: EngineReport, now: number): void {
+function adoptPlaces(
+  fleet: Fleet,
+  engine: FleetEngine,
+  report: EngineReport,
+  now: number
+): void {
   const held = new Map<string, number>()
   for (const {name, adapters} of report.models) {
     for (const [adapter, version] of adapters)
@@ -216,7 +236,8 @@
   const pending = new Map(report.pending.map(({adapter, version}) => [adapter, version]))
   for (const [adapter, place] of engine.places) {
     if (held.has(adapter) || pending.has(adapter)) continue
-    if (now - place.orderedAt < LOST_PLACE_MS && place.phase === "loading") continue
+    const coming = place.phase === "loading" && place.readyAt !== Infinity
+    if (coming && now - place.orderedAt < LOST_PLACE_MS) continue
     engine.places.delete(adapter)
   }
   for (const [adapter, version] of pending) {
@@ -231,6 +252,7 @@
     if (!place) engine.places.set(adapter, createPlace(version, "ready", now, now))
     else if (place.version === version || place.version === 0) {
       place.version = version
+      if (place.phase === "loading" && place.readyAt <= now) relaxLoadTime(fleet, place)
       place.phase = "ready"
       place.readyAt = Math.min(place.readyAt, now)
     } else if (now - place.orderedAt > LOST_PLACE_MS) {
@@ -247,7 +269,7 @@
   readyAt: number,
   now: number
 ): Place {
-  return {version, phase, readyAt, orderedAt: now, lastUsed: now, running: 0}
+  return {version, phase, readyAt, orderedAt: now, lastUsed: now, running: 0, near: false}
 }
 
 /** Takes the answer to an order. */
@@ -269,14 +291,19 @@
     settleOrder(engine, order, now)
     return
   }
-  undoOrder(engine, order, result)
-  engine.sequence = undefined
-  engine.askAt = now
+  undoOrder(engine, order)
   fleet.effects.push({
     type: "note",
     event: "place-trouble",
     fields: {engine: id, operation: order.operation, adapter: order.adapter ?? "", result}
   })
+  if (result === "unknown" && ++engine.failures < MAX_UNKNOWN) {
+    // It may be carried out yet. The next order carries the same count, so that only one of the
+    // two is: if this one was, the next is refused and the engine is asked.
+    return
+  }
+  engine.sequence = undefined
+  engine.askAt = now
   if (result !== "conflict") holdBack(engine, now)
 }
 
@@ -296,19 +323,14 @@
   }
 }
 
-function undoOrder(engine: FleetEngine, order: FleetOrder, result: OrderResult): void {
+function undoOrder(engine: FleetEngine, order: FleetOrder): void {
   if (order.adapter === undefined) return
   const key = adapterKey(order.model, order.adapter)
   const place = engine.places.get(key)
   if (!place) return
   engine.changed = true
-  // Without an answer it may still come: the place stays taken until the engine was asked.
-  if (order.operation === "load") {
-    if (result !== "unknown") engine.places.delete(key)
-    else place.readyAt = Infinity
-  } else {
-    place.phase = "ready"
-  }
+  if (order.operation === "load") engine.places.delete(key)
+  else place.phase = "ready"
 }
 
 function holdBack(engine: FleetEngine, now: number): void {
@@ -513,7 +535,8 @@
   }
   const version = fleet.versions.get(adapter) ?? 0
   const time = near ? fleet.copyLoadMs : fleet.storeLoadMs
-  engine.places.set(adapter, createPlace(version, "loading", now + time, now))
+  const place = createPlace(version, "loading", now + time, now)
+  engine.places.set(adapter, {...place, near})
   giveLoad(fleet, engine, adapter, version)
   fleet.effects.push({
     type: "note",
@@ -591,11 +614,26 @@
   }
 }
 
-function learnLoadTime(fleet: Fleet, place: Place, factor: number): void {
-  const took = place.readyAt - place.orderedAt
-  if (took > fleet.copyLoadMs * 2)
-    fleet.storeLoadMs = Math.min(1_500, fleet.storeLoadMs * factor)
-  else fleet.copyLoadMs = Math.min(400, fleet.copyLoadMs * factor)
+const SLOWER = 1.1
+const FASTER = 0.99
+const MIN_STORE_LOAD_MS = 100
+const MAX_STORE_LOAD_MS = 1_500
+const MIN_COPY_LOAD_MS = 20
+const MAX_COPY_LOAD_MS = 300
+
+/** Weights came later than believed: the next are expected later, too. */
+function learnLoadTime(fleet: Fleet, place: Place): void {
+  if (place.near) {
+    fleet.copyLoadMs = Math.min(MAX_COPY_LOAD_MS, fleet.copyLoadMs * SLOWER)
+  } else {
+    fleet.storeLoadMs = Math.min(MAX_STORE_LOAD_MS, fleet.storeLoadMs * SLOWER)
+  }
+}
+
+/** They came in time: the belief comes down slowly. */
+function relaxLoadTime(fleet: Fleet, place: Place): void {
+  if (place.near) fleet.copyLoadMs = Math.max(MIN_COPY_LOAD_MS, fleet.copyLoadMs * FASTER)
+  else fleet.storeLoadMs = Math.max(MIN_STORE_LOAD_MS, fleet.storeLoadMs * FASTER)
 }
 
 function tellNews(fleet: Fleet, now: number): void {
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -37,6 +37,7 @@
   planFleet,
   takeEngines,
   takeFleetVersion,
+  takeLate,
   takeMissing,
   takeNeed,
   takeOrderResult,
@@ -106,7 +107,12 @@
   | {readonly type: "need"; readonly box: string; readonly need: Need}
   | {readonly type: "drop"; readonly box: string; readonly request: string}
   | {readonly type: "uses"; readonly box: string; readonly changes: readonly UseChange[]}
-  | {readonly type: "missing"; readonly engine: string; readonly adapter: string}
+  | {
+      readonly type: "missing"
+      readonly engine: string
+      readonly adapter: string
+      readonly late: boolean
+    }
   | {readonly type: "box-gone"; readonly box: string}
   | {
       readonly type: "report"
@@ -225,7 +231,9 @@
     case "uses":
       return takeUses(fleet, event.box, event.changes, now)
     case "missing":
-      return takeMissing(fleet, event.engine, event.adapter, now)
+      return event.late
+        ? takeLate(fleet, event.engine, event.adapter, now)
+        : takeMissing(fleet, event.engine, event.adapter, now)
     case "box-gone":
       return forgetBox(fleet, event.box, now)
     case "report":
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -50,7 +50,13 @@
   | {readonly t: "need"; readonly need: Need}
   | {readonly t: "drop"; readonly request: string}
   | {readonly t: "use"; readonly changes: readonly UseChange[]}
-  | {readonly t: "missing"; readonly engine: string; readonly adapter: string}
+  /** An engine refused a request; `late`: its weights may be on their way. */
+  | {
+      readonly t: "missing"
+      readonly engine: string
+      readonly adapter: string
+      readonly late: boolean
+    }
   | {readonly t: "pong"}
 
 /** From the leader to a box. */
