--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -108,6 +108,7 @@
     sentAt: now,
     started: false,
     heardAt: undefined,
+    firstAt: undefined,
     headed: false
   }
   countUse(box, request, 1)
@@ -178,6 +179,7 @@
   const attempt = findAttempt(box, id, number)
   if (!attempt) return
   attempt.heardAt = now
+  attempt.firstAt ??= now
   box.suspects.delete(attempt.backend)
 }
 
@@ -204,9 +206,23 @@
 }
 
 /** The whole answer was passed on. */
-export function attemptDone(box: BoxServing, id: string, number: number): void {
+export function attemptDone(
+  box: BoxServing,
+  id: string,
+  number: number,
+  now: number
+): void {
   const request = box.requests.get(id)
-  if (!request || !findAttempt(box, id, number)) return
+  const attempt = findAttempt(box, id, number)
+  if (!request || !attempt) return
+  note(box, "route-ended", {
+    request: request.arrival.name,
+    backend: attempt.backend,
+    attempts: request.attempts,
+    sentMs: Math.round(attempt.sentAt - request.arrivedAt),
+    firstMs: Math.round((attempt.firstAt ?? now) - request.arrivedAt),
+    totalMs: Math.round(now - request.arrivedAt)
+  })
   finish(box, request)
 }
 
@@ -225,7 +241,7 @@
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   const ran = attempt.started && failure === "broken"
   if (failure === "misplaced" || failure === "refused") {
-    doubtPlace(box, request, attempt, failure === "refused", now)
+    doubtPlace(box, request, attempt, failure, now)
   }
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
@@ -409,7 +425,7 @@
   box: BoxServing,
   request: BoxRequest,
   {backend}: Attempt,
-  late: boolean,
+  failure: "misplaced" | "refused",
   now: number
 ): void {
   const {weights} = request.arrival
@@ -418,8 +434,10 @@
   const places = box.engines.get(backend)?.places
   const place = places?.get(adapter)
   if (!places || !place) return
-  if (!late) places.delete(adapter)
-  else if (place.fresh) places.set(adapter, {...place, readyAt: now + REFUSED_PAUSE_MS})
+  // What has come lately may still be on its way; a shed request says nothing of weights.
+  const late = place.fresh
+  if (late) places.set(adapter, {...place, readyAt: now + REFUSED_PAUSE_MS})
+  else if (failure === "misplaced") places.delete(adapter)
   else return
   box.effects.push({type: "missing", engine: backend, adapter, late})
 }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -31,6 +31,8 @@
   started: boolean
   /** Bytes of its answer came; the time of the last. */
   heardAt: number | undefined
+  /** When the first bytes of its answer came. */
+  firstAt: number | undefined
   headed: boolean
 }
 
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -46,6 +46,9 @@
 /** Weights that are late are believed to need so much longer, milliseconds. */
 const LATE_MS = 60
 
+/** Weights that take so many times what is expected are taken for lost. */
+const MAX_LATENESS = 3
+
 /** Orders in a row without an answer after which an engine is left alone for a while. */
 const MAX_UNKNOWN = 4
 
@@ -184,7 +187,11 @@
 export function takeLate(fleet: Fleet, id: string, adapter: string, now: number): void {
   const engine = fleet.engines.get(id)
   const place = engine?.places.get(adapter)
-  if (!engine || !place || place.phase !== "loading" || place.readyAt > now) return
+  if (!engine || !place || place.readyAt > now) return
+  const expected = place.near ? fleet.copyLoadMs : fleet.storeLoadMs
+  if (now - place.orderedAt > MAX_LATENESS * expected + REPORT_LAG_MS) {
+    return takeMissing(fleet, id, adapter, now)
+  }
   learnLoadTime(fleet, place)
   place.readyAt = now + LATE_MS
   engine.changed = true
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -152,7 +152,7 @@
     case "head":
       return attemptHead(serving, event.id, event.attempt, event.head, now)
     case "done":
-      return attemptDone(serving, event.id, event.attempt)
+      return attemptDone(serving, event.id, event.attempt, now)
     case "failed":
       return attemptFailed(
         serving,
--- a/src/events.ts
+++ b/src/events.ts
@@ -195,7 +195,7 @@
     level: "warn",
     text: "An answer that had begun is cut, since it cannot be completed."
   },
-  "route-ended": {number: 194, level: "debug", text: "A request ended."},
+  "route-ended": {number: 194, level: "info", text: "A request was answered whole."},
   "backend-suspect": {
     number: 195,
     level: "warn",
