--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -16,7 +16,7 @@
 const FAR_TOKENS = 300
 
 /** Work in tokens that a request counts for which this box sent and the leader has not counted. */
-const OWN_TOKENS = 400
+const OWN_TOKENS = 100
 
 /** What is known of an engine: the leader's word, else its own. */
 function viewOf(box: BoxServing, backend: BackendRecord): EngineView {
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,6 +2,7 @@
  * The requests of a box: each is sent to a backend server that can serve it, sent again where that
  * is safe and within the budget, or ended with what is known of it.
  */
+import type {UseChange} from "../types/box-messages.js"
 import {adapterKey} from "../types/fleet.js"
 import {
   type Arrival,
@@ -176,11 +177,15 @@
   number: number,
   now: number
 ): void {
+  const request = box.requests.get(id)
   const attempt = findAttempt(box, id, number)
-  if (!attempt) return
+  if (!request || !attempt) return
   attempt.heardAt = now
-  attempt.firstAt ??= now
   box.suspects.delete(attempt.backend)
+  if (attempt.firstAt !== undefined) return
+  attempt.firstAt = now
+  // The prompt was read: its work is done, whatever still comes out.
+  tellUse(box, request, attempt.backend, 0, -request.arrival.tokens)
 }
 
 /** The head of an answer came, which is the backend server's own word on a run. */
@@ -285,8 +290,12 @@
 /** Tells a new leader all that waits and runs here. */
 export function tellLeader(box: BoxServing): void {
   for (const request of box.requests.values()) {
-    if (request.attempt) tellUse(box, request, request.attempt.backend, 1)
-    else request.needed = false
+    const {attempt, arrival} = request
+    if (!attempt) request.needed = false
+    else {
+      const unread = attempt.firstAt === undefined ? arrival.tokens : 0
+      tellUse(box, request, attempt.backend, 1, unread)
+    }
   }
 }
 
@@ -405,19 +414,22 @@
   if (!attempt) return
   const {backend} = attempt
   box.busy.set(backend, Math.max(0, (box.busy.get(backend) ?? 0) + change))
-  tellUse(box, request, backend, change)
+  const {tokens} = request.arrival
+  const unread = attempt.firstAt === undefined ? tokens : 0
+  tellUse(box, request, backend, change, change * unread)
 }
 
 function tellUse(
   box: BoxServing,
-  {arrival: {weights, tokens}}: BoxRequest,
-  backend: string,
-  change: 1 | -1
+  {arrival: {weights}}: BoxRequest,
+  engine: string,
+  change: UseChange["change"],
+  tokens: number
 ): void {
   if (!weights) return
   const adapter =
     weights.adapter === undefined ? undefined : adapterKey(weights.model, weights.adapter)
-  box.effects.push({type: "use", change: {engine: backend, adapter, change, tokens}})
+  box.effects.push({type: "use", change: {engine, adapter, change, tokens}})
 }
 
 /** An engine refused a request for an adapter that it was believed to hold. */
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -14,7 +14,7 @@
   readonly route: Route
   readonly service: string
   readonly weights?: Weights
-  /** Work in tokens: the prompt, and ten times what may come out. */
+  /** Prompt tokens. */
   readonly tokens: number
   /** What the caller still waits, milliseconds. */
   readonly deadlineMs: number
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -55,7 +55,7 @@
   readonly places: Map<string, Place>
   /** Adapters it held lately, with when: their copies are near, newest last. */
   readonly copies: Map<string, number>
-  /** Work in progress, tokens. */
+  /** Prompt tokens that wait to be read there. */
   load: number
   /** Its own count of orders; undefined until it was asked. */
   sequence: number | undefined
@@ -116,6 +116,12 @@
 export type FleetNote =
   "place-load" | "place-unload" | "place-trouble" | "place-restarted"
 
+/** What one box has in progress with one adapter on one engine. */
+export interface BoxUse {
+  readonly running: number
+  readonly tokens: number
+}
+
 export interface Fleet {
   services: ReadonlyMap<string, FleetService>
   readonly engines: Map<string, FleetEngine>
@@ -123,7 +129,7 @@
   readonly versions: Map<string, number>
   readonly waiting: Map<string, Waiting>
   /** Uses of each box, so that they can be taken back when it is gone. */
-  readonly uses: Map<string, Map<string, number>>
+  readonly uses: Map<string, Map<string, BoxUse>>
   /** How often each adapter is asked for: counts that halve with time. */
   readonly heat: Map<string, {score: number; at: number}>
   /** Base models that may be loaded from the weight store now, and when that was counted. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -12,6 +12,7 @@
   takesOrders
 } from "./placement-choose.js"
 import {
+  type BoxUse,
   describeEngine,
   type EngineReport,
   type Fleet,
@@ -55,11 +56,11 @@
 /** A place that an engine does not confirm in this time after its order is lost, milliseconds. */
 const LOST_PLACE_MS = 2_500
 
-/** An engine with more work than this makes a request wait longer than a load does, tokens. */
-const BUSY_TOKENS = 60_000
+/** An engine with more unread tokens than this makes a request wait longer than a load does. */
+const BUSY_TOKENS = 8_000
 
-/** Work on one engine past which a hot adapter gets another: each copy costs a place, tokens. */
-const COPY_LOAD_TOKENS = 45_000
+/** Unread tokens on one engine past which a hot adapter gets another: a copy costs a place. */
+const COPY_LOAD_TOKENS = 6_000
 
 /** Takes the engines of the fleet as they are listed now. */
 export function takeEngines(
@@ -127,21 +128,22 @@
   changes: readonly UseChange[],
   now: number
 ): void {
-  const uses = fleet.uses.get(box) ?? new Map<string, number>()
+  const uses = fleet.uses.get(box) ?? new Map<string, BoxUse>()
   fleet.uses.set(box, uses)
   for (const {engine, adapter, change, tokens} of changes) {
     const key = `${engine} ${adapter ?? ""}`
-    uses.set(key, (uses.get(key) ?? 0) + change)
+    const use = uses.get(key) ?? {running: 0, tokens: 0}
+    uses.set(key, {running: use.running + change, tokens: use.tokens + tokens})
     if (change > 0 && adapter !== undefined) warm(fleet, adapter, now)
-    addUse(fleet, engine, adapter, change, tokens * change, now)
+    addUse(fleet, engine, adapter, change, tokens, now)
   }
 }
 
 /** A box is gone: its requests are no more. */
 export function forgetBox(fleet: Fleet, box: string, now: number): void {
-  for (const [key, count] of fleet.uses.get(box) ?? []) {
+  for (const [key, {running, tokens}] of fleet.uses.get(box) ?? []) {
     const [engine = "", adapter = ""] = key.split(" ")
-    addUse(fleet, engine, adapter || undefined, -count, 0, now)
+    addUse(fleet, engine, adapter || undefined, -running, -tokens, now)
   }
   fleet.uses.delete(box)
   for (const [key, waiting] of fleet.waiting) {
@@ -507,7 +509,7 @@
     if (!engine.leaving && engine.models.size > 0) least = Math.min(least, engine.load)
   }
   for (const engine of fleet.engines.values()) {
-    if (engine.load < COPY_LOAD_TOKENS || engine.load < 2 * least) continue
+    if (engine.load < COPY_LOAD_TOKENS || engine.load < 3 * least) continue
     const adapter = hottestOf(fleet, engine, now)
     if (
       adapter === undefined ||
@@ -516,7 +518,7 @@
       continue
     const store = countStoreLoads(fleet, now) === 0
     const spot = chooseSpot(fleet, engine.service, adapter, store, now)
-    if (spot && spot.engine.load * 2 < engine.load) takeSpot(fleet, spot, adapter, now)
+    if (spot && spot.engine.load * 3 < engine.load) takeSpot(fleet, spot, adapter, now)
   }
 }
 
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -15,7 +15,7 @@
   readonly engine: string
   readonly models: readonly string[]
   readonly places: readonly PlaceNews[]
-  /** Prompt and output work of requests in progress there, from all boxes, in tokens. */
+  /** Prompt tokens that wait to be read there, from all boxes. */
   readonly load: number
 }
 
@@ -30,17 +30,20 @@
   /** How long it still may wait to be in time, and at all, milliseconds. */
   readonly inTimeMs: number
   readonly waitMs: number
-  /** Work of the request in tokens. */
+  /** Prompt tokens of the request. */
   readonly tokens: number
   /** Engines that failed it: held there, the weights do not help it. */
   readonly failedAt: readonly string[]
 }
 
-/** Requests begun (+1) and ended (-1) with an adapter on an engine. */
+/**
+ * Requests begun (+1), answered for the first time (0) and ended (-1) with an adapter on an engine.
+ * `tokens`: the change of the prompt tokens that wait there to be read.
+ */
 export interface UseChange {
   readonly engine: string
   readonly adapter?: string
-  readonly change: 1 | -1
+  readonly change: 1 | 0 | -1
   readonly tokens: number
 }
 
