--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,33 @@
+/** `npm run soak -- --seed N --minutes M`: rounds of random faults on the platform's stand-in. */
+import {cac} from "cac"
+import {runSoakRound} from "../test/support/platform-soak.js"
+
+const cli = cac("soak")
+cli.option("--seed <n>", "First seed", {default: 1})
+cli.option("--rounds <n>", "Rounds, one seed each", {default: 1000})
+cli.option("--minutes <m>", "Start no round after this time", {default: 1})
+cli.option("--seconds <s>", "Length of the faults of a round", {default: 12})
+cli.option("--boxes <n>", "Boxes in each round", {default: 3})
+const {options} = cli.parse()
+
+const end = Date.now() + Number(options["minutes"]) * 60_000
+const first = Number(options["seed"])
+let bad = 0
+let rounds = 0
+for (let seed = first; seed < first + Number(options["rounds"]); seed++) {
+  if (Date.now() > end) break
+  const result = await runSoakRound({
+    seed,
+    seconds: Number(options["seconds"]),
+    boxes: Number(options["boxes"])
+  })
+  rounds++
+  if (result.violations.length > 0) bad++
+  console.log(
+    `seed ${seed}: ${result.calls} calls, ${result.served} served, ` +
+      `violations ${result.violations.length}, ${result.faults.join(" ")}`
+  )
+  for (const violation of result.violations) console.log(`  ${violation}`)
+}
+console.log(`${rounds} rounds, ${bad} with violations`)
+process.exit(bad === 0 && rounds > 0 ? 0 : 1)
