An unload that waits for its runs keeps its place; a near copy that is of no use is none

Ruled out: late orders (the order count was current). Change: only 200 frees the place, after 202 it stays taken until a report is without the adapter. Also: an adapter that stands unusable on the only engine with a near copy was waited for there.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -258,6 +258,7 @@
   for (const [adapter, version] of held) {
     if (pending.has(adapter)) continue
     const place = engine.places.get(adapter)
+    if (place?.phase === "unloading") continue
     if (!place) engine.places.set(adapter, createPlace(version, "ready", now, now))
     else if (place.version === version || place.version === 0) {
       place.version = version
@@ -297,7 +298,7 @@
     engine.failures = 0
     if (engine.sequence !== undefined) engine.sequence++
     if (result === "done" && order.operation === "load") engine.askAt = now
-    settleOrder(engine, order, now)
+    settleOrder(engine, order, result, now)
     return
   }
   undoOrder(engine, order)
@@ -316,7 +317,12 @@
   if (result !== "conflict") holdBack(engine, now)
 }
 
-function settleOrder(engine: FleetEngine, order: FleetOrder, now: number): void {
+function settleOrder(
+  engine: FleetEngine,
+  order: FleetOrder,
+  result: "accepted" | "done",
+  now: number
+): void {
   engine.changed = true
   if (order.adapter === undefined) {
     engine.quietUntil = now + QUIET_MS
@@ -325,8 +331,11 @@
     return
   }
   const key = adapterKey(order.model, order.adapter)
-  if (order.operation === "unload") engine.places.delete(key)
-  else {
+  if (order.operation === "unload") {
+    // Only accepted: it waits for its runs, and takes its place until a report is without it.
+    if (result === "done") engine.places.delete(key)
+    else engine.askAt = Math.min(engine.askAt, now + REPORT_LAG_MS)
+  } else {
     engine.askAt = Math.min(engine.askAt, now + ASK_MS)
     touchCopy(engine, key, now)
   }
@@ -434,7 +443,7 @@
   let room = STORE_LOADS_PER_ENGINE * fleet.engines.size - countStoreLoads(fleet, now)
   for (const {adapter, service, failedAt} of wanted) {
     if (isComing(fleet, adapter, failedAt, now)) continue
-    const store = room > 0 && !hasNearCopy(fleet, adapter, now)
+    const store = room > 0 && !hasNearCopy(fleet, adapter, failedAt, now)
     const spot = chooseSpot(fleet, service, adapter, store, now)
     if (!spot) continue
     takeSpot(fleet, spot, adapter, now)
@@ -493,9 +502,16 @@
 }
 
 /** Whether an engine can bring it from a near copy soon, so that the store need not be asked. */
-function hasNearCopy(fleet: Fleet, adapter: string, now: number): boolean {
+function hasNearCopy(
+  fleet: Fleet,
+  adapter: string,
+  failedAt: readonly string[],
+  now: number
+): boolean {
   for (const engine of fleet.engines.values()) {
     if (engine.leaving || !engine.copies.has(adapter)) continue
+    // What stands there already was found to be of no use.
+    if (engine.places.has(adapter) || failedAt.includes(engine.id)) continue
     if (engine.failures > 0 || engine.quietUntil > now + QUIET_MS) continue
     if (engine.load < BUSY_TOKENS) return true
   }
@@ -611,7 +627,7 @@
 
 function hasLoads(engine: FleetEngine, now: number): boolean {
   for (const {phase, orderedAt} of engine.places.values()) {
-    if (phase === "loading" || now - orderedAt < ASK_MS) return true
+    if (phase !== "ready" || now - orderedAt < ASK_MS) return true
   }
   return false
 }
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,197 @@
+/** The leader's decisions on the places of engines, given its events directly. */
+import t from "tap"
+import {
+  drainFleet,
+  dropNeed,
+  planFleet,
+  takeEngines,
+  takeFleetVersion,
+  takeMissing,
+  takeNeed,
+  takeOrderResult,
+  takeReport,
+  takeUses
+} from "../src/core/placement.js"
+import {
+  createFleet,
+  type FleetEffect,
+  type FleetEngine,
+  type OrderResult
+} from "../src/core/placement-state.js"
+import type {Need} from "../src/types/box-messages.js"
+import type {FleetService} from "../src/types/fleet.js"
+
+const SERVICE: FleetService = {
+  name: "engines",
+  maxConnections: 100,
+  engine: {
+    models: [{name: "base", weightsMb: 100, adapterMb: 1}],
+    weightsMb: 110,
+    maxAdapters: 2,
+    loadsPerSecond: 1,
+    batch: 8
+  }
+}
+
+/** A leader under test whose engines hold their base model and nothing else. */
+class Subject {
+  now = 1_000
+  readonly fleet = createFleet(this.now)
+  effects: readonly FleetEffect[] = []
+  private asked_ = 0
+
+  constructor(engines: number, held = true) {
+    const listed = Array.from({length: engines}, (_, i) => ({
+      id: `e${i}`,
+      service: "engines",
+      dataCentre: "a",
+      leaving: false
+    }))
+    takeEngines(this.fleet, new Map([["engines", SERVICE]]), listed)
+    this.plan()
+    for (const {id} of listed) this.report(id, held ? [] : undefined)
+    this.plan()
+  }
+
+  plan(): this {
+    planFleet(this.fleet, true, this.now)
+    this.effects = drainFleet(this.fleet)
+    return this
+  }
+
+  report(engine: string, adapters: readonly string[] | undefined, sequence = 0): void {
+    const held = new Map((adapters ?? []).map(name => [name, 1]))
+    const models = adapters ? [{name: "base", adapters: held}] : []
+    const report = {sequence, busy: false, models, pending: []}
+    takeReport(this.fleet, engine, report, this.now)
+  }
+
+  need(adapter: string, more: Partial<Need> = {}): this {
+    const need = {
+      request: `r${++this.asked_}`,
+      service: "engines",
+      model: "base",
+      adapter,
+      priority: 1,
+      inTimeMs: 1_000,
+      waitMs: 2_000,
+      tokens: 100,
+      failedAt: [],
+      ...more
+    }
+    takeNeed(this.fleet, "box", need, this.now)
+    return this.plan()
+  }
+
+  /** The orders of the last plan, in short. */
+  orders(): string[] {
+    return this.effects.flatMap(effect =>
+      effect.type === "order"
+        ? [
+            `${effect.engine} ${effect.order.operation} ${effect.order.adapter ?? "model"}`
+          ]
+        : []
+    )
+  }
+
+  answer(engine: string, result: OrderResult): this {
+    takeOrderResult(this.fleet, engine, result, this.now)
+    return this.plan()
+  }
+
+  /** Lets time go by; engines that are asked tell what they were ordered to hold. */
+  pass(ms: number): this {
+    this.now += ms
+    this.plan()
+    for (const effect of this.effects) {
+      if (effect.type !== "ask") continue
+      const {places, sequence = 0} = this.fleet.engines.get(effect.engine) as FleetEngine
+      const names = [...places.keys()].map(key => key.slice("base/".length))
+      this.report(effect.engine, names, sequence)
+    }
+    return this.plan()
+  }
+}
+
+t.test("many requests for one adapter make one load", async t => {
+  const subject = new Subject(2).need("x")
+  t.equal(subject.orders().length, 1)
+  t.same(subject.answer("e0", "accepted").need("x").orders(), [])
+})
+
+t.test("an engine whose places are taken makes room first", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted")
+  dropNeed(subject.fleet, "box", "r1")
+  subject.need("y").answer("e0", "accepted")
+  dropNeed(subject.fleet, "box", "r2")
+  subject.pass(1_000)
+  t.same(subject.need("z").orders(), ["e0 unload x"])
+  t.same(subject.answer("e0", "done").orders(), ["e0 load z"])
+})
+
+t.test("an unload that waits for its runs frees no place yet", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted")
+  dropNeed(subject.fleet, "box", "r1")
+  subject.need("y").answer("e0", "accepted")
+  dropNeed(subject.fleet, "box", "r2")
+  subject.pass(1_000)
+  t.same(subject.need("z").orders(), ["e0 unload x"])
+  t.notOk(subject.answer("e0", "accepted").orders().includes("e0 load z"))
+  t.notOk(subject.pass(300).orders().includes("e0 load z"), "the report still has it")
+  subject.now += 500
+  subject.plan()
+  subject.report("e0", ["y"], 3)
+  t.same(subject.plan().orders(), ["e0 load z"])
+})
+
+t.test("an adapter in use or waited for is not unloaded", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted")
+  subject.need("y").answer("e0", "accepted")
+  subject.pass(1_000)
+  dropNeed(subject.fleet, "box", "r1")
+  const use = {engine: "e0", adapter: "base/x", change: 1, tokens: 10} as const
+  takeUses(subject.fleet, "box", [use], subject.now)
+  t.same(subject.need("z").orders(), [])
+})
+
+t.test("after a lost answer the next order carries the same count", async t => {
+  const subject = new Subject(1).need("x")
+  const [first] = subject.effects.filter(effect => effect.type === "order")
+  subject.answer("e0", "unknown")
+  const [second] = subject.effects.filter(effect => effect.type === "order")
+  t.match(second, {
+    expectedSequence: (first as {expectedSequence: number}).expectedSequence
+  })
+  subject.answer("e0", "conflict")
+  t.same(subject.orders(), [], "the engine is asked before the next order")
+})
+
+t.test("an engine that failed a request is no place for it", async t => {
+  const subject = new Subject(2).need("x").answer("e0", "accepted").pass(1_000)
+  t.same(subject.need("x", {failedAt: ["e0"]}).orders(), [])
+  dropNeed(subject.fleet, "box", "r1")
+  t.same(subject.plan().orders(), ["e1 load x"])
+})
+
+t.test(
+  "an engine that holds nothing gets its base model, within the rate of loads",
+  async t => {
+    const subject = new Subject(3, false)
+    t.same(subject.orders(), [], "a new leader begins with an empty allowance")
+    t.equal(subject.pass(1_050).orders().length, 1)
+    t.same(subject.pass(10).orders(), [])
+    t.equal(subject.pass(1_050).orders().length, 1)
+  }
+)
+
+t.test("a newer version replaces what is in use, and drops what is not", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted").pass(600)
+  takeFleetVersion(subject.fleet, "base/x", 2)
+  t.same(subject.plan().orders(), ["e0 load x"])
+})
+
+t.test("what an engine says it does not hold is placed anew", async t => {
+  const subject = new Subject(2).need("x").answer("e0", "accepted").pass(1_000)
+  takeMissing(subject.fleet, "e0", "base/x", subject.now)
+  t.same(subject.need("x").orders(), ["e1 load x"])
+})
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -86,7 +86,7 @@
   private readonly pending_ = new Map<string, number>()
   private readonly copies_ = new Set<string>()
   /** Unloaded, but for the runs that go on with them: they still take a place. */
-  private readonly leaving_ = new Set<string>()
+  private readonly leaving_ = new Map<string, number>()
   private readonly running_ = new Map<string, number>()
   private sequence_ = 0
   private fence_ = 0
@@ -164,7 +164,9 @@
   }
 
   private models(): object[] {
-    const adapters = [...this.adapters].map(([name, version]) => `${name}@${version}`)
+    const adapters = [...this.adapters, ...this.leaving_].map(
+      ([name, version]) => `${name}@${version}`
+    )
     return [{name: this.options_.model, version: 1, adapters}]
   }
 
@@ -305,7 +307,11 @@
     const wanted = version ?? this.newest_.get(adapter) ?? 1
     if (this.adapters.get(adapter) === wanted) return 200
     const {maxAdapters = 6, loadMs = 60} = this.options_
-    const held = [...this.adapters.keys(), ...this.pending_.keys(), ...this.leaving_]
+    const held = [
+      ...this.adapters.keys(),
+      ...this.pending_.keys(),
+      ...this.leaving_.keys()
+    ]
     const places = new Set([...held, adapter])
     if (places.size > maxAdapters) {
       this.judge_.violations.push(`${this.id}: ordered past ${maxAdapters} adapters`)
@@ -323,10 +329,11 @@
 
   /** An unload waits for the runs of its adapter; new ones are refused meanwhile. */
   private unload(adapter: string): number {
+    const version = this.adapters.get(adapter)
     this.adapters.delete(adapter)
-    if ((this.running_.get(adapter) ?? 0) === 0) return 200
+    if (version === undefined || (this.running_.get(adapter) ?? 0) === 0) return 200
     this.judge_.unloadsInUse++
-    this.leaving_.add(adapter)
+    this.leaving_.set(adapter, version)
     return 202
   }
 
