--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -47,6 +47,9 @@
 /** A box that stops lets requests wait so long at most, milliseconds. */
 const STOP_HOLD_MS = 500
 
+/** Time a request must have left to be moved to an engine that has yet to load its weights. */
+const MOVE_MS = 1_200
+
 /** How an attempt ended without a whole answer. */
 export type AttemptFailure =
   /** Nothing was sent. */
@@ -267,9 +270,16 @@
 }
 
 /** The caller left. */
-export function hangUp(box: BoxServing, id: string): void {
+export function hangUp(box: BoxServing, id: string, now: number): void {
   const request = box.requests.get(id)
   if (!request) return
+  note(box, "caller-left", {
+    request: request.arrival.name,
+    backend: request.attempt?.backend ?? "",
+    attempts: request.attempts,
+    heldMs: Math.round(now - request.arrivedAt),
+    begun: request.replied
+  })
   abortAttempt(box, request)
   finish(box, request)
 }
@@ -336,7 +346,9 @@
   suspect(box, attempt.backend, now)
   if (!mayRepeat(box, request, now)) return
   request.avoided.set(attempt.backend, now + SUSPECT_MS)
-  if (!chooseBackend(box, request, now)) return
+  const other = chooseBackend(box, request, now)
+  // Without another that can take it now, it is worth moving only while there is time to load.
+  if (!other && request.giveUpAt - now < MOVE_MS) return
   abortAttempt(box, request)
   repeat(box, request, "silent", now)
   request.avoided.set(attempt.backend, now + SUSPECT_MS)
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -160,6 +160,7 @@
   | "route-again"
   | "route-ended"
   | "route-cut"
+  | "caller-left"
   | "backend-suspect"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -9,6 +9,12 @@
 /** A free place is worth this much work in tokens. */
 const FREE_PLACE_TOKENS = 300
 
+/** A load from the weight store is worth so much work at another engine, tokens. */
+const STORE_TOKENS = 4_000
+
+/** Work that an adapter brings its engine for each use counted in its heat, tokens. */
+const HEAT_TOKENS = 400
+
 /** Copies an engine is believed to keep near. */
 export const MAX_COPIES = 34
 
@@ -51,6 +57,15 @@
   return best
 }
 
+/** Work that the adapters of an engine are going to bring it, tokens. */
+function expectedWork(fleet: Fleet, engine: FleetEngine, now: number): number {
+  let heat = 0
+  for (const adapter of engine.places.keys()) {
+    heat += heatOf(fleet, adapter, now) / countHolders(fleet, adapter)
+  }
+  return heat * HEAT_TOKENS
+}
+
 /** Whether an engine can be given an order now. */
 export function takesOrders(engine: FleetEngine, now: number): boolean {
   return (
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -163,7 +163,7 @@
         now
       )
     case "hang-up":
-      return hangUp(serving, event.id)
+      return hangUp(serving, event.id, now)
     case "refuse":
       return refuseNeed(serving, event.request, event.retryAfterMs, now)
     case "leader-new":
--- a/src/events.ts
+++ b/src/events.ts
@@ -196,6 +196,11 @@
     text: "An answer that had begun is cut, since it cannot be completed."
   },
   "route-ended": {number: 194, level: "info", text: "A request was answered whole."},
+  "caller-left": {
+    number: 196,
+    level: "info",
+    text: "A caller closed its connection before its answer was whole."
+  },
   "backend-suspect": {
     number: 195,
     level: "warn",
