--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -47,8 +47,9 @@
     if (!spot) continue
     const cost =
       engine.load +
+      expectedWork(fleet, engine, now) +
       (spot.victim === undefined ? 0 : FREE_PLACE_TOKENS) +
-      (near ? 0 : 4_000)
+      (near ? 0 : STORE_TOKENS)
     if (cost < least) {
       least = cost
       best = spot
