--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -27,6 +27,7 @@
 import type {Metrics} from "./metrics.js"
 import {NewsSource} from "./news-source.js"
 import type {RunningProcess} from "./process.js"
+import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
@@ -36,6 +37,8 @@
 const FOLLOWER_SILENCE_MS = 2_500
 /** Off the lease of the leader: clock rates, and an order's way. */
 const LEASE_MARGIN_MS = 200
+/** The age of news that metrics tell at most; also where there is none. */
+const MAX_TOLD_AGE_MS = 3_600_000
 /** After a stop was asked for, new requests are still taken for this long. */
 const STOP_LISTEN_MS = 2_600
 
@@ -167,6 +170,7 @@
         return {status: ready ? 200 : 503, text: ready ? "ready\n" : "not ready\n"}
       })
     )
+    this.measureState()
     if (settings.metrics !== undefined) {
       this.servers_.push(
         await serveText(settings.metrics, "/metrics", () => ({
@@ -181,6 +185,20 @@
     log("started", {callers: settings.callers, boxes: settings.boxes})
   }
 
+  /** What a box believes, for its metrics. */
+  private measureState(): void {
+    const {metrics} = this.context_
+    const {serving} = this.loop_.state()
+    metrics.gauge("sedge_open_requests", {}, () => this.relay_.open)
+    metrics.gauge("sedge_leads", {}, () => (this.leading ? 1 : 0))
+    metrics.gauge("sedge_boxes", {}, () => serving.boxes)
+    metrics.gauge("sedge_backend_servers", {}, () => serving.backends.known.size)
+    metrics.gauge("sedge_config_version", {}, () => this.news_.config?.version ?? 0)
+    metrics.gauge("sedge_store_age_ms", {}, () =>
+      Math.min(MAX_TOLD_AGE_MS, this.news_.storeAgeMs(performance.now()))
+    )
+  }
+
   /** Ends in order: not ready at once, the lead handed over, what is in progress ended. */
   async stop(): Promise<void> {
     if (this.stopping_) return
@@ -369,6 +387,7 @@
   private perform(effect: RoutedEffect): void {
     switch (effect.type) {
       case "note":
+        measureNote(this.context_.metrics, effect.event, effect.fields)
         return this.context_.log(effect.event, effect.fields)
       case "need":
         if (this.leading) {
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -225,6 +225,7 @@
   if (!request || !attempt) return
   note(box, "route-ended", {
     request: request.arrival.name,
+    route: request.arrival.route.name,
     backend: attempt.backend,
     attempts: request.attempts,
     sentMs: Math.round(attempt.sentAt - request.arrivedAt),
--- a/src/events.ts
+++ b/src/events.ts
@@ -226,6 +226,11 @@
     level: "warn",
     text: "An engine holds nothing any more."
   },
+  "settings-refused": {
+    number: 107,
+    level: "error",
+    text: "The settings were read anew and have findings; those before stay in force."
+  },
   "log-limited": {
     number: 106,
     level: "warn",
