--- /dev/null
+++ b/test/words.test.ts
@@ -0,0 +1,42 @@
+/** Nothing outside `platform/` knows the platform's names. */
+import {readdirSync, readFileSync, statSync} from "node:fs"
+import {join} from "node:path"
+import {fileURLToPath} from "node:url"
+import t from "tap"
+import {HEADER, KEY, PATH, SETTINGS_VARIABLE} from "../platform/words.js"
+
+const ROOT = fileURLToPath(new URL("../..", import.meta.url))
+
+/** Names that HTTP or the product's own interfaces have, too. */
+const SHARED: ReadonlySet<string> = new Set([HEADER.lastEvent, HEADER.request])
+
+const FIELDS = ["fencingToken", "expectedRev", "pathPrefix=", "ttl_ms", "gapTargetMs:"]
+
+function listSources(folder: string): string[] {
+  return readdirSync(folder).flatMap(name => {
+    const path = join(folder, name)
+    if (statSync(path).isDirectory()) return listSources(path)
+    return name.endsWith(".ts") ? [path] : []
+  })
+}
+
+t.test("the product's sources hold no word of the platform", async t => {
+  const headers = Object.values(HEADER).filter(name => !SHARED.has(name))
+  const words = [
+    ...headers,
+    ...Object.values(PATH).slice(0, 7),
+    KEY.backends,
+    KEY.version
+  ]
+  const all = [...words, ...FIELDS.slice(0, 4), SETTINGS_VARIABLE].map(word =>
+    word.toLowerCase()
+  )
+  for (const path of listSources(join(ROOT, "src"))) {
+    const text = readFileSync(path, "utf8").toLowerCase()
+    t.same(
+      all.filter(word => text.includes(word)),
+      [],
+      path.slice(ROOT.length)
+    )
+  }
+})
