--- /dev/null
+++ b/src/core/placement-uses.ts
@@ -0,0 +1,122 @@
+/** What the leader hears of boxes: who waits for weights, and what runs where. */
+import type {Need, UseChange} from "../types/box-messages.js"
+import {adapterKey, type FleetService} from "../types/fleet.js"
+import {type BoxUse, type Fleet, type FleetEngine, warm} from "./placement-state.js"
+
+/** Takes the engines of the fleet as they are listed now. */
+export function takeEngines(
+  fleet: Fleet,
+  services: ReadonlyMap<string, FleetService>,
+  listed: readonly {
+    readonly id: string
+    readonly service: string
+    readonly dataCentre: string
+    readonly leaving: boolean
+  }[]
+): void {
+  fleet.services = services
+  const ids = new Set(listed.map(({id}) => id))
+  for (const id of fleet.engines.keys()) if (!ids.has(id)) fleet.engines.delete(id)
+  for (const {id, service, dataCentre, leaving} of listed) {
+    const known = fleet.engines.get(id)
+    if (known) known.leaving = leaving
+    else if (services.get(service)?.engine) {
+      fleet.engines.set(id, createEngine(id, service, dataCentre, leaving))
+    }
+  }
+}
+
+function createEngine(
+  id: string,
+  service: string,
+  dataCentre: string,
+  leaving: boolean
+): FleetEngine {
+  return {
+    id,
+    service,
+    dataCentre,
+    leaving,
+    models: new Set(),
+    places: new Map(),
+    copies: new Map(),
+    load: 0,
+    sequence: undefined,
+    busy: false,
+    order: undefined,
+    quietUntil: 0,
+    failures: 0,
+    askAt: 0,
+    changed: true
+  }
+}
+
+/** A request of a box waits for weights. */
+export function takeNeed(fleet: Fleet, box: string, need: Need, now: number): void {
+  fleet.waiting.set(waitingKey(box, need.request), {box, need, since: now})
+  if (need.adapter !== undefined) warm(fleet, adapterKey(need.model, need.adapter), now)
+}
+
+/** It waits no longer. */
+export function dropNeed(fleet: Fleet, box: string, request: string): void {
+  fleet.waiting.delete(waitingKey(box, request))
+}
+
+/** A box began or ended requests. */
+export function takeUses(
+  fleet: Fleet,
+  box: string,
+  changes: readonly UseChange[],
+  now: number
+): void {
+  const uses = fleet.uses.get(box) ?? new Map<string, BoxUse>()
+  fleet.uses.set(box, uses)
+  for (const {engine, adapter, change, tokens} of changes) {
+    const key = `${engine} ${adapter ?? ""}`
+    const use = uses.get(key) ?? {running: 0, tokens: 0}
+    uses.set(key, {running: use.running + change, tokens: use.tokens + tokens})
+    if (change > 0 && adapter !== undefined) warm(fleet, adapter, now)
+    addUse(fleet, engine, adapter, change, tokens, now)
+  }
+}
+
+/** A box is gone: its requests are no more. */
+export function forgetBox(fleet: Fleet, box: string, now: number): void {
+  for (const [key, {running, tokens}] of fleet.uses.get(box) ?? []) {
+    const [engine = "", adapter = ""] = key.split(" ")
+    addUse(fleet, engine, adapter || undefined, -running, -tokens, now)
+  }
+  fleet.uses.delete(box)
+  for (const [key, waiting] of fleet.waiting) {
+    if (waiting.box === box) fleet.waiting.delete(key)
+  }
+}
+
+function addUse(
+  fleet: Fleet,
+  id: string,
+  adapter: string | undefined,
+  change: number,
+  tokens: number,
+  now: number
+): void {
+  const engine = fleet.engines.get(id)
+  if (!engine) return
+  engine.load = Math.max(0, engine.load + tokens)
+  engine.changed = true
+  const place = adapter === undefined ? undefined : engine.places.get(adapter)
+  if (!place) return
+  place.running = Math.max(0, place.running + change)
+  place.lastUsed = now
+}
+
+/** A newer version of an adapter is named. */
+export function takeFleetVersion(fleet: Fleet, adapter: string, version: number): void {
+  if ((fleet.versions.get(adapter) ?? 0) >= version) return
+  fleet.versions.set(adapter, version)
+  for (const engine of fleet.engines.values()) engine.copies.delete(adapter)
+}
+
+function waitingKey(box: string, request: string): string {
+  return `${box} ${request}`
+}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -30,20 +30,17 @@
   takeEngineNews,
   takeVersions
 } from "./box-state.js"
+import {drainFleet, planFleet} from "./placement.js"
+import {takeOrderResult} from "./placement-orders.js"
+import {takeLate, takeMissing, takeReport} from "./placement-reports.js"
 import {
   dropNeed,
-  drainFleet,
   forgetBox,
-  planFleet,
   takeEngines,
   takeFleetVersion,
-  takeLate,
-  takeMissing,
   takeNeed,
-  takeOrderResult,
-  takeReport,
   takeUses
-} from "./placement.js"
+} from "./placement-uses.js"
 import {
   createFleet,
   type EngineReport,
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,17 +1,15 @@
 /** The leader's decisions on the places of engines, given its events directly. */
 import t from "tap"
+import {drainFleet, planFleet} from "../src/core/placement.js"
+import {takeOrderResult} from "../src/core/placement-orders.js"
+import {takeMissing, takeReport} from "../src/core/placement-reports.js"
 import {
-  drainFleet,
   dropNeed,
-  planFleet,
   takeEngines,
   takeFleetVersion,
-  takeMissing,
   takeNeed,
-  takeOrderResult,
-  takeReport,
   takeUses
-} from "../src/core/placement.js"
+} from "../src/core/placement-uses.js"
 import {
   createFleet,
   type FleetEffect,
