--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -63,6 +63,11 @@
         if (place.running === 0) unload(fleet, engine, adapter, now)
         continue
       }
+      // The new version takes a place of its own until the old one is gone.
+      if (!hasFreePlace(fleet, engine)) {
+        if (place.running === 0) unload(fleet, engine, adapter, now)
+        continue
+      }
       place.version = version
       place.phase = "loading"
       place.orderedAt = now
@@ -72,6 +77,11 @@
   }
 }
 
+function hasFreePlace(fleet: Fleet, {service, places}: FleetEngine): boolean {
+  const limits = fleet.services.get(service)?.engine
+  return limits !== undefined && places.size < limits.maxAdapters
+}
+
 function hasWaiting(fleet: Fleet, adapter: string): boolean {
   for (const {need} of fleet.waiting.values()) {
     if (need.adapter !== undefined && adapterKey(need.model, need.adapter) === adapter) {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -192,6 +192,17 @@
   t.same(subject.plan().orders(), ["e0 load x"])
 })
 
+t.test(
+  "a newer version is not loaded beside the old one where no place is free",
+  async t => {
+    const subject = new Subject(1).need("x").answer("e0", "accepted")
+    subject.need("y").answer("e0", "accepted").pass(600)
+    takeFleetVersion(subject.fleet, "base/x", 2)
+    t.same(subject.plan().orders(), ["e0 unload x"])
+    t.same(subject.answer("e0", "done").orders(), ["e0 load x"])
+  }
+)
+
 t.test("what an engine says it does not hold is placed anew", async t => {
   const subject = new Subject(2).need("x").answer("e0", "accepted").pass(1_000)
   takeMissing(subject.fleet, "e0", "base/x", subject.now)
