--- a/src/adapters/caller-requests.ts
+++ b/src/adapters/caller-requests.ts
@@ -1,6 +1,6 @@
 /** Reads and checks what callers send; everything wrong with it is an error of the table. */
 import type {IncomingMessage} from "node:http"
-import {z} from "zod"
+import * as z from "zod"
 import {findRecord, findOrganisationByKey, resolveModel} from "../core/configuration.js"
 import type {Arrival} from "../core/entry-state.js"
 import {SedgeError} from "../errors.js"
--- a/src/adapters/engine-orders.ts
+++ b/src/adapters/engine-orders.ts
@@ -1,6 +1,6 @@
 /** Orders to model engines over their published HTTP conventions. See docs/protocols/engines.md. */
 import {Agent, type Dispatcher, request} from "undici"
-import {z} from "zod"
+import * as z from "zod"
 import type {EngineOrder} from "../core/cell-state.js"
 import type {OrderResult} from "../core/cell-orders.js"
 
--- a/src/adapters/entry-process.ts
+++ b/src/adapters/entry-process.ts
@@ -70,7 +70,7 @@
       step: (state, event, now) => stepEntry(state, event, now, options),
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick"}),
-      tickMs: TICK_MS,
+      tickMs: () => TICK_MS,
       now: () => performance.now()
     })
     const finished = new Promise<void>(resolve => (this.finish_ = resolve))
--- a/src/adapters/keeper-process.ts
+++ b/src/adapters/keeper-process.ts
@@ -69,7 +69,7 @@
       step: (state, event, now) => stepKeeper(state, event, now, this.options_),
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick", epoch: Date.now()}),
-      tickMs: TICK_MS,
+      tickMs: () => TICK_MS,
       now: () => performance.now()
     })
     const finished = new Promise<void>(resolve => (this.finish_ = resolve))
--- a/src/adapters/loop.ts
+++ b/src/adapters/loop.ts
@@ -1,5 +1,5 @@
 /** The one loop of a process: events in, one transition at a time, effects out. */
-import {merge, periodic, type Scheduler, type Sink, type Source, Stream} from "most"
+import {type Scheduler, type Sink, type Source, Stream} from "most"
 
 export interface LoopOptions<State, Event, Effect> {
   readonly initial: State
@@ -10,7 +10,8 @@
   ) => {readonly state: State; readonly effects: readonly Effect[]}
   readonly perform: (effect: Effect) => void
   readonly makeTick: () => Event
-  readonly tickMs: number
+  /** When the next tick is due after the last; asked again after each event. */
+  readonly tickMs: (state: State) => number
   readonly now: () => number
 }
 
@@ -27,18 +28,17 @@
   options: LoopOptions<State, Event, Effect>
 ): Loop<State, Event> {
   const posts = new PostSource<Event>()
+  const ticker = new Ticker(() => posts.post(options.makeTick()))
   let state = options.initial
-  const ticks = periodic(options.tickMs)
-    .map(options.makeTick)
-    .tap(posts.post)
-    .filter(nothing)
-  const ended = merge(new Stream(posts), ticks)
+  const ended = new Stream(posts)
     .map(event => options.step(state, event, options.now()))
     .tap(step => {
       state = step.state
       for (const effect of step.effects) options.perform(effect)
+      ticker.due(options.tickMs(state))
     })
     .drain()
+  ticker.due(options.tickMs(state))
   return {post: posts.post, state: () => state, ended: ended.then(() => undefined)}
 }
 
@@ -90,7 +90,26 @@
   }
 }
 
-/** Ticks go through the queue like any other event. */
-function nothing(): boolean {
-  return false
+/** One timer that is set anew only where a tick has become due earlier: wake-ups cost. */
+class Ticker {
+  private lastAt_ = performance.now()
+  private dueAt_ = Infinity
+  private timer_: NodeJS.Timeout | undefined
+
+  constructor(private readonly tick_: () => void) {}
+
+  /** The next tick comes so long after the last one, or as was said before if that is earlier. */
+  due(afterMs: number): void {
+    const at = this.lastAt_ + afterMs
+    if (at >= this.dueAt_) return
+    this.dueAt_ = at
+    clearTimeout(this.timer_)
+    this.timer_ = setTimeout(() => this.run(), Math.max(1, at - performance.now()))
+  }
+
+  private run(): void {
+    this.lastAt_ = performance.now()
+    this.dueAt_ = Infinity
+    this.tick_()
+  }
 }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -8,6 +8,7 @@
 import {describeFleet} from "../core/placement.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
+  isWaiting,
   type RoutedEffect,
   type RoutedEvent,
   type RoutedState,
@@ -31,7 +32,9 @@
 import {RoutedRelay} from "./routed-relay.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
-const TICK_MS = 20
+/** Between ticks, milliseconds: while requests wait for something, and otherwise. */
+const WAITING_TICK_MS = 20
+const IDLE_TICK_MS = 100
 const PING_MS = 250
 const LINK_SILENCE_MS = 1_200
 const FOLLOWER_SILENCE_MS = 2_500
@@ -102,7 +105,7 @@
       step: stepRouted,
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick", mayOrder: this.tick()}),
-      tickMs: TICK_MS,
+      tickMs: state => (isWaiting(state) ? WAITING_TICK_MS : IDLE_TICK_MS),
       now: () => performance.now()
     })
     this.ended = Promise.race([this.stopped_, this.loop_.ended])
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -57,6 +57,13 @@
   fleet: Fleet | undefined
 }
 
+/** Whether something waits that only the clock brings on: a request, or a load for one. */
+export function isWaiting({serving, fleet}: RoutedState): boolean {
+  if (fleet && fleet.waiting.size > 0) return true
+  for (const {attempt} of serving.requests.values()) if (!attempt) return true
+  return false
+}
+
 /** What happens to the requests of a box, and what it hears of the world. */
 export type ServingEvent =
   | {readonly type: "arrive"; readonly arrival: Arrival}
--- a/src/types/records.ts
+++ b/src/types/records.ts
@@ -1,5 +1,5 @@
 /** The schemas of configuration records, by kind. */
-import {z} from "zod"
+import * as z from "zod"
 import {
   OPERATOR_ROLES,
   RECORD_KINDS,
--- a/src/types/routed-settings.ts
+++ b/src/types/routed-settings.ts
@@ -1,5 +1,5 @@
 /** The settings of a routed box. */
-import {z} from "zod"
+import * as z from "zod"
 import {positiveMs, socketAddress} from "./settings.js"
 
 export const routedSettingsSchema = z.strictObject({
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -1,5 +1,5 @@
 /** The settings of a box: one JSON file for all its processes. */
-import {z} from "zod"
+import * as z from "zod"
 import {DEFAULT_TIMING, TIMING_TEXTS} from "../core/timing.js"
 
 export const socketAddress = z
