Plan as soon as news comes that lets an order be given

Change: a box tells ended requests in the turn they end; the leader's tick is due after 3 ms while requests wait and something came since its last plan.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -8,7 +8,7 @@
 import {describeFleet} from "../core/placement.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
-  isWaiting,
+  nextTickMs,
   type RoutedEffect,
   type RoutedEvent,
   type RoutedState,
@@ -32,9 +32,6 @@
 import {RoutedRelay} from "./routed-relay.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
-/** Between ticks, milliseconds: while requests wait for something, and otherwise. */
-const WAITING_TICK_MS = 20
-const IDLE_TICK_MS = 100
 const PING_MS = 250
 const LINK_SILENCE_MS = 1_200
 const FOLLOWER_SILENCE_MS = 2_500
@@ -105,7 +102,7 @@
       step: stepRouted,
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick", mayOrder: this.tick()}),
-      tickMs: state => (isWaiting(state) ? WAITING_TICK_MS : IDLE_TICK_MS),
+      tickMs: nextTickMs,
       now: () => performance.now()
     })
     this.ended = Promise.race([this.stopped_, this.loop_.ended])
@@ -243,7 +240,6 @@
     if (this.link_ && this.link_.silentMs > LINK_SILENCE_MS) this.link_.close()
     this.election_.settle(this.linked_)
     if (!this.stopping_) this.news_.choose(leading, now)
-    this.flushUses()
     if (leading) this.pingBoxes(now)
     else if (now >= this.pingAt_) {
       this.pingAt_ = now + PING_MS
@@ -403,7 +399,8 @@
         } else this.link_?.send({t: "drop", request: effect.request})
         return
       case "use":
-        this.uses_.push(effect.change)
+        // Those of one turn go together: a place is free as soon as the leader knows.
+        if (this.uses_.push(effect.change) === 1) setImmediate(() => this.flushUses())
         return
       case "missing": {
         const {engine, adapter, late} = effect
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -138,6 +138,8 @@
   /** How long a load takes, learned: from the weight store and from near copies, milliseconds. */
   storeLoadMs: number
   copyLoadMs: number
+  /** Something came since the last plan that may let an order be given. */
+  unplanned: boolean
   effects: FleetEffect[]
 }
 
@@ -154,6 +156,7 @@
     loadTokensAt: now,
     storeLoadMs: 320,
     copyLoadMs: 60,
+    unplanned: false,
     effects: []
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -22,6 +22,7 @@
 
 /** Gives the orders that are due, tells what changed and refuses what cannot be served. */
 export function planFleet(fleet: Fleet, mayOrder: boolean, now: number): void {
+  fleet.unplanned = false
   if (mayOrder) {
     refillLoads(fleet, now)
     for (const engine of fleet.engines.values()) askIfDue(fleet, engine, now)
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -57,11 +57,20 @@
   fleet: Fleet | undefined
 }
 
-/** Whether something waits that only the clock brings on: a request, or a load for one. */
-export function isWaiting({serving, fleet}: RoutedState): boolean {
-  if (fleet && fleet.waiting.size > 0) return true
-  for (const {attempt} of serving.requests.values()) if (!attempt) return true
-  return false
+/** Between ticks, milliseconds: while news for the leader's plan waits, while requests do, otherwise. */
+const PLAN_TICK_MS = 3
+const WAITING_TICK_MS = 20
+const IDLE_TICK_MS = 100
+
+/** How long after a tick the next is due. */
+export function nextTickMs({serving, fleet}: RoutedState): number {
+  if (fleet && fleet.waiting.size > 0) {
+    return fleet.unplanned ? PLAN_TICK_MS : WAITING_TICK_MS
+  }
+  for (const {attempt} of serving.requests.values()) {
+    if (!attempt) return WAITING_TICK_MS
+  }
+  return IDLE_TICK_MS
 }
 
 /** What happens to the requests of a box, and what it hears of the world. */
@@ -229,10 +238,12 @@
   if (!fleet) return
   switch (event.type) {
     case "need":
+      fleet.unplanned = true
       return takeNeed(fleet, event.box, event.need, now)
     case "drop":
       return dropNeed(fleet, event.box, event.request)
     case "uses":
+      fleet.unplanned = true
       return takeUses(fleet, event.box, event.changes, now)
     case "missing":
       return event.late
@@ -243,6 +254,7 @@
     case "report":
       return takeReport(fleet, event.engine, event.report, now)
     case "order-result":
+      fleet.unplanned = true
       return takeOrderResult(fleet, event.engine, event.result, now)
   }
 }
