Count both versions of an adapter while one replaces the other

Cause: a newer version is loaded into a place of its own, and the old one stands beside it until it has come; the leader counted the pair as one place, so that the next load went past the engine's places. And where the answer to such an order was lost, the place was taken for free though the old version still stood there. Change: a place remembers the version it replaces, until a report shows the new one alone; undone orders bring it back. The stand-in counts as the platform does.

--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -1,7 +1,7 @@
 /** Where weights go and what makes way: the decisions on an engine's few places. */
 import type {EngineLimits} from "../types/fleet.js"
 import {splitAdapterKey} from "../types/fleet.js"
-import {type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
+import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
 /** Adapters that may be on their way to one engine at once. */
 const MAX_ON_WAY = 4
@@ -90,7 +90,7 @@
   let onWay = 0
   for (const {phase} of engine.places.values()) if (phase === "loading") onWay++
   if (onWay >= MAX_ON_WAY) return undefined
-  if (engine.places.size < limits.maxAdapters && fits(engine, limits, adapter)) {
+  if (countTaken(engine) < limits.maxAdapters && fits(engine, limits, adapter)) {
     return {engine, victim: undefined, near}
   }
   const victim = chooseVictim(fleet, engine, now)
--- a/src/core/placement-orders.ts
+++ b/src/core/placement-orders.ts
@@ -87,8 +87,14 @@
   const place = engine.places.get(key)
   if (!place) return
   engine.changed = true
-  if (order.operation === "load") engine.places.delete(key)
-  else place.phase = "ready"
+  if (order.operation === "load" && place.replaced === undefined) {
+    engine.places.delete(key)
+    return
+  }
+  place.phase = "ready"
+  if (place.replaced === undefined) return
+  place.version = place.replaced
+  place.replaced = undefined
 }
 
 export function holdBack(engine: FleetEngine, now: number): void {
--- a/src/core/placement-reports.ts
+++ b/src/core/placement-reports.ts
@@ -92,10 +92,11 @@
     engine.places.delete(adapter)
   }
   for (const [adapter, version] of pending) {
-    const place = engine.places.get(adapter)
-    if (!place)
-      engine.places.set(adapter, createPlace(version, "loading", now + 200, now))
-    else if (place.phase === "loading") place.readyAt = Math.max(place.readyAt, now)
+    const place =
+      engine.places.get(adapter) ?? createPlace(version, "loading", now + 200, now)
+    engine.places.set(adapter, place)
+    place.replaced = held.get(adapter)
+    if (place.phase === "loading") place.readyAt = Math.max(place.readyAt, now)
   }
   for (const [adapter, version] of held) {
     if (pending.has(adapter)) continue
@@ -104,12 +105,14 @@
     if (!place) engine.places.set(adapter, createPlace(version, "ready", now, now))
     else if (place.version === version || place.version === 0) {
       place.version = version
+      place.replaced = undefined
       if (place.phase === "loading" && place.readyAt <= now) relaxLoadTime(fleet, place)
       place.phase = "ready"
       place.readyAt = Math.min(place.readyAt, now)
     } else if (now - place.orderedAt > LOST_PLACE_MS) {
       place.version = version
       place.phase = "ready"
+      place.replaced = undefined
     }
     touchCopy(engine, adapter, now)
   }
@@ -121,7 +124,16 @@
   readyAt: number,
   now: number
 ): Place {
-  return {version, phase, readyAt, orderedAt: now, lastUsed: now, running: 0, near: false}
+  return {
+    version,
+    phase,
+    readyAt,
+    orderedAt: now,
+    lastUsed: now,
+    running: 0,
+    near: false,
+    replaced: undefined
+  }
 }
 
 function hasLoads(engine: FleetEngine, now: number): boolean {
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -17,6 +17,8 @@
   running: number
   /** It came from a near copy, not from the weight store. */
   near: boolean
+  /** The older version that stands beside it until it has come: together they take two places. */
+  replaced: number | undefined
 }
 
 /** An order to an engine. */
@@ -143,6 +145,13 @@
   effects: FleetEffect[]
 }
 
+/** Places of an engine that are taken, those on their way included. */
+export function countTaken({places}: FleetEngine): number {
+  let taken = places.size
+  for (const {replaced} of places.values()) if (replaced !== undefined) taken++
+  return taken
+}
+
 /** A fleet of which nothing is known. */
 export function createFleet(now: number): Fleet {
   return {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -6,7 +6,13 @@
 import {chooseSpot, countHolders, type Spot, takesOrders} from "./placement-choose.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {createPlace} from "./placement-reports.js"
-import {describeEngine, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
+import {
+  countTaken,
+  describeEngine,
+  type Fleet,
+  type FleetEngine,
+  heatOf
+} from "./placement-state.js"
 
 /** Loads of base models that may be saved up. */
 const MAX_LOAD_TOKENS = 2
@@ -69,6 +75,7 @@
         if (place.running === 0) unload(fleet, engine, adapter, now)
         continue
       }
+      place.replaced = place.version
       place.version = version
       place.phase = "loading"
       place.orderedAt = now
@@ -78,9 +85,9 @@
   }
 }
 
-function hasFreePlace(fleet: Fleet, {service, places}: FleetEngine): boolean {
-  const limits = fleet.services.get(service)?.engine
-  return limits !== undefined && places.size < limits.maxAdapters
+function hasFreePlace(fleet: Fleet, engine: FleetEngine): boolean {
+  const limits = fleet.services.get(engine.service)?.engine
+  return limits !== undefined && countTaken(engine) < limits.maxAdapters
 }
 
 function hasWaiting(fleet: Fleet, adapter: string): boolean {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -64,6 +64,22 @@
     takeReport(this.fleet, engine, report, this.now)
   }
 
+  /** A report of versions that the engine holds, and of those on their way. */
+  reportHeld(
+    engine: string,
+    held: readonly (readonly [adapter: string, version: number])[],
+    sequence: number,
+    coming: readonly (readonly [adapter: string, version: number])[] = []
+  ): void {
+    const models = [{name: "base", adapters: new Map(held)}]
+    const pending = coming.map(([adapter, version]) => ({
+      adapter: `base/${adapter}`,
+      version
+    }))
+    const report = {sequence, busy: false, models, pending}
+    takeReport(this.fleet, engine, report, this.now)
+  }
+
   need(adapter: string, more: Partial<Need> = {}): this {
     const need = {
       request: `r${++this.asked_}`,
@@ -203,6 +219,43 @@
   }
 )
 
+// Finding LIMIT, Tatrapay scale-1: both versions stand there until the newer one has come.
+t.test(
+  "a version that replaces another takes a second place until it is there",
+  async t => {
+    const subject = new Subject(1).need("x").answer("e0", "accepted")
+    dropNeed(subject.fleet, "box", "r1")
+    subject.pass(600)
+    takeFleetVersion(subject.fleet, "base/x", 2)
+    t.same(subject.need("x").orders(), ["e0 load x"])
+    t.same(subject.answer("e0", "accepted").need("y").orders(), [])
+    subject.now += 600
+    subject.reportHeld("e0", [["x", 2]], 2)
+    t.same(subject.plan().orders(), ["e0 load y"])
+  }
+)
+
+// The other cause of that finding: the order's answer was lost, and the place was taken for free.
+t.test(
+  "a replacement that is not known to be under way leaves the old version",
+  async t => {
+    const subject = new Subject(1).need("x").answer("e0", "accepted")
+    dropNeed(subject.fleet, "box", "r1")
+    subject.pass(600)
+    takeFleetVersion(subject.fleet, "base/x", 2)
+    t.same(subject.need("x").orders(), ["e0 load x"])
+    subject.answer("e0", "unknown")
+    subject.answer("e0", "accepted")
+    t.same(subject.need("y").orders(), [], "both versions of x may stand there")
+  }
+)
+
+t.test("a new leader counts a replacement that is on its way twice", async t => {
+  const subject = new Subject(1)
+  subject.reportHeld("e0", [["x", 1]], 0, [["x", 2]])
+  t.same(subject.need("y").orders(), [])
+})
+
 t.test("what an engine says it does not hold is placed anew", async t => {
   const subject = new Subject(2).need("x").answer("e0", "accepted").pass(1_000)
   takeMissing(subject.fleet, "e0", "base/x", subject.now)
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -315,8 +315,8 @@
       ...this.pending_.keys(),
       ...this.leaving_.keys()
     ]
-    const places = new Set([...held, adapter])
-    if (places.size > maxAdapters) {
+    // A version that replaces another stands beside it until it has come.
+    if (held.length + 1 > maxAdapters) {
       this.judge_.violations.push(`${this.id}: ordered past ${maxAdapters} adapters`)
       return 400
     }
