--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -22,9 +22,6 @@
 /** Of the target, the part a request waits where no backend server can take it. */
 const NO_SERVER_SHARE = 0.23
 
-/** A caller that waits for less than this part of the route's time has most likely come back. */
-const FIRST_TRY_SHARE = 0.9
-
 /** Sends that backend servers may refuse before a request is given up. */
 const MAX_REFUSALS = 3
 
@@ -143,7 +140,7 @@
 }
 
 function wait(box: BoxServing, request: BoxRequest, now: number): void {
-  const {weights, service, id, route, tokens, deadlineMs} = request.arrival
+  const {weights, service, id, route, tokens} = request.arrival
   if (request.needed || !weights || !hasBackends(box, service)) return
   request.needed = true
   box.effects.push({
@@ -157,8 +154,6 @@
       inTimeMs: Math.round(request.arrivedAt + route.targetMs - now),
       waitMs: Math.round(request.holdUntil - now),
       tokens,
-      mayReturn:
-        request.attempts === 0 && deadlineMs >= route.timeoutMs * FIRST_TRY_SHARE,
       failedAt: [...request.avoided.keys()]
     }
   })
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -1,7 +1,6 @@
 /** What the leader of a fleet knows of its engines, and who waits for which weights. */
 import type {EngineNews, Need} from "../types/box-messages.js"
 import type {FleetService} from "../types/fleet.js"
-import {SlidingCount} from "./rate-windows.js"
 
 /** Where an adapter stands on an engine. */
 export type PlacePhase = "loading" | "ready" | "unloading"
@@ -141,8 +140,6 @@
   /** How long a load takes, learned: from the weight store and from near copies, milliseconds. */
   storeLoadMs: number
   copyLoadMs: number
-  /** Loads ordered lately: how fast places become free for those who wait. */
-  readonly loads: SlidingCount
   /** Something came since the last plan that may let an order be given. */
   unplanned: boolean
   effects: FleetEffect[]
@@ -155,9 +152,6 @@
   return taken
 }
 
-/** Over which the rate of loads is counted, milliseconds. */
-export const LOADS_WINDOW_MS = 2_000
-
 /** A fleet of which nothing is known. */
 export function createFleet(now: number): Fleet {
   return {
@@ -171,7 +165,6 @@
     loadTokensAt: now,
     storeLoadMs: 320,
     copyLoadMs: 60,
-    loads: new SlidingCount(LOADS_WINDOW_MS),
     unplanned: false,
     effects: []
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,6 @@
  * most in time goes first; base models stay within the rate of the weight store.
  */
 import {adapterKey} from "../types/fleet.js"
-import {refuseHopeless} from "./placement-refuse.js"
 import {chooseSpot, countHolders, type Spot, takesOrders} from "./placement-choose.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {createPlace} from "./placement-reports.js"
@@ -36,7 +35,6 @@
     for (const engine of fleet.engines.values()) loadBaseModel(fleet, engine, now)
     renewVersions(fleet, now)
     placeWanted(fleet, now)
-    refuseHopeless(fleet, listUnplaced(fleet, now), now)
   }
   expireNeeds(fleet, now)
   tellNews(fleet, now)
@@ -126,14 +124,6 @@
   copyHot(fleet, now)
 }
 
-/** What waits and is not on its way anywhere, what is worth most first. */
-function listUnplaced(fleet: Fleet, now: number): Wanted[] {
-  if (fleet.waiting.size === 0) return []
-  return listWanted(fleet, now).filter(
-    ({adapter, failedAt}) => !isComing(fleet, adapter, failedAt, now)
-  )
-}
-
 function listWanted(fleet: Fleet, now: number): Wanted[] {
   const wanted = new Map<string, Wanted>()
   for (const {need, since} of fleet.waiting.values()) {
@@ -243,7 +233,6 @@
   const time = near ? fleet.copyLoadMs : fleet.storeLoadMs
   const place = createPlace(version, "loading", now + time, now)
   engine.places.set(adapter, {...place, near})
-  fleet.loads.add(now)
   giveLoad(fleet, engine, adapter, version)
   fleet.effects.push({
     type: "note",
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -32,8 +32,6 @@
   readonly waitMs: number
   /** Prompt tokens of the request. */
   readonly tokens: number
-  /** The caller has time to come back: an early refusal leaves it a second try. */
-  readonly mayReturn: boolean
   /** Engines that failed it: held there, the weights do not help it. */
   readonly failedAt: readonly string[]
 }
