Tell many boxes only what they wait for

Cause: the leader told every box every change of every engine, loads included: at 86 boxes and 42 engines, by arithmetic, some 60 changes a second x 400 bytes x 85 boxes, 2 MB a second, on links of 7 Mbit/s (0.9 MB/s); a configuration of 350 routes to 85 boxes at once is 6 MB. Ruled out: a tree of news, which spreads the sends but not their sum, and adds a hop to each place told. Change: up to 16 boxes as before, but loads alone at most each 100 ms, and no models of backend records, which change with each load; above, a box asks for what it waits for, is answered from the leader's own places, and believes that for a second; a configuration is named, and read by each box itself, from the leader where the store turns it away. Pings grow apart with the boxes, from 250 to 800 ms. Tests: placement 'many boxes are told only what they wait for', 'a few boxes are told every place'.

--- a/src/adapters/backend-news.ts
+++ b/src/adapters/backend-news.ts
@@ -1,4 +1,7 @@
-/** What a leader tells boxes of backend servers: only what changed since it told them last. */
+/**
+ * What a leader tells boxes of backend servers: only what changed since it told them last, and not
+ * what engines hold, which changes often and reaches boxes with the places.
+ */
 import type {KnownBackend} from "../core/backend-list.js"
 import type {FromLeader} from "../types/box-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
@@ -15,9 +18,10 @@
     this.seen_ = known
     const records: BackendRecord[] = []
     for (const [id, {record}] of known) {
-      if (this.told_.get(id) === record) continue
+      const told = this.told_.get(id)
+      if (told && isAlike(told, record)) continue
       this.told_.set(id, record)
-      records.push(record)
+      records.push(withoutModels(record))
     }
     const gone = [...this.told_.keys()].filter(id => !known.has(id))
     for (const id of gone) this.told_.delete(id)
@@ -25,3 +29,18 @@
     this.send_({t: "backends", records, whole: false, gone})
   }
 }
+
+/** A record as boxes are told it. */
+export function withoutModels(record: BackendRecord): BackendRecord {
+  return {...record, models: []}
+}
+
+/** Whether boxes would treat both alike. */
+function isAlike(a: BackendRecord, b: BackendRecord): boolean {
+  return (
+    a.service === b.service &&
+    a.address === b.address &&
+    a.dataCentre === b.dataCentre &&
+    a.leaving === b.leaving
+  )
+}
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -63,7 +63,7 @@
 export interface HubEvents {
   /** Asked at each connection: whether this box leads. */
   readonly accepts: () => boolean
-  readonly up: (box: string, follower: Follower) => void
+  readonly up: (box: string, configVersion: number, follower: Follower) => void
   readonly down: (box: string) => void
   readonly message: (box: string, message: ToLeader) => void
 }
@@ -136,7 +136,7 @@
         box = message.incarnation
         this.followers_.get(box)?.close()
         this.followers_.set(box, follower)
-        this.events_.up(box, follower)
+        this.events_.up(box, message.configVersion, follower)
       },
       () => {
         if (box === undefined || this.followers_.get(box) !== follower) return
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -17,8 +17,11 @@
 /** Trouble of the store that lasts longer is told at once, milliseconds. */
 const TROUBLE_GRACE_MS = 150
 
-/** A leader that was silent for longer is no source. */
-const MAX_SILENCE_MS = 700
+/** A leader that was silent for so many of its pings is no source. */
+const MAX_SILENT_PINGS = 2.8
+
+/** A configuration that was named is read within this time, by each box at another moment. */
+const READ_SCATTER_MS = 250
 
 export interface NewsOptions {
   readonly kv: KvStore
@@ -27,6 +30,8 @@
   readonly log: Log
   /** Configuration and versions learned from the store, for a leader to pass on. */
   readonly learned: (message: FromLeader) => void
+  /** Asks the leader for the configuration that it named. */
+  readonly askLeader: () => void
 }
 
 export class NewsSource {
@@ -34,6 +39,7 @@
   private readonly troubled_ = new Set<string>()
   private troubledAt_ = Infinity
   private leaderHeardAt_ = -Infinity
+  private pingMs_ = 0
   private leaderStoreAgeMs_ = Infinity
   private config_: FleetConfig | undefined
 
@@ -50,15 +56,16 @@
   }
 
   /** The leader's ping. */
-  heardLeader(storeAgeMs: number, now: number): void {
+  heardLeader(storeAgeMs: number, pingMs: number, now: number): void {
     this.leaderHeardAt_ = now
+    this.pingMs_ = pingMs
     this.leaderStoreAgeMs_ = storeAgeMs
   }
 
   /** Follows the store if nobody else can tell the news; `leading` boxes always do. */
   choose(leading: boolean, now: number): void {
     const fresh =
-      now - this.leaderHeardAt_ < MAX_SILENCE_MS &&
+      now - this.leaderHeardAt_ < MAX_SILENT_PINGS * this.pingMs_ &&
       this.leaderStoreAgeMs_ < MAX_STORE_AGE_MS
     if (leading || !fresh) this.startFollowing()
     else this.stopFollowing()
@@ -105,6 +112,23 @@
     )
   }
 
+  /** Reads a configuration that the leader named; a box that cannot asks the leader for it. */
+  private async readNamed(version: number): Promise<void> {
+    const {kv, records, askLeader} = this.options_
+    if (version <= (this.config_?.version ?? -1)) return
+    await new Promise(resolve => setTimeout(resolve, Math.random() * READ_SCATTER_MS))
+    try {
+      const entry = await kv.get(records.configKey)
+      if (entry) this.takeOperator(entry.key, entry.value)
+    } catch (cause) {
+      this.options_.log("kv-trouble", {
+        prefix: records.configKey,
+        reason: (cause as Error).message
+      })
+    }
+    if (version > (this.config_?.version ?? -1)) askLeader()
+  }
+
   private takeBackend(id: string, value: string | undefined): void {
     const record =
       value === undefined ? undefined : this.options_.records.readBackend(id, value)
@@ -153,6 +177,9 @@
         log("config-applied", {version: message.config.version, from: "leader"})
         post({type: "config", config: message.config})
         return true
+      case "config-named":
+        void this.readNamed(message.version)
+        return true
       case "versions":
         post({type: "versions", versions: message.versions})
         return true
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -5,7 +5,7 @@
 import {randomUUID} from "node:crypto"
 import type {Server} from "node:http"
 import {mayOrder} from "../core/leadership.js"
-import {describeFleet} from "../core/placement.js"
+import {describeFleet, pushesNews} from "../core/placement-news.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
   nextTickMs,
@@ -16,11 +16,11 @@
 } from "../core/serving.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
-import type {FromLeader, ToLeader, UseChange} from "../types/box-messages.js"
+import type {EngineNews, FromLeader, ToLeader, UseChange} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {LeaderLink, LinkHub} from "./box-links.js"
-import {BackendNews} from "./backend-news.js"
+import {BackendNews, withoutModels} from "./backend-news.js"
 import {EngineDriver} from "./engine-driver.js"
 import {LeaderElection, type LeaderRecord} from "./leader-election.js"
 import type {Log} from "./log.js"
@@ -33,6 +33,9 @@
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 const PING_MS = 250
+/** The leader pings less often where it has many boxes: so much for each, up to a most. */
+const PING_BOX_MS = 8
+const MAX_PING_MS = 800
 const LINK_SILENCE_MS = 1_200
 const FOLLOWER_SILENCE_MS = 2_500
 /** Off the lease of the leader: clock rates, and an order's way. */
@@ -122,8 +125,9 @@
       log,
       learned: message => {
         if (message.t === "config") this.applyLimits()
-        this.hub_?.broadcast(message)
-      }
+        this.hub_?.broadcast(this.shorten(message))
+      },
+      askLeader: () => this.link_?.send({t: "ask-config"})
     })
     this.driver_ = new EngineDriver({
       dialect,
@@ -237,26 +241,42 @@
     if (gap > LINK_SILENCE_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
     this.election_.check()
     const leading = this.election_.leadership.fence !== undefined
-    if (this.link_ && this.link_.silentMs > LINK_SILENCE_MS) this.link_.close()
+    if (this.link_ && this.link_.silentMs > this.linkSilenceMs()) this.link_.close()
     this.election_.settle(this.linked_)
     if (!this.stopping_) this.news_.choose(leading, now)
     if (leading) this.pingBoxes(now)
     else if (now >= this.pingAt_) {
-      this.pingAt_ = now + PING_MS
+      this.pingAt_ = now + pingMs(this.loop_.state().serving.boxes)
       this.link_?.send({t: "pong"})
     }
     return !this.stopping_ && mayOrder(this.election_.leadership, now)
   }
 
+  private linkSilenceMs(): number {
+    return Math.max(LINK_SILENCE_MS, 3 * pingMs(this.loop_.state().serving.boxes))
+  }
+
   private pingBoxes(now: number): void {
     const {serving} = this.loop_.state()
     this.backendNews_.tell(serving.backends.known)
     if (now < this.pingAt_) return
-    this.pingAt_ = now + PING_MS
     const boxes = (this.hub_?.size ?? 0) + 1
+    this.pingAt_ = now + pingMs(boxes)
     this.hub_?.cutSilent(FOLLOWER_SILENCE_MS)
-    this.hub_?.broadcast({t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes})
-    this.loop_.post({type: "boxes", boxes})
+    this.hub_?.broadcast(this.ping(boxes, now))
+    this.loop_.post({type: "boxes", boxes, told: true})
+  }
+
+  private ping(boxes: number, now: number): FromLeader {
+    const pushes = pushesNews({boxes})
+    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes, pushes}
+  }
+
+  /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
+  private shorten(message: FromLeader): FromLeader {
+    if (message.t !== "config" || pushesNews({boxes: this.hub_?.size ?? 0}))
+      return message
+    return {t: "config-named", version: message.config.version}
   }
 
   private fence(): number | undefined {
@@ -286,13 +306,17 @@
     const hello: ToLeader = {
       t: "hello",
       box: settings.box,
-      incarnation: this.incarnation_
+      incarnation: this.incarnation_,
+      configVersion: this.news_.config?.version ?? -1
     }
     const link = new LeaderLink(leader.address, hello, {
       down: () => {
         if (this.link_ === link) this.link_ = undefined
         if (this.linked_) log("leader-lost", {leader: leader.box})
         this.linked_ = false
+        // Nobody can be asked: what is known has to do.
+        const {boxes} = this.loop_.state().serving
+        this.loop_.post({type: "boxes", boxes, told: true})
       },
       message: message => {
         if (!this.linked_) {
@@ -317,8 +341,9 @@
       const {request, retryAfterMs} = message
       post({type: "refuse", request, retryAfterMs})
     } else if (message.t === "ping") {
-      this.news_.heardLeader(message.storeAgeMs, performance.now())
-      post({type: "boxes", boxes: message.boxes})
+      const {storeAgeMs, boxes, pushes} = message
+      this.news_.heardLeader(storeAgeMs, pingMs(boxes), performance.now())
+      post({type: "boxes", boxes, told: pushes})
     }
   }
 
@@ -326,9 +351,9 @@
     const {log} = this.context_
     return {
       accepts: () => this.election_.leadership.fence !== undefined,
-      up: (box, follower) => {
+      up: (box, configVersion, follower) => {
         log("box-linked", {box})
-        for (const message of this.tellAll()) follower.send(message)
+        for (const message of this.tellAll(configVersion)) follower.send(message)
       },
       down: box => {
         log("box-unlinked", {box})
@@ -339,25 +364,27 @@
   }
 
   /** All that a new follower has to know. */
-  private tellAll(): FromLeader[] {
+  private tellAll(configVersion: number): FromLeader[] {
     const now = performance.now()
     const {serving, fleet} = this.loop_.state()
     const {config} = this.news_
-    const records = [...serving.backends.known.values()].map(({record}) => record)
+    const records = [...serving.backends.known.values()].map(({record}) =>
+      withoutModels(record)
+    )
     const versions = [...serving.versions].map(
       ([adapter, {version}]) => [adapter, version] as const
     )
-    const engines = fleet ? describeFleet(fleet, now) : []
     const boxes = (this.hub_?.size ?? 0) + 1
-    const storeAgeMs = this.news_.storeAgeMs(now)
+    const engines = fleet && pushesNews({boxes}) ? describeFleet(fleet, now) : []
+    const newer = config && config.version > configVersion
     return [
-      ...(config ? [{t: "config" as const, config}] : []),
+      ...(newer ? [this.shorten({t: "config", config})] : []),
       ...(records.length > 0
         ? [{t: "backends" as const, records, whole: true, gone: []}]
         : []),
       {t: "versions", versions},
       {t: "engines", engines},
-      {t: "ping", storeAgeMs, boxes}
+      this.ping(boxes, now)
     ]
   }
 
@@ -377,6 +404,11 @@
           adapter: message.adapter,
           late: message.late
         })
+      case "ask-config": {
+        const {config} = this.news_
+        if (config) this.hub_?.send(box, {t: "config", config})
+        return
+      }
       case "hello":
       case "pong":
         return
@@ -412,9 +444,7 @@
       case "ask":
         return this.driver_.perform(effect)
       case "news":
-        this.hub_?.broadcast({t: "engines", engines: effect.engines})
-        this.loop_.post({type: "engines", engines: effect.engines})
-        return
+        return this.tellEngines(effect.engines, effect.boxes)
       case "refuse": {
         const {request, retryAfterMs} = effect
         if (effect.box === this.incarnation_) {
@@ -427,6 +457,17 @@
     }
   }
 
+  /** What this box itself is told costs nothing, so that it is told all. */
+  private tellEngines(
+    engines: readonly EngineNews[],
+    boxes: readonly string[] | undefined
+  ): void {
+    const message = {t: "engines" as const, engines}
+    if (boxes) for (const box of boxes) this.hub_?.send(box, message)
+    else this.hub_?.broadcast(message)
+    this.loop_.post({type: "engines", engines})
+  }
+
   private get leading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
@@ -445,3 +486,8 @@
     if (config && this.callers_) limitCallers(this.callers_, config.limits)
   }
 }
+
+/** How often a leader of so many boxes, and each of them, says that it lives, milliseconds. */
+function pingMs(boxes: number): number {
+  return Math.min(MAX_PING_MS, Math.max(PING_MS, boxes * PING_BOX_MS))
+}
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -12,6 +12,9 @@
 /** How long an older version may still be used after a newer one was heard of, milliseconds. */
 const OLD_VERSION_MS = 2_500
 
+/** A box that is not told all places asks again after this, milliseconds. */
+export const VIEW_AGE_MS = 1_000
+
 /** Work in tokens that weighs as much as another data centre does. */
 const FAR_TOKENS = 300
 
@@ -82,6 +85,8 @@
     const key = adapterKey(weights.model, weights.adapter)
     const place = view.places.get(key)
     if (!place || place.readyAt > now) continue
+    const knownAt = Math.max(view.toldAt, place.readyAt)
+    if (!box.told && now - knownAt > VIEW_AGE_MS) continue
     if (isOutdated(box, key, place.version, now)) continue
     candidates.push({backend: record, version: place.version})
   }
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -13,7 +13,7 @@
   type EndReason,
   note
 } from "./box-state.js"
-import {chooseBackend, hasBackends} from "./box-choose.js"
+import {chooseBackend, hasBackends, VIEW_AGE_MS} from "./box-choose.js"
 import {isRepeatable} from "./route-table.js"
 
 /** Of a caller's time, the part a request waits for weights before it is refused. */
@@ -77,6 +77,7 @@
     refusals: 0,
     avoided: new Map(),
     needed: false,
+    neededAt: 0,
     replied: false,
     lastEventId: arrival.lastEventId
   }
@@ -141,8 +142,12 @@
 
 function wait(box: BoxServing, request: BoxRequest, now: number): void {
   const {weights, service, id, route, tokens} = request.arrival
-  if (request.needed || !weights || !hasBackends(box, service)) return
+  if (!weights || !hasBackends(box, service)) return
+  // What a box was told on asking ages: while it waits it asks again.
+  const asksAgain = !box.told && now - request.neededAt > VIEW_AGE_MS
+  if (request.needed && !asksAgain) return
   request.needed = true
+  request.neededAt = now
   box.effects.push({
     type: "need",
     need: {
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -54,6 +54,8 @@
   readonly avoided: Map<string, number>
   /** The leader was told that it waits. */
   needed: boolean
+  /** When it was told so last. */
+  neededAt: number
   /** The head of an answer went to the caller. */
   replied: boolean
   lastEventId: string | undefined
@@ -104,6 +106,8 @@
   readonly budgets: Map<string, RetryBudget>
   /** Boxes that share budgets and connections. */
   boxes: number
+  /** The leader tells it all places; otherwise it asks, and what it was told ages. */
+  told: boolean
   /** When the box was asked to stop; undefined: it was not. */
   stoppingAt: number | undefined
   effects: BoxEffect[]
@@ -179,6 +183,7 @@
     suspects: new Map(),
     budgets: new Map(),
     boxes: 1,
+    told: true,
     stoppingAt: undefined,
     effects: []
   }
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -70,8 +70,10 @@
   failures: number
   /** When it is asked next what it holds. */
   askAt: number
-  /** What it told last differs from what boxes were told. */
+  /** Its places differ from what boxes were told. */
   changed: boolean
+  /** Its load does. */
+  loadChanged: boolean
 }
 
 /** A request of some box that waits for weights. */
@@ -101,7 +103,12 @@
       readonly expectedSequence: number
     }
   | {readonly type: "ask"; readonly engine: string}
-  | {readonly type: "news"; readonly engines: readonly EngineNews[]}
+  /** News for some boxes; without them for all. */
+  | {
+      readonly type: "news"
+      readonly engines: readonly EngineNews[]
+      readonly boxes?: readonly string[]
+    }
   | {
       readonly type: "refuse"
       readonly box: string
@@ -140,6 +147,10 @@
   /** How long a load takes, learned: from the weight store and from near copies, milliseconds. */
   storeLoadMs: number
   copyLoadMs: number
+  /** Boxes that are told news; past a number they are told only what they wait for. */
+  boxes: number
+  /** When loads were told last. */
+  loadsToldAt: number
   /** Something came since the last plan that may let an order be given. */
   unplanned: boolean
   effects: FleetEffect[]
@@ -165,6 +176,8 @@
     loadTokensAt: now,
     storeLoadMs: 320,
     copyLoadMs: 60,
+    boxes: 1,
+    loadsToldAt: now,
     unplanned: false,
     effects: []
   }
--- a/src/core/placement-uses.ts
+++ b/src/core/placement-uses.ts
@@ -1,6 +1,7 @@
 /** What the leader hears of boxes: who waits for weights, and what runs where. */
 import type {Need, UseChange} from "../types/box-messages.js"
 import {adapterKey, type FleetService} from "../types/fleet.js"
+import {answerNeed} from "./placement-news.js"
 import {type BoxUse, type Fleet, type FleetEngine, warm} from "./placement-state.js"
 
 /** Takes the engines of the fleet as they are listed now. */
@@ -47,14 +48,18 @@
     quietUntil: 0,
     failures: 0,
     askAt: 0,
-    changed: true
+    changed: true,
+    loadChanged: true
   }
 }
 
 /** A request of a box waits for weights. */
 export function takeNeed(fleet: Fleet, box: string, need: Need, now: number): void {
   fleet.waiting.set(waitingKey(box, need.request), {box, need, since: now})
-  if (need.adapter !== undefined) warm(fleet, adapterKey(need.model, need.adapter), now)
+  if (need.adapter === undefined) return
+  const adapter = adapterKey(need.model, need.adapter)
+  warm(fleet, adapter, now)
+  answerNeed(fleet, box, adapter, now)
 }
 
 /** It waits no longer. */
@@ -103,7 +108,7 @@
   const engine = fleet.engines.get(id)
   if (!engine) return
   engine.load = Math.max(0, engine.load + tokens)
-  engine.changed = true
+  engine.loadChanged = true
   const place = adapter === undefined ? undefined : engine.places.get(adapter)
   if (!place) return
   place.running = Math.max(0, place.running + change)
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -5,14 +5,9 @@
 import {adapterKey} from "../types/fleet.js"
 import {chooseSpot, countHolders, type Spot, takesOrders} from "./placement-choose.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
+import {tellNews} from "./placement-news.js"
 import {createPlace} from "./placement-reports.js"
-import {
-  countTaken,
-  describeEngine,
-  type Fleet,
-  type FleetEngine,
-  heatOf
-} from "./placement-state.js"
+import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
 /** Loads of base models that may be saved up. */
 const MAX_LOAD_TOKENS = 2
@@ -274,24 +269,6 @@
   }
 }
 
-function tellNews(fleet: Fleet, now: number): void {
-  const changed = [...fleet.engines.values()].filter(engine => engine.changed)
-  if (changed.length === 0) return
-  for (const engine of changed) engine.changed = false
-  fleet.effects.push({
-    type: "news",
-    engines: changed.map(each => describeEngine(each, now))
-  })
-}
-
-/** All that is known, for a box that is new. */
-export function describeFleet(
-  fleet: Fleet,
-  now: number
-): ReturnType<typeof describeEngine>[] {
-  return [...fleet.engines.values()].map(engine => describeEngine(engine, now))
-}
-
 /** The effects that have come together, and none left. */
 export function drainFleet(fleet: Fleet): Fleet["effects"] {
   const {effects} = fleet
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -110,7 +110,8 @@
   | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
   | {readonly type: "leader-new"}
   | {readonly type: "stop"}
-  | {readonly type: "boxes"; readonly boxes: number}
+  /** How many boxes there are, and whether this one is told all places without asking. */
+  | {readonly type: "boxes"; readonly boxes: number; readonly told: boolean}
   | {readonly type: "tick"; readonly mayOrder: boolean}
 
 /** What happens to the fleet this box leads. */
@@ -224,6 +225,8 @@
       return
     case "boxes":
       serving.boxes = event.boxes
+      serving.told = event.told
+      if (state.fleet) state.fleet.boxes = event.boxes
       return
   }
 }
--- a/src/ports/fleet-ports.ts
+++ b/src/ports/fleet-ports.ts
@@ -64,6 +64,8 @@
 /** What the key-value service holds for the boxes, as its owner writes it. */
 export interface FleetRecords {
   /** The prefix of configuration and versions. */
+  /** The key of the configuration. */
+  readonly configKey: string
   readonly operatorPrefix: string
   readonly backendPrefix: string
   /** The routing configuration, if the key is its. */
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -49,7 +49,15 @@
 
 /** From a box to the leader. */
 export type ToLeader =
-  | {readonly t: "hello"; readonly box: string; readonly incarnation: string}
+  | {
+      readonly t: "hello"
+      readonly box: string
+      readonly incarnation: string
+      /** Version of the configuration that the box knows; -1: none. */
+      readonly configVersion: number
+    }
+  /** The box could not read a configuration that was named. */
+  | {readonly t: "ask-config"}
   | {readonly t: "need"; readonly need: Need}
   | {readonly t: "drop"; readonly request: string}
   | {readonly t: "use"; readonly changes: readonly UseChange[]}
@@ -65,6 +73,8 @@
 /** From the leader to a box. */
 export type FromLeader =
   | {readonly t: "config"; readonly config: FleetConfig}
+  /** A newer configuration is in the store: told in its place where there are many boxes. */
+  | {readonly t: "config-named"; readonly version: number}
   | {
       readonly t: "backends"
       readonly records: readonly BackendRecord[]
@@ -78,7 +88,15 @@
     }
   | {readonly t: "engines"; readonly engines: readonly EngineNews[]}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
-  /** Sent often; `storeAgeMs`: how long ago the store last answered the leader. */
-  | {readonly t: "ping"; readonly storeAgeMs: number; readonly boxes: number}
+  /**
+   * Sent often; `storeAgeMs`: how long ago the store last answered the leader; `pushes`: boxes are
+   * told all places, and need not ask.
+   */
+  | {
+      readonly t: "ping"
+      readonly storeAgeMs: number
+      readonly boxes: number
+      readonly pushes: boolean
+    }
 
 export type BoxMessage = ToLeader | FromLeader
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -108,6 +108,15 @@
     )
   }
 
+  /** The news of the last plan: whom it went to, and of which engine. */
+  news(): string[] {
+    return this.effects.flatMap(effect =>
+      effect.type === "news"
+        ? effect.engines.map(({engine}) => `${effect.boxes?.join() ?? "all"} ${engine}`)
+        : []
+    )
+  }
+
   answer(engine: string, result: OrderResult): this {
     takeOrderResult(this.fleet, engine, result, this.now)
     return this.plan()
@@ -261,3 +270,25 @@
   takeMissing(subject.fleet, "e0", "base/x", subject.now)
   t.same(subject.need("x").orders(), ["e1 load x"])
 })
+
+t.test("a few boxes are told every place, and loads from time to time", async t => {
+  const subject = new Subject(1).need("x")
+  t.same(subject.news(), ["all e0"])
+  const use = {engine: "e0", adapter: "base/x", change: 1, tokens: 10} as const
+  takeUses(subject.fleet, "box", [use], subject.now)
+  t.same(subject.plan().news(), [], "a load alone waits")
+  subject.now += 150
+  t.same(subject.plan().news(), ["all e0"])
+})
+
+t.test("many boxes are told only what they wait for", async t => {
+  const subject = new Subject(2)
+  subject.fleet.boxes = 50
+  t.same(subject.need("x").news(), ["box e0"], "where it is going to be")
+  dropNeed(subject.fleet, "box", "r1")
+  const use = {engine: "e0", adapter: "base/x", change: 1, tokens: 10} as const
+  takeUses(subject.fleet, "other", [use], subject.now)
+  subject.now += 150
+  t.same(subject.plan().news(), [], "nobody waits")
+  t.same(subject.need("x").news(), ["box e0"], "where it is")
+})
