Copy hot adapters while a few other loads are on their way; spread where loads are old

Boxes that ask all chose the engine that was least loaded when they were told. Change: a copy may come while fewer loads are on their way than a quarter of the engines; differences of up to 3,000 tokens do not count for a box that asks; a watch that told changes waits 100 ms before it is asked again. Test: placement 16 fails without the first.

--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -9,6 +9,9 @@
 /** How often the list is read again: a watch may be deaf without being cut, milliseconds. */
 const RECHECK_MS = 900
 
+/** After changes a watch waits so long, so that it returns once for what comes together. */
+const GATHER_MS = 100
+
 export interface FollowerEvents {
   readonly list: (prefix: string, entries: readonly KvEntry[]) => void
   readonly change: (prefix: string, change: KvChange) => void
@@ -82,11 +85,14 @@
     const {signal} = this.abort_
     let revision = from
     while (!signal.aborted && performance.now() < end) {
+      const seen = revision
       const take = (change: KvChange): void => {
         if (!signal.aborted) this.events_.change(prefix, change)
       }
       revision = await this.kv_.watch(prefix, revision, take, signal)
-      if (!signal.aborted) this.noteAnswer(prefix)
+      if (signal.aborted) return
+      this.noteAnswer(prefix)
+      if (revision > seen) await pause(GATHER_MS)
     }
   }
 
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -18,6 +18,10 @@
 /** Work in tokens that weighs as much as another data centre does. */
 const FAR_TOKENS = 300
 
+/** Differences in load that mean nothing, tokens: more where loads were told a while ago. */
+const ALIKE_TOKENS = 10
+const AGED_ALIKE_TOKENS = 3_000
+
 /** Work in tokens that a request counts for which this box sent and the leader has not counted. */
 const OWN_TOKENS = 100
 
@@ -111,6 +115,7 @@
   const doubtful = box.backends.known.get(backend.id)?.goneAt === undefined ? 0 : 1e5
   const failed = request.avoided.has(backend.id) ? 1e5 : 0
   const load = request.arrival.weights ? (box.engines.get(backend.id)?.load ?? 0) : 0
-  const jitter = box.options.random() * 10
+  const alike = box.told ? ALIKE_TOKENS : AGED_ALIKE_TOKENS
+  const jitter = box.options.random() * alike
   return load + own * OWN_TOKENS + far + suspect + doubtful + failed + jitter
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -15,6 +15,9 @@
 /** Adapters on their way from the weight store for each engine: more make each slower. */
 const STORE_LOADS_PER_ENGINE = 2
 
+/** Copies of hot adapters come from the weight store only while fewer loads than this are on their way. */
+const COPY_LOADS_PER_ENGINE = 0.25
+
 /** An engine with more unread tokens than this makes a request wait longer than a load does. */
 const BUSY_TOKENS = 8_000
 
@@ -198,7 +201,7 @@
       countHolders(fleet, adapter) > 1 + heatOf(fleet, adapter, now) / 6
     )
       continue
-    const store = countStoreLoads(fleet, now) === 0
+    const store = countStoreLoads(fleet, now) < fleet.engines.size * COPY_LOADS_PER_ENGINE
     const spot = chooseSpot(fleet, engine.service, adapter, store, now)
     if (spot && spot.engine.load * 3 < engine.load) takeSpot(fleet, spot, adapter, now)
   }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -292,3 +292,12 @@
   t.same(subject.plan().news(), [], "nobody waits")
   t.same(subject.need("x").news(), ["box e0"], "where it is")
 })
+
+t.test("a hot adapter is copied while a few other loads are on their way", async t => {
+  const subject = new Subject(8).need("x").answer("e0", "accepted")
+  dropNeed(subject.fleet, "box", "r1")
+  subject.pass(600)
+  const use = {engine: "e0", adapter: "base/x", change: 1, tokens: 4_000} as const
+  takeUses(subject.fleet, "box", [use, use, use, use, use, use, use], subject.now)
+  t.same(subject.need("y").orders().sort(), ["e1 load y", "e2 load x"])
+})
