Test the ways of many boxes with real programs

18 boxes: weights are asked for, a configuration is named, and a box that the store turns away gets it from the leader.

--- /dev/null
+++ b/test/platform-many.test.ts
@@ -0,0 +1,37 @@
+/** Many boxes: each asks for what it waits for, and reads a configuration that was named. */
+import t from "tap"
+import {type BedBox, PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
+
+/** Past the number up to which a leader tells every box all it knows. */
+const BOXES = 18
+
+const LATER = {name: "later", pathPrefix: "/later/", kind: "safe", service: "plain"}
+
+async function serves(bed: PlatformBed, box: BedBox, path: string): Promise<boolean> {
+  return (await bed.call(box, path)).status === 200
+}
+
+t.test("many boxes serve weights that only the leader knows of", async t => {
+  const bed = await PlatformBed.start({boxes: BOXES, engines: 3, plain: 1, proxied: true})
+  t.teardown(() => bed.stop())
+  await until("all boxes follow the leader", () => {
+    const linked = bed.logs().match(/"event":186,/g)?.length ?? 0
+    return linked >= BOXES - 1
+  })
+
+  const calls = bed.boxes.map((box, i) =>
+    bed.call(box, "/stream/x", {adapter: `a${i % 6}`})
+  )
+  const statuses = (await Promise.all(calls)).map(({status}) => status)
+  t.same(new Set(statuses), new Set([200]))
+
+  const turnedAway = bed.boxes.find(box => box !== bed.leader()) as BedBox
+  turnedAway.storeProxy?.set({refuse: true})
+  turnedAway.storeProxy?.cut()
+  bed.configure([{...LATER, maxAttempts: 1, targetLatencyMs: 200}])
+  for (const box of bed.boxes) {
+    await until(`${box.name} serves the new route`, () => serves(bed, box, "/later/x"))
+  }
+  t.same(bed.judge.violations, [])
+})
