--- /dev/null
+++ b/test/box-requests.test.ts
@@ -0,0 +1,221 @@
+/** A box's requests: what is sent again, what is never, and what an ended one was told. */
+import t from "tap"
+import {
+  admit,
+  attemptFailed,
+  type AttemptFailure,
+  attemptHead,
+  attemptHeard,
+  attemptStarted,
+  hangUp,
+  stopServing,
+  tickRequests
+} from "../src/core/box-requests.js"
+import {
+  type Arrival,
+  type BoxEffect,
+  type BoxServing,
+  createBoxServing,
+  drainEffects,
+  takeEngineNews,
+  takeVersions
+} from "../src/core/box-state.js"
+import {takeBackends} from "../src/core/backend-list.js"
+import type {BackendRecord, Route} from "../src/types/fleet.js"
+
+const ROUTE: Route = {
+  name: "r",
+  host: "h",
+  pathPrefix: "/",
+  kind: "safe",
+  resumable: false,
+  timeoutMs: 4_000,
+  targetMs: 200,
+  gapTargetMs: 0,
+  priority: 1,
+  maxAttempts: 2,
+  services: [{service: "s", weight: 1}]
+}
+const STREAM: Route = {...ROUTE, kind: "streaming", resumable: true}
+const WEIGHTS = {model: "m", adapter: "x"}
+
+function record(id: string): BackendRecord {
+  const address = `10.0.0.1:${id.length}`
+  return {id, service: "s", address, dataCentre: "a", leaving: false, models: []}
+}
+
+/** A box under test with two backend servers. */
+class Subject {
+  now = 1_000
+  readonly box: BoxServing
+  effects: readonly BoxEffect[] = []
+
+  constructor(slack = 100) {
+    const retry = {ratio: 0, slack, windowMs: 10_000}
+    this.box = createBoxServing({dataCentre: "a", retry, random: () => 0})
+    const records = [record("one"), record("two")]
+    this.box.backends = takeBackends(this.box.backends, records, 0)
+  }
+
+  arrive(route: Route, more: Partial<Arrival> = {}): this {
+    const arrival = {id: "q", name: "n", route, service: "s", tokens: 10}
+    admit(this.box, {...arrival, deadlineMs: 4_000, ...more}, this.now)
+    return this.drain()
+  }
+
+  start(number = 1): this {
+    attemptStarted(this.box, "q", number)
+    return this
+  }
+
+  fail(failure: AttemptFailure, number = 1, lastEventId?: string): this {
+    attemptFailed(this.box, "q", number, failure, lastEventId, this.now)
+    return this.drain()
+  }
+
+  pass(ms: number): this {
+    this.now += ms
+    tickRequests(this.box, this.now)
+    return this.drain()
+  }
+
+  drain(): this {
+    this.effects = drainEffects(this.box)
+    return this
+  }
+
+  /** The effects of the last call that reach beyond the box, in short. */
+  told(): string[] {
+    return this.effects.flatMap(effect => {
+      if (effect.type === "send") return [`send ${effect.attempt}`]
+      if (effect.type === "end") return [`end ${effect.reason}`]
+      return ["abort", "cut", "need", "pass", "discard"].includes(effect.type)
+        ? [effect.type]
+        : []
+    })
+  }
+}
+
+t.test("what was never sent, or refused unrun, ends as not run", async t => {
+  t.same(new Subject(0).arrive(ROUTE).fail("not-sent").told(), ["abort", "end not-run"])
+  t.same(new Subject(0).arrive(ROUTE).start().fail("refused").told(), [
+    "abort",
+    "end not-run"
+  ])
+})
+
+t.test("what may have run and may not run twice ends as unknown", async t => {
+  const unsafe: Route = {...ROUTE, kind: "unsafe", maxAttempts: 3}
+  t.same(new Subject().arrive(unsafe).start().fail("broken").told(), [
+    "abort",
+    "end unknown"
+  ])
+  const once: Route = {...STREAM, resumable: false}
+  t.same(new Subject().arrive(once).start().fail("broken").told(), [
+    "abort",
+    "end unknown"
+  ])
+})
+
+t.test("what may not run twice goes on after a refusal", async t => {
+  const unsafe: Route = {...ROUTE, kind: "unsafe", maxAttempts: 1}
+  t.same(new Subject().arrive(unsafe).start().fail("refused").told(), ["send 2"])
+})
+
+t.test("a refusal after a lost run does not make it unrun", async t => {
+  const subject = new Subject(2)
+    .arrive({...ROUTE, maxAttempts: 5})
+    .start()
+    .fail("broken")
+  t.same(subject.told(), ["send 2"])
+  t.same(subject.start(2).fail("refused", 2).told(), ["abort", "end unknown"])
+})
+
+t.test("no more servers run a request than its route allows", async t => {
+  const subject = new Subject().arrive(ROUTE).start().fail("broken")
+  t.same(subject.told(), ["send 2"])
+  t.same(subject.start(2).fail("broken", 2).told(), ["abort", "end unknown"])
+})
+
+t.test("without a budget nothing is sent twice", async t => {
+  t.same(new Subject(0).arrive(ROUTE).start().fail("broken").told(), [
+    "abort",
+    "end unknown"
+  ])
+})
+
+t.test("the time of the route or of the caller ends a request at once", async t => {
+  const slow: Route = {...ROUTE, kind: "unsafe"}
+  t.same(new Subject().arrive(slow).start().pass(4_000).told(), ["abort", "end timeout"])
+  t.same(new Subject().arrive(slow, {deadlineMs: 500}).start().pass(500).told(), [
+    "abort",
+    "end timeout"
+  ])
+})
+
+t.test("a stream that breaks goes on after its last event elsewhere", async t => {
+  const subject = new Subject()
+  takeEngineNews(subject.box, engines(), subject.now)
+  subject.arrive(STREAM, {weights: WEIGHTS}).start()
+  attemptHeard(subject.box, "q", 1, subject.now)
+  attemptHead(subject.box, "q", 1, {failed: false, streamed: true}, subject.now)
+  t.same(subject.drain().told(), ["pass"])
+  t.same(subject.fail("broken", 1, "12").told(), ["send 2"])
+  const [send] = subject.effects.filter(effect => effect.type === "send")
+  t.match(send, {lastEventId: "12"})
+  t.same(
+    subject.start(2).fail("broken", 2, "14").told(),
+    ["cut"],
+    "it must not look whole"
+  )
+})
+
+t.test("a caller that leaves ends the run at once", async t => {
+  const subject = new Subject().arrive(ROUTE).start()
+  hangUp(subject.box, "q", subject.now)
+  t.same(subject.drain().told(), ["abort"])
+  t.equal(subject.box.requests.size, 0)
+})
+
+t.test("a box that stops soon refuses what waits", async t => {
+  const subject = new Subject().arrive(STREAM, {weights: WEIGHTS})
+  t.same(subject.told(), ["need"])
+  stopServing(subject.box, subject.now)
+  t.same(subject.pass(499).told(), [])
+  t.same(subject.pass(1).told(), ["end not-run"])
+})
+
+t.test("an older version serves for a moment after a newer one was named", async t => {
+  const subject = new Subject()
+  takeEngineNews(subject.box, engines(), subject.now)
+  takeVersions(subject.box, [["m/x", 2]], subject.now)
+  subject.now += 1_000
+  t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["send 1"])
+  const later = new Subject()
+  takeEngineNews(later.box, engines(), later.now)
+  takeVersions(later.box, [["m/x", 2]], later.now)
+  later.now += 3_000
+  t.same(later.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
+})
+
+t.test("what a box was told on asking ages, and it asks again", async t => {
+  const subject = new Subject()
+  subject.box.told = false
+  takeEngineNews(subject.box, engines(), subject.now)
+  subject.now += 2_000
+  t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
+  t.same(subject.pass(500).told(), [])
+  t.same(subject.pass(600).told(), ["need"])
+  subject.box.told = true
+  t.same(subject.pass(20).told(), ["send 1"], "without a leader it has to do")
+})
+
+function engines() {
+  const place = {adapter: "m/x", version: 1, readyInMs: 0}
+  return ["one", "two"].map(engine => ({
+    engine,
+    models: ["m"],
+    places: [place],
+    load: 0
+  }))
+}
