Wait at the engine whose weights are late, load nowhere else

And the belief of how long a load takes came down by 1% with each load in time, so that one in ten was too early. Ruled out: lost orders (4 of the 51 within a second), engines under suspicion (13). Change: only engines that failed a request, or lost its weights, are named; the belief comes down by 0.2%. Before: box-requests 'an engine whose weights are late ...' fails.

--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -76,6 +76,7 @@
     runs: 0,
     refusals: 0,
     avoided: new Map(),
+    failedAt: new Set(),
     needed: false,
     neededAt: 0,
     replied: false,
@@ -161,7 +162,7 @@
       inTimeMs: Math.round(request.arrivedAt + route.targetMs - now),
       waitMs: Math.round(request.holdUntil - now),
       tokens,
-      failedAt: [...request.avoided.keys()]
+      failedAt: [...request.failedAt]
     }
   })
 }
@@ -256,9 +257,8 @@
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   const ran = attempt.started && failure === "broken"
-  if (failure === "misplaced" || failure === "refused") {
-    doubtPlace(box, request, attempt, failure, now)
-  }
+  const late = isRefusal(failure) && doubtPlace(box, request, attempt, failure, now)
+  if (!late) request.failedAt.add(attempt.backend)
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
@@ -372,7 +372,10 @@
 
 function repeat(box: BoxServing, request: BoxRequest, after: string, now: number): void {
   const {attempt, arrival} = request
-  if (attempt) request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
+  if (attempt) {
+    request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
+    request.failedAt.add(attempt.backend)
+  }
   request.runs++
   note(box, "route-again", {
     request: arrival.name,
@@ -452,26 +455,34 @@
   box.effects.push({type: "use", change: {engine, adapter, change, tokens}})
 }
 
-/** An engine refused a request for an adapter that it was believed to hold. */
+function isRefusal(failure: AttemptFailure): failure is "misplaced" | "refused" {
+  return failure === "misplaced" || failure === "refused"
+}
+
+/**
+ * An engine refused a request for an adapter that it was believed to hold; true: the weights are
+ * only late, and another engine would have to begin from nothing.
+ */
 function doubtPlace(
   box: BoxServing,
   request: BoxRequest,
   {backend}: Attempt,
   failure: "misplaced" | "refused",
   now: number
-): void {
+): boolean {
   const {weights} = request.arrival
-  if (weights?.adapter === undefined) return
+  if (weights?.adapter === undefined) return false
   const adapter = adapterKey(weights.model, weights.adapter)
   const places = box.engines.get(backend)?.places
   const place = places?.get(adapter)
-  if (!places || !place) return
+  if (!places || !place) return false
   // What has come lately may still be on its way; a shed request says nothing of weights.
   const late = place.fresh
   if (late) places.set(adapter, {...place, readyAt: now + REFUSED_PAUSE_MS})
   else if (failure === "misplaced") places.delete(adapter)
-  else return
+  else return false
   box.effects.push({type: "missing", engine: backend, adapter, late})
+  return late
 }
 
 function suspect(box: BoxServing, backend: string, now: number): void {
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -52,6 +52,8 @@
   refusals: number
   /** Backend servers not to be tried again, until these times. */
   readonly avoided: Map<string, number>
+  /** Backend servers that failed it, and not merely were late with their weights. */
+  readonly failedAt: Set<string>
   /** The leader was told that it waits. */
   needed: boolean
   /** When it was told so last. */
--- a/src/core/placement-reports.ts
+++ b/src/core/placement-reports.ts
@@ -144,7 +144,7 @@
 }
 
 const SLOWER = 1.1
-const FASTER = 0.99
+const FASTER = 0.998
 const MIN_STORE_LOAD_MS = 100
 const MAX_STORE_LOAD_MS = 1_500
 const MIN_COPY_LOAD_MS = 20
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -210,6 +210,28 @@
   t.same(subject.pass(20).told(), ["send 1"], "without a leader it has to do")
 })
 
+// Seen on inc-122f: a send some ms too early made the leader load the adapter elsewhere, too.
+t.test("an engine whose weights are late has not failed the request", async t => {
+  const subject = new Subject()
+  const [first] = engines()
+  if (!first) return
+  const coming = {...first, places: [{adapter: "m/x", version: 1, readyInMs: 100}]}
+  takeEngineNews(subject.box, [coming], subject.now)
+  subject.arrive(STREAM, {weights: WEIGHTS})
+  t.same(subject.pass(100).told(), ["send 1"])
+  t.same(subject.start().fail("misplaced").told(), ["need"])
+  const need = subject.effects.find(effect => effect.type === "need")
+  t.same(need?.type === "need" && need.need.failedAt, [])
+})
+
+t.test("an engine that lost its weights has failed it", async t => {
+  const subject = new Subject()
+  takeEngineNews(subject.box, engines().slice(0, 1), subject.now)
+  subject.arrive(STREAM, {weights: WEIGHTS}).start().fail("misplaced")
+  const need = subject.effects.find(effect => effect.type === "need")
+  t.same(need?.type === "need" && need.need.failedAt, ["one"])
+})
+
 function engines() {
   const place = {adapter: "m/x", version: 1, readyInMs: 0}
   return ["one", "two"].map(engine => ({
