--- /dev/null
+++ b/src/core/box-ends.ts
@@ -0,0 +1,82 @@
+/** How requests and their attempts end: the caller is told, and the leader counts them no more. */
+import type {UseChange} from "../types/box-messages.js"
+import {adapterKey} from "../types/fleet.js"
+import {type BoxRequest, type BoxServing, type EndReason, note} from "./box-state.js"
+
+/** When callers may come back, milliseconds. */
+const RETRY_AFTER_MS = 400
+
+/** Ends a request without a whole answer: its caller is told, or cut off if an answer had begun. */
+export function giveUp(
+  box: BoxServing,
+  request: BoxRequest,
+  reason: EndReason,
+  now: number,
+  retryAfterMs = RETRY_AFTER_MS
+): void {
+  const {id, name, route} = request.arrival
+  abortAttempt(box, request)
+  finish(box, request)
+  if (request.replied) box.effects.push({type: "cut", id})
+  else box.effects.push({type: "end", id, reason, retryAfterMs})
+  note(box, request.replied ? "route-cut" : "route-refused", {
+    request: name,
+    route: route.name,
+    reason,
+    heldMs: Math.round(now - request.arrivedAt),
+    attempts: request.attempts,
+    adapter: request.arrival.weights?.adapter ?? "",
+    retryAfterMs
+  })
+}
+
+/** Closes the connection of the attempt that is under way. */
+export function abortAttempt(box: BoxServing, request: BoxRequest): void {
+  const {attempt, arrival} = request
+  if (attempt) box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
+}
+
+/** Forgets a request that has ended. */
+export function finish(box: BoxServing, request: BoxRequest): void {
+  leaveAttempt(box, request)
+  if (request.needed) dropNeed(box, request)
+  box.requests.delete(request.arrival.id)
+}
+
+/** The attempt is over; another may follow. */
+export function leaveAttempt(box: BoxServing, request: BoxRequest): void {
+  if (!request.attempt) return
+  countUse(box, request, -1)
+  request.attempt = undefined
+}
+
+/** Tells the leader that it waits no more. */
+export function dropNeed(box: BoxServing, request: BoxRequest): void {
+  request.needed = false
+  box.effects.push({type: "drop", request: request.arrival.id})
+}
+
+/** Counts the attempt at its backend server, here and at the leader. */
+export function countUse(box: BoxServing, request: BoxRequest, change: 1 | -1): void {
+  const {attempt} = request
+  if (!attempt) return
+  const {backend} = attempt
+  box.busy.set(backend, Math.max(0, (box.busy.get(backend) ?? 0) + change))
+  const {tokens} = request.arrival
+  const unread = attempt.firstAt === undefined ? tokens : 0
+  tellUse(box, request, backend, change, change * unread)
+}
+
+/** Tells the leader of runs begun or ended, and of prompt tokens that wait or were read. */
+export function tellUse(
+  box: BoxServing,
+  {arrival: {weights}}: BoxRequest,
+  engine: string,
+  change: UseChange["change"],
+  tokens: number
+): void {
+  if (!weights) return
+  const adapter =
+    weights.adapter === undefined ? undefined : adapterKey(weights.model, weights.adapter)
+  box.effects.push({type: "use", change: {engine, adapter, change, tokens}})
+}
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,18 +2,31 @@
  * The requests of a box: each is sent to a backend server that can serve it, sent again where that
  * is safe and within the budget, or ended with what is known of it.
  */
-import type {UseChange} from "../types/box-messages.js"
-import {adapterKey} from "../types/fleet.js"
+import {chooseBackend, hasBackends, VIEW_AGE_MS} from "./box-choose.js"
+import {
+  type AttemptFailure,
+  doubtPlace,
+  isRefusal,
+  REFUSED_PAUSE_MS,
+  suspect
+} from "./box-doubts.js"
+import {
+  abortAttempt,
+  countUse,
+  dropNeed,
+  finish,
+  giveUp,
+  leaveAttempt,
+  tellUse
+} from "./box-ends.js"
 import {
   type Arrival,
   type Attempt,
   type BoxRequest,
   type BoxServing,
   budgetOf,
-  type EndReason,
   note
 } from "./box-state.js"
-import {chooseBackend, hasBackends, VIEW_AGE_MS} from "./box-choose.js"
 import {isRepeatable} from "./route-table.js"
 
 /** Of a caller's time, the part a request waits for weights before it is refused. */
@@ -25,42 +38,15 @@
 /** Sends that backend servers may refuse before a request is given up. */
 const MAX_REFUSALS = 3
 
-/** When callers may come back, milliseconds. */
-const RETRY_AFTER_MS = 400
-
-/** How long a backend server that failed is left alone where others can do, milliseconds. */
-const SUSPECT_MS = 2_500
-
-/** A backend server that refused or failed a request is not asked again at once, milliseconds. */
-const REFUSED_PAUSE_MS = 60
+/** A backend server that failed a request is not asked again at once, milliseconds. */
 const FAILED_PAUSE_MS = 200
 
-/** A pause in a stream after which it goes on elsewhere, milliseconds. */
-const STREAM_SILENCE_MS = 1_300
-
-/** Before an answer begins, the multiple of the target after which another is asked. */
-const FIRST_SILENCE_FACTOR = 1.8
-
 /** How long after a stop was asked for requests are still sent to backend servers, milliseconds. */
 const STOP_SEND_MS = 2_500
 
 /** A box that stops lets requests wait so long at most, milliseconds. */
 const STOP_HOLD_MS = 500
 
-/** Time a request must have left to be moved to an engine that has yet to load its weights. */
-const MOVE_MS = 1_200
-
-/** How an attempt ended without a whole answer. */
-export type AttemptFailure =
-  /** Nothing was sent. */
-  | "not-sent"
-  /** The backend server said that it did not run it. */
-  | "refused"
-  /** As above, since it does not hold the weights, or is another than expected. */
-  | "misplaced"
-  /** The connection broke or the answer was none. */
-  | "broken"
-
 /** Takes a request in. */
 export function admit(box: BoxServing, arrival: Arrival, now: number): void {
   const {route, deadlineMs, service} = arrival
@@ -99,7 +85,7 @@
 }
 
 /** Sends the request if it can be sent now; otherwise it waits. */
-function advance(box: BoxServing, request: BoxRequest, now: number): void {
+export function advance(box: BoxServing, request: BoxRequest, now: number): void {
   if (request.attempt) return
   const candidate = chooseBackend(box, request, now)
   if (!candidate) return wait(box, request, now)
@@ -265,7 +251,9 @@
     return giveUp(box, request, "unknown", now)
   }
   request.refusals++
-  request.avoided.set(attempt.backend, now + REFUSED_PAUSE_MS)
+  // Each pause is longer: what is late may be late for a while, and refusals are counted.
+  const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
+  request.avoided.set(attempt.backend, now + pauseMs)
   if (
     request.refusals > MAX_REFUSALS ||
     budgetOf(box, request.arrival.service).left(now, box.boxes) <= 0
@@ -317,60 +305,21 @@
   }
 }
 
-/** Looks at every request: what can be sent now, what has waited or been silent too long. */
-export function tickRequests(box: BoxServing, now: number): void {
-  for (const request of box.requests.values()) {
-    if (now >= request.giveUpAt) {
-      timeOut(box, request, now)
-    } else if (!request.attempt) {
-      advance(box, request, now)
-      if (!request.attempt && now >= request.holdUntil) {
-        giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
-      }
-    } else {
-      lookForSilence(box, request, request.attempt, now)
-    }
-  }
-}
-
-function timeOut(box: BoxServing, request: BoxRequest, now: number): void {
-  const ran = request.runs > 0 || request.attempt?.started === true
-  giveUp(box, request, ran ? "timeout" : "not-run", now)
-}
-
-function lookForSilence(
-  box: BoxServing,
-  request: BoxRequest,
-  attempt: Attempt,
-  now: number
-): void {
-  const {route} = request.arrival
-  const silence = now - (attempt.heardAt ?? attempt.sentAt)
-  const limit = attempt.headed
-    ? STREAM_SILENCE_MS
-    : Math.max(500, route.targetMs * FIRST_SILENCE_FACTOR)
-  if (silence < limit) return
-  if (attempt.headed && route.kind !== "streaming") return
-  suspect(box, attempt.backend, now)
-  if (!mayRepeat(box, request, now)) return
-  request.avoided.set(attempt.backend, now + SUSPECT_MS)
-  const other = chooseBackend(box, request, now)
-  // Without another that can take it now, it is worth moving only while there is time to load.
-  if (!other && request.giveUpAt - now < MOVE_MS) return
-  abortAttempt(box, request)
-  repeat(box, request, "silent", now)
-  request.avoided.set(attempt.backend, now + SUSPECT_MS)
-}
-
 /** Whether it may run once more, elsewhere. */
-function mayRepeat(box: BoxServing, request: BoxRequest, now: number): boolean {
+export function mayRepeat(box: BoxServing, request: BoxRequest, now: number): boolean {
   const {route, service} = request.arrival
   if (!isRepeatable(route) || request.attempts >= route.maxAttempts) return false
   if (request.replied && route.kind !== "streaming") return false
   return budgetOf(box, service).left(now, box.boxes) > 0
 }
 
-function repeat(box: BoxServing, request: BoxRequest, after: string, now: number): void {
+/** Sends it once more, after a run that may have begun. */
+export function repeat(
+  box: BoxServing,
+  request: BoxRequest,
+  after: string,
+  now: number
+): void {
   const {attempt, arrival} = request
   if (attempt) {
     request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
@@ -387,109 +336,6 @@
   advance(box, request, now)
 }
 
-function giveUp(
-  box: BoxServing,
-  request: BoxRequest,
-  reason: EndReason,
-  now: number,
-  retryAfterMs = RETRY_AFTER_MS
-): void {
-  const {id, name, route} = request.arrival
-  abortAttempt(box, request)
-  finish(box, request)
-  if (request.replied) box.effects.push({type: "cut", id})
-  else box.effects.push({type: "end", id, reason, retryAfterMs})
-  note(box, request.replied ? "route-cut" : "route-refused", {
-    request: name,
-    route: route.name,
-    reason,
-    heldMs: Math.round(now - request.arrivedAt),
-    attempts: request.attempts,
-    adapter: request.arrival.weights?.adapter ?? "",
-    retryAfterMs
-  })
-}
-
-function abortAttempt(box: BoxServing, request: BoxRequest): void {
-  const {attempt, arrival} = request
-  if (attempt) box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
-}
-
-function finish(box: BoxServing, request: BoxRequest): void {
-  leaveAttempt(box, request)
-  if (request.needed) dropNeed(box, request)
-  box.requests.delete(request.arrival.id)
-}
-
-function leaveAttempt(box: BoxServing, request: BoxRequest): void {
-  if (!request.attempt) return
-  countUse(box, request, -1)
-  request.attempt = undefined
-}
-
-function dropNeed(box: BoxServing, request: BoxRequest): void {
-  request.needed = false
-  box.effects.push({type: "drop", request: request.arrival.id})
-}
-
-function countUse(box: BoxServing, request: BoxRequest, change: 1 | -1): void {
-  const {attempt} = request
-  if (!attempt) return
-  const {backend} = attempt
-  box.busy.set(backend, Math.max(0, (box.busy.get(backend) ?? 0) + change))
-  const {tokens} = request.arrival
-  const unread = attempt.firstAt === undefined ? tokens : 0
-  tellUse(box, request, backend, change, change * unread)
-}
-
-function tellUse(
-  box: BoxServing,
-  {arrival: {weights}}: BoxRequest,
-  engine: string,
-  change: UseChange["change"],
-  tokens: number
-): void {
-  if (!weights) return
-  const adapter =
-    weights.adapter === undefined ? undefined : adapterKey(weights.model, weights.adapter)
-  box.effects.push({type: "use", change: {engine, adapter, change, tokens}})
-}
-
-function isRefusal(failure: AttemptFailure): failure is "misplaced" | "refused" {
-  return failure === "misplaced" || failure === "refused"
-}
-
-/**
- * An engine refused a request for an adapter that it was believed to hold; true: the weights are
- * only late, and another engine would have to begin from nothing.
- */
-function doubtPlace(
-  box: BoxServing,
-  request: BoxRequest,
-  {backend}: Attempt,
-  failure: "misplaced" | "refused",
-  now: number
-): boolean {
-  const {weights} = request.arrival
-  if (weights?.adapter === undefined) return false
-  const adapter = adapterKey(weights.model, weights.adapter)
-  const places = box.engines.get(backend)?.places
-  const place = places?.get(adapter)
-  if (!places || !place) return false
-  // What has come lately may still be on its way; a shed request says nothing of weights.
-  const late = place.fresh
-  if (late) places.set(adapter, {...place, readyAt: now + REFUSED_PAUSE_MS})
-  else if (failure === "misplaced") places.delete(adapter)
-  else return false
-  box.effects.push({type: "missing", engine: backend, adapter, late})
-  return late
-}
-
-function suspect(box: BoxServing, backend: string, now: number): void {
-  if ((box.suspects.get(backend) ?? 0) <= now) note(box, "backend-suspect", {backend})
-  box.suspects.set(backend, now + SUSPECT_MS)
-}
-
 function findAttempt(box: BoxServing, id: string, number: number): Attempt | undefined {
   const attempt = box.requests.get(id)?.attempt
   return attempt?.number === number ? attempt : undefined
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -8,19 +8,19 @@
   takeBackend,
   takeBackends
 } from "./backend-list.js"
+import {tickRequests} from "./box-clock.js"
+import type {AttemptFailure} from "./box-doubts.js"
 import {
   admit,
   attemptDone,
   attemptFailed,
-  type AttemptFailure,
   attemptHead,
   attemptHeard,
   attemptStarted,
   hangUp,
   refuseNeed,
   stopServing,
-  tellLeader,
-  tickRequests
+  tellLeader
 } from "./box-requests.js"
 import {
   type Arrival,
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -1,15 +1,15 @@
 /** A box's requests: what is sent again, what is never, and what an ended one was told. */
 import t from "tap"
+import {tickRequests} from "../src/core/box-clock.js"
+import type {AttemptFailure} from "../src/core/box-doubts.js"
 import {
   admit,
   attemptFailed,
-  type AttemptFailure,
   attemptHead,
   attemptHeard,
   attemptStarted,
   hangUp,
-  stopServing,
-  tickRequests
+  stopServing
 } from "../src/core/box-requests.js"
 import {
   type Arrival,
