Close a link whose frames are no messages

Cause: a leader took whatever msgpackr could read for a message of a box; null, or a need without its fields, threw in the handler and ended the process. Change: frames of boxes are checked against a schema; another shape closes the link.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -1,6 +1,7 @@
 /** Links between boxes and their leader: `ws` carrying `msgpackr`, quiet ones cut. */
 import {Packr} from "msgpackr"
 import {WebSocket, WebSocketServer} from "ws"
+import {readToLeader} from "../types/box-frames.js"
 import type {BoxMessage, FromLeader, ToLeader} from "../types/box-messages.js"
 import {splitAddress} from "../utils/address.js"
 
@@ -18,6 +19,7 @@
 
   constructor(
     readonly socket_: WebSocket,
+    private readonly read_: (value: unknown) => In | undefined,
     private readonly take_: (message: In) => void,
     private readonly end_: () => void
   ) {
@@ -47,13 +49,17 @@
   private receive(data: Buffer): void {
     if (this.ended_) return
     this.heardAt = performance.now()
-    let message: In
+    const message = this.unpack(data)
+    if (message === undefined) return this.close()
+    this.take_(message)
+  }
+
+  private unpack(data: Buffer): In | undefined {
     try {
-      message = packr.unpack(data) as In
+      return this.read_(packr.unpack(data))
     } catch {
-      return this.close()
+      return undefined
     }
-    this.take_(message)
   }
 }
 
@@ -128,6 +134,7 @@
     let box: string | undefined
     const follower: Follower = new BoxLink(
       socket,
+      readToLeader,
       (message: ToLeader) => {
         if (message.t !== "hello") {
           if (box !== undefined) this.events_.message(box, message)
@@ -166,7 +173,9 @@
       perMessageDeflate: false,
       maxPayload: MAX_MESSAGE_BYTES
     })
-    this.link_ = new BoxLink(socket, events.message, () => {
+    // The leader was found by its key in the store: its word is taken.
+    const read = (value: unknown): FromLeader => value as FromLeader
+    this.link_ = new BoxLink(socket, read, events.message, () => {
       clearTimeout(this.timer_)
       events.down()
     })
--- /dev/null
+++ b/src/types/box-frames.ts
@@ -0,0 +1,48 @@
+/** The shape of what a box may tell its leader; what has another shape comes from no box of ours. */
+import * as z from "zod"
+import type {ToLeader} from "./box-messages.js"
+
+const useChange = z.object({
+  engine: z.string(),
+  adapter: z.string().optional(),
+  change: z.union([z.literal(1), z.literal(0), z.literal(-1)]),
+  tokens: z.number()
+})
+
+const need = z.object({
+  request: z.string(),
+  service: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+  priority: z.number(),
+  inTimeMs: z.number(),
+  waitMs: z.number(),
+  tokens: z.number(),
+  failedAt: z.array(z.string())
+})
+
+const toLeader = z.discriminatedUnion("t", [
+  z.object({
+    t: z.literal("hello"),
+    box: z.string(),
+    incarnation: z.string(),
+    configVersion: z.number()
+  }),
+  z.object({t: z.literal("ask-config")}),
+  z.object({t: z.literal("need"), need}),
+  z.object({t: z.literal("drop"), request: z.string()}),
+  z.object({t: z.literal("use"), changes: z.array(useChange)}),
+  z.object({
+    t: z.literal("missing"),
+    engine: z.string(),
+    adapter: z.string(),
+    late: z.boolean()
+  }),
+  z.object({t: z.literal("pong")})
+])
+
+/** The message of a box; undefined: it is none. */
+export function readToLeader(value: unknown): ToLeader | undefined {
+  const {success, data} = toLeader.safeParse(value)
+  return success ? (data as ToLeader) : undefined
+}
