--- a/test/support/child.ts
+++ b/test/support/child.ts
@@ -41,6 +41,11 @@
     return this.process_.exitCode !== null || this.process_.signalCode !== null
   }
 
+  /** The signal that ended it, if one did. */
+  get endedBy(): NodeJS.Signals | null {
+    return this.process_.signalCode
+  }
+
   signal(name: NodeJS.Signals): void {
     if (!this.ended) this.process_.kill(name)
   }
