--- /dev/null
+++ b/test/dialect.test.ts
@@ -0,0 +1,71 @@
+/** The headers of a request on its way to a backend server, with whatever a caller sent. */
+import t from "tap"
+import {platformDialect} from "../platform/dialect.js"
+import {HEADER} from "../platform/words.js"
+import {createRandom, uniformFloat64} from "../src/utils/random.js"
+
+const ROUNDS = 300
+
+const FACTS = {
+  backend: "i-1",
+  deadlineMs: 900,
+  priority: 2,
+  expectedVersion: 3,
+  lastEventId: undefined
+}
+
+/** Headers by which a caller would steer what only boxes decide. */
+const RESERVED = [
+  HEADER.deadline,
+  HEADER.target,
+  HEADER.priority,
+  HEADER.expectedVersion,
+  HEADER.pin,
+  HEADER.hold,
+  HEADER.backup,
+  HEADER.fetchFrom,
+  HEADER.continueFrom
+]
+
+const PASSED = [HEADER.request, HEADER.model, HEADER.usage, HEADER.prompt, "x-other"]
+
+function draw(seed: number): (limit: number) => number {
+  let state = createRandom(seed)
+  return limit => {
+    const [value, next] = uniformFloat64(state)
+    state = next
+    return Math.floor(value * limit)
+  }
+}
+
+function mixCase(name: string, below: (limit: number) => number): string {
+  return [...name].map(sign => (below(2) === 0 ? sign.toUpperCase() : sign)).join("")
+}
+
+t.test("what a caller sets of a box's own headers reaches no server", async t => {
+  for (let seed = 1; seed <= ROUNDS; seed++) {
+    const below = draw(seed)
+    const sent: string[] = []
+    for (let i = below(12) + 1; i > 0; i--) {
+      const names = below(2) === 0 ? RESERVED : PASSED
+      const name = names[below(names.length)] as string
+      sent.push(mixCase(name, below), `forged-${i}`)
+    }
+    const written = platformDialect.writeRequest(sent, FACTS)
+    const passed = sent.filter(
+      (_, i) => i % 2 === 1 && PASSED.includes((sent[i - 1] as string).toLowerCase())
+    )
+    const kept = written.filter(value => value.startsWith("forged-"))
+    t.same(kept, passed, `seed ${seed}: ${sent.join(" ")}`)
+  }
+})
+
+t.test("each of a box's own headers is there once, with the box's value", async t => {
+  const sent = RESERVED.flatMap(name => [name, "forged", name.toUpperCase(), "forged"])
+  const written = platformDialect.writeRequest(sent, FACTS)
+  const names = written.filter((_, i) => i % 2 === 0).map(name => name.toLowerCase())
+  t.same(
+    names.sort(),
+    [HEADER.deadline, HEADER.expectedVersion, HEADER.priority, HEADER.target].sort()
+  )
+})
