Tell every box every place, as gathered changes; ask the leader only for what no engine holds

Cause: above 16 boxes each request asked the leader where its adapter is and believed the answer for one second; one machine of a third of a core stood before nearly every request, and without it requests waited though engines held their weights. Boxes heard no loads. Ruled out: whole pictures (each engine's nine places at each change); a tree of boxes for now, since gathering alone bounds the leader's sends at 330 a second. Change: a picture at the start of a link, then changes (places added, changed, gone), gathered for 3 ms a box above 16; who waits is told at once; loads as one list of hundreds of tokens in an agreed order; uses gathered alike; a new leader begins with what it believed as a box; a plan counts holders once.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -5,7 +5,7 @@
 import {randomUUID} from "node:crypto"
 import type {Server} from "node:http"
 import {mayOrder} from "../core/leadership.js"
-import {describeFleet, pushesNews} from "../core/placement-news.js"
+import {describeFleet, describeLoads, gatherMs, isSmall} from "../core/placement-news.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
   nextTickMs,
@@ -16,7 +16,7 @@
 } from "../core/serving.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
-import type {EngineNews, FromLeader, ToLeader, UseChange} from "../types/box-messages.js"
+import type {FromLeader, ToLeader} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {LeaderLink, LinkHub} from "./box-links.js"
@@ -30,6 +30,7 @@
 import type {RunningProcess} from "./process.js"
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
+import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 const PING_MS = 250
@@ -75,7 +76,7 @@
   private linked_ = false
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
-  private uses_: UseChange[] = []
+  private readonly uses_ = new UseCounts()
   private pingAt_ = 0
   private lastTickAt_ = performance.now()
   private stopping_ = false
@@ -269,18 +270,16 @@
     this.pingAt_ = now + pingMs(boxes)
     this.hub_?.cutSilent(FOLLOWER_SILENCE_MS)
     this.hub_?.broadcast(this.ping(boxes, now))
-    this.loop_.post({type: "boxes", boxes, told: true})
+    this.loop_.post({type: "boxes", boxes})
   }
 
   private ping(boxes: number, now: number): FromLeader {
-    const pushes = pushesNews({boxes})
-    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes, pushes}
+    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes}
   }
 
   /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
   private shorten(message: FromLeader): FromLeader {
-    if (message.t !== "config" || pushesNews({boxes: this.hub_?.size ?? 0}))
-      return message
+    if (message.t !== "config" || isSmall(this.hub_?.size ?? 0)) return message
     return {t: "config-named", version: message.config.version}
   }
 
@@ -319,9 +318,6 @@
         if (this.link_ === link) this.link_ = undefined
         if (this.linked_) log("leader-lost", {leader: leader.box})
         this.linked_ = false
-        // Nobody can be asked: what is known has to do.
-        const {boxes} = this.loop_.state().serving
-        this.loop_.post({type: "boxes", boxes, told: true})
       },
       message: message => {
         if (!this.linked_) {
@@ -342,13 +338,15 @@
       return
     }
     if (message.t === "engines") post({type: "engines", engines: message.engines})
+    else if (message.t === "places") post({type: "places", changes: message.changes})
+    else if (message.t === "loads") post({type: "loads", loads: message.loads})
     else if (message.t === "refuse") {
       const {request, retryAfterMs} = message
       post({type: "refuse", request, retryAfterMs})
     } else if (message.t === "ping") {
-      const {storeAgeMs, boxes, pushes} = message
+      const {storeAgeMs, boxes} = message
       this.news_.heardLeader(storeAgeMs, pingMs(boxes), performance.now())
-      post({type: "boxes", boxes, told: pushes})
+      post({type: "boxes", boxes})
     }
   }
 
@@ -380,7 +378,8 @@
       ([adapter, {version}]) => [adapter, version] as const
     )
     const boxes = (this.hub_?.size ?? 0) + 1
-    const engines = fleet && pushesNews({boxes}) ? describeFleet(fleet, now) : []
+    const engines = fleet ? describeFleet(fleet, now) : []
+    const loads = fleet ? describeLoads(fleet) : {order: [], hundreds: []}
     const newer = config && config.version > configVersion
     return [
       ...(newer ? [this.shorten({t: "config", config})] : []),
@@ -389,6 +388,7 @@
         : []),
       {t: "versions", versions},
       {t: "engines", engines},
+      {t: "loads", loads},
       this.ping(boxes, now)
     ]
   }
@@ -441,8 +441,7 @@
         } else this.link_?.send({t: "drop", request: effect.request})
         return
       case "use":
-        // Those of one turn go together: a place is free as soon as the leader knows.
-        if (this.uses_.push(effect.change) === 1) setImmediate(() => this.flushUses())
+        if (this.uses_.add(effect.change)) this.flushUsesLater()
         return
       case "missing": {
         const {engine, adapter, late} = effect
@@ -453,8 +452,9 @@
       case "order":
       case "ask":
         return this.driver_.perform(effect)
-      case "news":
-        return this.tellEngines(effect.engines, effect.boxes)
+      case "places":
+      case "loads":
+        return this.tellBoxes(effect)
       case "refuse": {
         const {request, retryAfterMs} = effect
         if (effect.box === this.incarnation_) {
@@ -467,25 +467,34 @@
     }
   }
 
-  /** What this box itself is told costs nothing, so that it is told all. */
-  private tellEngines(
-    engines: readonly EngineNews[],
-    boxes: readonly string[] | undefined
-  ): void {
-    const message = {t: "engines" as const, engines}
+  /** Tells boxes of engines; this box itself is told whatever others are. */
+  private tellBoxes(effect: Extract<RoutedEffect, {type: "places" | "loads"}>): void {
+    if (effect.type === "loads") {
+      const {loads} = effect
+      this.hub_?.broadcast({t: "loads", loads})
+      return this.loop_.post({type: "loads", loads})
+    }
+    const {changes, boxes} = effect
+    const message = {t: "places" as const, changes}
     if (boxes) for (const box of boxes) this.hub_?.send(box, message)
     else this.hub_?.broadcast(message)
-    this.loop_.post({type: "engines", engines})
+    this.loop_.post({type: "places", changes})
   }
 
   private get leading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
 
+  /** Few boxes tell those of one turn: a place is free as soon as the leader knows. */
+  private flushUsesLater(): void {
+    const waitMs = gatherMs(this.loop_.state().serving.boxes)
+    if (waitMs === 0) setImmediate(() => this.flushUses())
+    else setTimeout(() => this.flushUses(), waitMs)
+  }
+
   private flushUses(): void {
-    if (this.uses_.length === 0) return
-    const changes = this.uses_
-    this.uses_ = []
+    const changes = this.uses_.drain()
+    if (changes.length === 0) return
     if (this.leading) this.loop_.post({type: "uses", box: this.incarnation_, changes})
     else this.link_?.send({t: "use", changes})
   }
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -1,7 +1,9 @@
 /** Which backend server gets a request, among those that can serve it now. */
 import type {BackendRecord} from "../types/fleet.js"
 import {adapterKey} from "../types/fleet.js"
-import type {BoxRequest, BoxServing, EngineView} from "./box-state.js"
+import {viewOf} from "./box-places.js"
+import type {BoxRequest, BoxServing} from "./box-state.js"
+import {isSmall} from "./placement-news.js"
 
 /** A backend server that can take a request, with the version of the weights it holds. */
 export interface Candidate {
@@ -12,37 +14,19 @@
 /** How long an older version may still be used after a newer one was heard of, milliseconds. */
 const OLD_VERSION_MS = 2_500
 
-/** A box that is not told all places asks again after this, milliseconds. */
-export const VIEW_AGE_MS = 1_000
-
 /** Work in tokens that weighs as much as another data centre does. */
 const FAR_TOKENS = 300
 
-/** Differences in load that mean nothing, tokens: more where loads were told a while ago. */
+/**
+ * Differences in load that mean nothing, tokens. Many boxes are told loads seldom: all that were told
+ * the same must not choose the same engine.
+ */
 const ALIKE_TOKENS = 10
-const AGED_ALIKE_TOKENS = 3_000
+const MANY_ALIKE_TOKENS = 3_000
 
 /** Work in tokens that a request counts for which this box sent and the leader has not counted. */
 const OWN_TOKENS = 100
 
-/** What is known of an engine: the leader's word, else its own. */
-function viewOf(box: BoxServing, backend: BackendRecord): EngineView {
-  const told = box.engines.get(backend.id)
-  if (told) return told
-  const places = backend.models.flatMap(({name, adapters}) =>
-    [...adapters].map(
-      ([adapter, version]) =>
-        [adapterKey(name, adapter), {version, readyAt: 0, fresh: false}] as const
-    )
-  )
-  return {
-    models: new Set(backend.models.map(({name}) => name)),
-    places: new Map(places),
-    load: 0,
-    toldAt: 0
-  }
-}
-
 /** The best backend server for a request now, if any can take it. */
 export function chooseBackend(
   box: BoxServing,
@@ -89,8 +73,6 @@
     const key = adapterKey(weights.model, weights.adapter)
     const place = view.places.get(key)
     if (!place || place.readyAt > now) continue
-    const knownAt = Math.max(view.toldAt, place.readyAt)
-    if (!box.told && now - knownAt > VIEW_AGE_MS) continue
     if (isOutdated(box, key, place.version, now)) continue
     candidates.push({backend: record, version: place.version})
   }
@@ -115,7 +97,7 @@
   const doubtful = box.backends.known.get(backend.id)?.goneAt === undefined ? 0 : 1e5
   const failed = request.avoided.has(backend.id) ? 1e5 : 0
   const load = request.arrival.weights ? (box.engines.get(backend.id)?.load ?? 0) : 0
-  const alike = box.told ? ALIKE_TOKENS : AGED_ALIKE_TOKENS
+  const alike = isSmall(box.boxes) ? ALIKE_TOKENS : MANY_ALIKE_TOKENS
   const jitter = box.options.random() * alike
   return load + own * OWN_TOKENS + far + suspect + doubtful + failed + jitter
 }
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -62,21 +62,25 @@
   if (!attempt) return
   const {backend} = attempt
   box.busy.set(backend, Math.max(0, (box.busy.get(backend) ?? 0) + change))
-  const {tokens} = request.arrival
-  const unread = attempt.firstAt === undefined ? tokens : 0
-  tellUse(box, request, backend, change, change * unread)
+  const unread = attempt.firstAt === undefined ? request.arrival.tokens : 0
+  const begun = change > 0 ? 1 : 0
+  tellUse(box, request, {
+    engine: backend,
+    begun,
+    ended: 1 - begun,
+    tokens: change * unread
+  })
 }
 
 /** Tells the leader of runs begun or ended, and of prompt tokens that wait or were read. */
 export function tellUse(
   box: BoxServing,
   {arrival: {weights}}: BoxRequest,
-  engine: string,
-  change: UseChange["change"],
-  tokens: number
+  use: UseChange
 ): void {
   if (!weights) return
-  const adapter =
-    weights.adapter === undefined ? undefined : adapterKey(weights.model, weights.adapter)
-  box.effects.push({type: "use", change: {engine, adapter, change, tokens}})
+  const {model, adapter} = weights
+  const change =
+    adapter === undefined ? use : {...use, adapter: adapterKey(model, adapter)}
+  box.effects.push({type: "use", change})
 }
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,7 +2,7 @@
  * The requests of a box: each is sent to a backend server that can serve it, sent again where that
  * is safe and within the budget, or ended with what is known of it.
  */
-import {chooseBackend, hasBackends, VIEW_AGE_MS} from "./box-choose.js"
+import {chooseBackend, hasBackends} from "./box-choose.js"
 import {
   type AttemptFailure,
   doubtPlace,
@@ -64,7 +64,6 @@
     avoided: new Map(),
     failedAt: new Set(),
     needed: false,
-    neededAt: 0,
     replied: false,
     lastEventId: arrival.lastEventId
   }
@@ -130,11 +129,8 @@
 function wait(box: BoxServing, request: BoxRequest, now: number): void {
   const {weights, service, id, route, tokens} = request.arrival
   if (!weights || !hasBackends(box, service)) return
-  // What a box was told on asking ages: while it waits it asks again.
-  const asksAgain = !box.told && now - request.neededAt > VIEW_AGE_MS
-  if (request.needed && !asksAgain) return
+  if (request.needed) return
   request.needed = true
-  request.neededAt = now
   box.effects.push({
     type: "need",
     need: {
@@ -180,7 +176,8 @@
   if (attempt.firstAt !== undefined) return
   attempt.firstAt = now
   // The prompt was read: its work is done, whatever still comes out.
-  tellUse(box, request, attempt.backend, 0, -request.arrival.tokens)
+  const tokens = -request.arrival.tokens
+  tellUse(box, request, {engine: attempt.backend, begun: 0, ended: 0, tokens})
 }
 
 /** The head of an answer came, which is the backend server's own word on a run. */
@@ -301,7 +298,7 @@
     if (!attempt) request.needed = false
     else {
       const unread = attempt.firstAt === undefined ? arrival.tokens : 0
-      tellUse(box, request, attempt.backend, 1, unread)
+      tellUse(box, request, {engine: attempt.backend, begun: 1, ended: 0, tokens: unread})
     }
   }
 }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -1,7 +1,8 @@
 /** The state of a box's requests, and what its decisions are made from. */
-import type {EngineNews, Need, UseChange} from "../types/box-messages.js"
+import type {Need, UseChange} from "../types/box-messages.js"
 import type {BackendRecord, Route, Weights} from "../types/fleet.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
+import type {EngineView} from "./box-places.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
 import type {RouteTable} from "./route-table.js"
 
@@ -56,29 +57,11 @@
   readonly failedAt: Set<string>
   /** The leader was told that it waits. */
   needed: boolean
-  /** When it was told so last. */
-  neededAt: number
   /** The head of an answer went to the caller. */
   replied: boolean
   lastEventId: string | undefined
 }
 
-/** A place as this box sees it. */
-export interface PlaceView {
-  readonly version: number
-  readonly readyAt: number
-  /** Its weights came lately: a refusal may mean that they are on their way. */
-  readonly fresh: boolean
-}
-
-/** An engine as the leader told it, or as it said itself. */
-export interface EngineView {
-  readonly models: ReadonlySet<string>
-  readonly places: Map<string, PlaceView>
-  load: number
-  readonly toldAt: number
-}
-
 /** The newest version of an adapter, and when this box learned of it. */
 export interface NewestVersion {
   readonly version: number
@@ -106,10 +89,10 @@
   /** Backend servers that failed lately, and until when others go first. */
   readonly suspects: Map<string, number>
   readonly budgets: Map<string, RetryBudget>
+  /** The engines in the order in which loads are told. */
+  loadOrder: readonly string[]
   /** Boxes that share budgets and connections. */
   boxes: number
-  /** The leader tells it all places; otherwise it asks, and what it was told ages. */
-  told: boolean
   /** When the box was asked to stop; undefined: it was not. */
   stoppingAt: number | undefined
   effects: BoxEffect[]
@@ -184,7 +167,7 @@
     suspects: new Map(),
     budgets: new Map(),
     boxes: 1,
-    told: true,
+    loadOrder: [],
     stoppingAt: undefined,
     effects: []
   }
@@ -211,57 +194,6 @@
   return budget
 }
 
-/** Takes the leader's word on engines. */
-export function takeEngineNews(
-  box: BoxServing,
-  news: readonly EngineNews[],
-  now: number
-): void {
-  for (const {engine, models, places, load} of news) {
-    const views = new Map(
-      places.map(({adapter, version, readyInMs}) => [
-        adapter,
-        {
-          version,
-          readyAt: now + readyInMs,
-          fresh: readyInMs > 0 || isFresh(box, engine, adapter, now)
-        }
-      ])
-    )
-    noteHeld(box, engine, views.keys(), now)
-    box.engines.set(engine, {models: new Set(models), places: views, load, toldAt: now})
-  }
-}
-
-/** How long after it was due a place counts as fresh, milliseconds. */
-const FRESH_MS = 400
-
-function isFresh(box: BoxServing, engine: string, adapter: string, now: number): boolean {
-  const known = box.engines.get(engine)?.places.get(adapter)
-  return known !== undefined && known.fresh && now - known.readyAt < FRESH_MS
-}
-
-/** Adapters remembered of each engine. */
-const MAX_HELD = 34
-
-function noteHeld(
-  box: BoxServing,
-  engine: string,
-  adapters: Iterable<string>,
-  now: number
-): void {
-  const held = box.held.get(engine) ?? new Map<string, number>()
-  box.held.set(engine, held)
-  for (const adapter of adapters) {
-    held.delete(adapter)
-    held.set(adapter, now)
-  }
-  for (const oldest of held.keys()) {
-    if (held.size <= MAX_HELD) return
-    held.delete(oldest)
-  }
-}
-
 /** Takes the newest versions of adapters; none ever goes down. */
 export function takeVersions(
   box: BoxServing,
--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -1,6 +1,7 @@
 /** Where weights go and what makes way: the decisions on an engine's few places. */
 import type {EngineLimits} from "../types/fleet.js"
 import {splitAdapterKey} from "../types/fleet.js"
+import {countHolders, expectedWork} from "./placement-index.js"
 import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
 /** Adapters that may be on their way to one engine at once. */
@@ -12,9 +13,6 @@
 /** A load from the weight store is worth so much work at another engine, tokens. */
 const STORE_TOKENS = 4_000
 
-/** Work that an adapter brings its engine for each use counted in its heat, tokens. */
-const HEAT_TOKENS = 400
-
 /** Copies an engine is believed to keep near. */
 export const MAX_COPIES = 34
 
@@ -58,15 +56,6 @@
   return best
 }
 
-/** Work that the adapters of an engine are going to bring it, tokens. */
-function expectedWork(fleet: Fleet, engine: FleetEngine, now: number): number {
-  let heat = 0
-  for (const adapter of engine.places.keys()) {
-    heat += heatOf(fleet, adapter, now) / countHolders(fleet, adapter)
-  }
-  return heat * HEAT_TOKENS
-}
-
 /** Whether an engine can be given an order now. */
 export function takesOrders(engine: FleetEngine, now: number): boolean {
   return (
@@ -118,7 +107,7 @@
   let least = Infinity
   for (const [adapter, place] of engine.places) {
     if (place.phase !== "ready" || place.running > 0 || place.readyAt > now) continue
-    if (isAwaited(fleet, adapter)) continue
+    if (fleet.index.awaited.has(adapter)) continue
     const recent = now - place.lastUsed < 100 ? 100 : 0
     const heat = heatOf(fleet, adapter, now) / countHolders(fleet, adapter) + recent
     if (heat < least) {
@@ -128,18 +117,3 @@
   }
   return victim
 }
-
-function isAwaited(fleet: Fleet, adapter: string): boolean {
-  for (const {need} of fleet.waiting.values()) {
-    if (need.adapter !== undefined && `${need.model}/${need.adapter}` === adapter)
-      return true
-  }
-  return false
-}
-
-/** Engines that hold an adapter, on its way included. */
-export function countHolders(fleet: Fleet, adapter: string): number {
-  let count = 0
-  for (const engine of fleet.engines.values()) if (engine.places.has(adapter)) count++
-  return Math.max(1, count)
-}
--- a/src/core/placement-news.ts
+++ b/src/core/placement-news.ts
@@ -1,39 +1,127 @@
 /**
- * Which boxes are told what of engines. A few boxes are told every change. Many are told only what
- * they wait for: what the leader sends then grows with the requests, not with boxes times changes.
+ * What the leader tells boxes of engines. Every box knows every place, so that it needs the leader
+ * only for weights that no engine holds. A box that waits for an adapter hears of it at once. All
+ * others hear of changes gathered over a time that grows with their number: the messages that a
+ * leader sends in a second then have a bound, whatever the number of boxes.
  */
-import type {EngineNews} from "../types/box-messages.js"
+import type {EngineChange, EngineNews, PlaceNews} from "../types/box-messages.js"
 import {adapterKey} from "../types/fleet.js"
-import {describeEngine, type Fleet, type FleetEngine} from "./placement-state.js"
+import type {Fleet, FleetEngine, Place, ToldEngine} from "./placement-state.js"
 
-/** Boxes up to which all are told all. */
-const MAX_PUSH_BOXES = 16
+/** Boxes up to which every change is told as it comes. */
+const FEW_BOXES = 16
 
-/** How often loads alone are told, milliseconds: they change with each request. */
+/**
+ * Time that changes are gathered for each box there is, milliseconds. One send costs a leader some
+ * 60 us with its system call, so that 330 of them a second take 2% of a core.
+ */
+const GATHER_BOX_MS = 3
+
+/** Loads change with each request; they are told this often at most, milliseconds. */
 const LOADS_MS = 100
 
-/** Whether every box is told every change. */
-export function pushesNews({boxes}: {readonly boxes: number}): boolean {
-  return boxes <= MAX_PUSH_BOXES
+/** The unit in which loads are told, tokens: what an engine reads in 3 to 5 ms. */
+const LOAD_UNIT_TOKENS = 100
+
+/** Whether there are so few boxes that all is told to all as it comes. */
+export function isSmall(boxes: number): boolean {
+  return boxes <= FEW_BOXES
+}
+
+/** How long what one box tells many, or many tell one, is gathered, milliseconds. */
+export function gatherMs(boxes: number): number {
+  return isSmall(boxes) ? 0 : boxes * GATHER_BOX_MS
 }
 
 /** Tells what changed since it was told last. */
 export function tellNews(fleet: Fleet, now: number): void {
-  const withLoads = now - fleet.loadsToldAt >= LOADS_MS
-  const changed = [...fleet.engines.values()].filter(
-    ({changed, loadChanged}) => changed || (withLoads && loadChanged)
-  )
-  if (withLoads) fleet.loadsToldAt = now
-  if (changed.length === 0) return
-  const moved = changed.filter(engine => engine.changed)
-  for (const engine of changed) {
+  const gap = gatherMs(fleet.boxes)
+  if (gap > 0) tellWaiting(fleet, now)
+  if (now - fleet.toldAt >= gap) tellChanges(fleet, now)
+  if (now - fleet.loadsToldAt >= Math.max(gap, LOADS_MS)) tellLoads(fleet, now)
+}
+
+function tellChanges(fleet: Fleet, now: number): void {
+  fleet.toldAt = now
+  const changes: EngineChange[] = []
+  for (const engine of fleet.engines.values()) {
+    if (!engine.untold && !engine.changed) continue
     engine.changed = false
-    engine.loadChanged = false
+    engine.untold = false
+    const change = describeChange(engine, now)
+    if (change) changes.push(change)
   }
-  if (pushesNews(fleet)) {
-    const engines = changed.map(each => describeEngine(each, now))
-    fleet.effects.push({type: "news", engines})
-  } else tellWaiting(fleet, moved, now)
+  if (changes.length > 0) fleet.effects.push({type: "places", changes})
+}
+
+/** What differs from what boxes were told of an engine; from here on they were told. */
+function describeChange(engine: FleetEngine, now: number): EngineChange | undefined {
+  const before = engine.told
+  engine.told = snapshot(engine)
+  const {told} = engine
+  const places = [...told.places].flatMap(([adapter, {version, readyAt}]) => {
+    const known = before.places.get(adapter)
+    const same = known?.version === version && known.readyAt === readyAt
+    return same ? [] : [toNews(adapter, version, readyAt, now)]
+  })
+  const gone = [...before.places.keys()].filter(adapter => !told.places.has(adapter))
+  const sameModels = told.models.join() === before.models.join()
+  if (sameModels && places.length === 0 && gone.length === 0) return undefined
+  const models = sameModels ? {} : {models: told.models}
+  return {engine: engine.id, ...models, places, gone}
+}
+
+function snapshot(engine: FleetEngine): ToldEngine {
+  return {
+    models: [...engine.models],
+    places: new Map(
+      listUsable(engine).map(([adapter, {version, readyAt}]) => [
+        adapter,
+        {version, readyAt}
+      ])
+    )
+  }
+}
+
+function listUsable({places}: FleetEngine): [adapter: string, place: Place][] {
+  return [...places].filter(([, {phase}]) => phase !== "unloading")
+}
+
+function toNews(
+  adapter: string,
+  version: number,
+  readyAt: number,
+  now: number
+): PlaceNews {
+  return {adapter, version, readyInMs: Math.max(0, Math.round(readyAt - now))}
+}
+
+function tellLoads(fleet: Fleet, now: number): void {
+  const order = [...fleet.engines.keys()]
+  const sameOrder = order.join() === fleet.toldOrder.join()
+  if (sameOrder && ![...fleet.engines.values()].some(engine => engine.loadChanged)) return
+  fleet.loadsToldAt = now
+  fleet.toldOrder = order
+  const {hundreds} = describeLoads(fleet)
+  for (const engine of fleet.engines.values()) engine.loadChanged = false
+  fleet.effects.push({
+    type: "loads",
+    loads: sameOrder ? {hundreds} : {order, hundreds}
+  })
+}
+
+/** The work at all engines, with their order. */
+export function describeLoads(fleet: Fleet): {order: string[]; hundreds: number[]} {
+  const order = [...fleet.engines.keys()]
+  const hundreds = [...fleet.engines.values()].map(({load}) =>
+    Math.round(load / LOAD_UNIT_TOKENS)
+  )
+  return {order, hundreds}
+}
+
+/** Prompt tokens of a load as it was told. */
+export function toTokens(hundreds: number): number {
+  return hundreds * LOAD_UNIT_TOKENS
 }
 
 /** Tells a box that waits where its adapter is, or will be. */
@@ -43,27 +131,46 @@
   adapter: string,
   now: number
 ): void {
-  if (pushesNews(fleet)) return
-  const engines = [...fleet.engines.values()]
-    .filter(({places}) => (places.get(adapter)?.phase ?? "unloading") !== "unloading")
-    .map(engine => describeEngine(engine, now))
-  if (engines.length > 0) fleet.effects.push({type: "news", engines, boxes: [box]})
+  if (isSmall(fleet.boxes)) return
+  const changes = [...fleet.engines.values()].flatMap(engine =>
+    describePlace(engine, adapter, now)
+  )
+  if (changes.length > 0) fleet.effects.push({type: "places", changes, boxes: [box]})
+}
+
+function describePlace(
+  engine: FleetEngine,
+  adapter: string,
+  now: number
+): EngineChange[] {
+  const place = engine.places.get(adapter)
+  if (!place || place.phase === "unloading") return []
+  const places = [toNews(adapter, place.version, place.readyAt, now)]
+  return [{engine: engine.id, models: [...engine.models], places, gone: []}]
 }
 
-function tellWaiting(fleet: Fleet, moved: readonly FleetEngine[], now: number): void {
-  for (const engine of moved) {
-    const boxes = new Set<string>()
+/** Boxes that wait for what just changed are told without waiting for other changes. */
+function tellWaiting(fleet: Fleet, now: number): void {
+  for (const engine of fleet.engines.values()) {
+    if (!engine.changed) continue
+    engine.changed = false
+    engine.untold = true
     for (const {box, need} of fleet.waiting.values()) {
       if (need.adapter === undefined) continue
-      if (engine.places.has(adapterKey(need.model, need.adapter))) boxes.add(box)
+      const adapter = adapterKey(need.model, need.adapter)
+      const changes = describePlace(engine, adapter, now)
+      if (changes.length > 0) fleet.effects.push({type: "places", changes, boxes: [box]})
     }
-    if (boxes.size === 0) continue
-    const engines = [describeEngine(engine, now)]
-    fleet.effects.push({type: "news", engines, boxes: [...boxes]})
   }
 }
 
 /** All that is known, for a box that is new. */
 export function describeFleet(fleet: Fleet, now: number): EngineNews[] {
-  return [...fleet.engines.values()].map(engine => describeEngine(engine, now))
+  return [...fleet.engines.values()].map(engine => ({
+    engine: engine.id,
+    models: [...engine.models],
+    places: listUsable(engine).map(([adapter, {version, readyAt}]) =>
+      toNews(adapter, version, readyAt, now)
+    )
+  }))
 }
--- a/src/core/placement-reports.ts
+++ b/src/core/placement-reports.ts
@@ -1,6 +1,7 @@
 /** What the leader learns of engines: their reports, and requests that they refused. */
 import {adapterKey} from "../types/fleet.js"
 import {ASK_MS, holdBack, QUIET_MS, REPORT_LAG_MS, touchCopy} from "./placement-orders.js"
+import type {EngineView} from "./box-places.js"
 import type {EngineReport, Fleet, FleetEngine, Place} from "./placement-state.js"
 
 /** How often otherwise: what it holds may change by itself, milliseconds. */
@@ -45,6 +46,21 @@
   engine.changed = true
 }
 
+/**
+ * Takes over what this box knew of an engine before it led. Boxes go on sending there while the
+ * engine is asked what it holds; its report then replaces this.
+ */
+export function adoptView(
+  engine: FleetEngine,
+  {models, places}: EngineView,
+  now: number
+): void {
+  engine.models = new Set(models)
+  for (const [adapter, {version, readyAt}] of places) {
+    engine.places.set(adapter, createPlace(version, "ready", readyAt, now))
+  }
+}
+
 /** Takes what an engine says of itself; undefined: it did not answer. */
 export function takeReport(
   fleet: Fleet,
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -1,6 +1,7 @@
 /** What the leader of a fleet knows of its engines, and who waits for which weights. */
-import type {EngineNews, Need} from "../types/box-messages.js"
+import type {EngineChange, EngineLoads, Need} from "../types/box-messages.js"
 import type {FleetService} from "../types/fleet.js"
+import type {FleetIndex} from "./placement-index.js"
 
 /** Where an adapter stands on an engine. */
 export type PlacePhase = "loading" | "ready" | "unloading"
@@ -70,12 +71,25 @@
   failures: number
   /** When it is asked next what it holds. */
   askAt: number
-  /** Its places differ from what boxes were told. */
+  /** Its places changed since boxes that wait were told. */
   changed: boolean
+  /** They changed since all boxes were told. */
+  untold: boolean
+  /** What all boxes were told. */
+  told: ToldEngine
   /** Its load does. */
   loadChanged: boolean
 }
 
+/** What all boxes were told that an engine holds. */
+export interface ToldEngine {
+  readonly models: readonly string[]
+  readonly places: ReadonlyMap<
+    string,
+    {readonly version: number; readonly readyAt: number}
+  >
+}
+
 /** A request of some box that waits for weights. */
 export interface Waiting {
   readonly box: string
@@ -103,12 +117,13 @@
       readonly expectedSequence: number
     }
   | {readonly type: "ask"; readonly engine: string}
-  /** News for some boxes; without them for all. */
+  /** Changes for some boxes; without them for all. */
   | {
-      readonly type: "news"
-      readonly engines: readonly EngineNews[]
+      readonly type: "places"
+      readonly changes: readonly EngineChange[]
       readonly boxes?: readonly string[]
     }
+  | {readonly type: "loads"; readonly loads: EngineLoads}
   | {
       readonly type: "refuse"
       readonly box: string
@@ -147,10 +162,15 @@
   /** How long a load takes, learned: from the weight store and from near copies, milliseconds. */
   storeLoadMs: number
   copyLoadMs: number
-  /** Boxes that are told news; past a number they are told only what they wait for. */
+  /** Boxes that are told news, this one included. */
   boxes: number
-  /** When loads were told last. */
+  /** When changes were told to all last, and when loads were. */
+  toldAt: number
   loadsToldAt: number
+  /** The order of engines in which loads were told last. */
+  toldOrder: readonly string[]
+  /** What the current plan looks up. */
+  index: FleetIndex
   /** Something came since the last plan that may let an order be given. */
   unplanned: boolean
   effects: FleetEffect[]
@@ -177,7 +197,10 @@
     storeLoadMs: 320,
     copyLoadMs: 60,
     boxes: 1,
+    toldAt: -Infinity,
     loadsToldAt: now,
+    toldOrder: [],
+    index: {holders: new Map(), awaited: new Set(), expected: new Map()},
     unplanned: false,
     effects: []
   }
@@ -191,24 +214,7 @@
   return heat ? heat.score * 2 ** ((heat.at - now) / HEAT_HALF_LIFE_MS) : 0
 }
 
-/** Adds one use to the heat of an adapter. */
-export function warm(fleet: Fleet, adapter: string, now: number): void {
-  fleet.heat.set(adapter, {score: heatOf(fleet, adapter, now) + 1, at: now})
-}
-
-/** What boxes are told of an engine. */
-export function describeEngine(engine: FleetEngine, now: number): EngineNews {
-  const places = [...engine.places].flatMap(([adapter, place]) =>
-    place.phase === "unloading"
-      ? []
-      : [
-          {
-            adapter,
-            version: place.version,
-            readyInMs: Math.max(0, Math.round(place.readyAt - now))
-          }
-        ]
-  )
-  const load = Math.round(engine.load)
-  return {engine: engine.id, models: [...engine.models], places, load}
+/** Adds uses to the heat of an adapter. */
+export function warm(fleet: Fleet, adapter: string, uses: number, now: number): void {
+  fleet.heat.set(adapter, {score: heatOf(fleet, adapter, now) + uses, at: now})
 }
--- a/src/core/placement-uses.ts
+++ b/src/core/placement-uses.ts
@@ -49,6 +49,8 @@
     failures: 0,
     askAt: 0,
     changed: true,
+    untold: true,
+    told: {models: [], places: new Map()},
     loadChanged: true
   }
 }
@@ -58,7 +60,7 @@
   fleet.waiting.set(waitingKey(box, need.request), {box, need, since: now})
   if (need.adapter === undefined) return
   const adapter = adapterKey(need.model, need.adapter)
-  warm(fleet, adapter, now)
+  warm(fleet, adapter, 1, now)
   answerNeed(fleet, box, adapter, now)
 }
 
@@ -76,11 +78,14 @@
 ): void {
   const uses = fleet.uses.get(box) ?? new Map<string, BoxUse>()
   fleet.uses.set(box, uses)
-  for (const {engine, adapter, change, tokens} of changes) {
+  for (const {engine, adapter, begun, ended, tokens} of changes) {
     const key = `${engine} ${adapter ?? ""}`
+    const change = begun - ended
     const use = uses.get(key) ?? {running: 0, tokens: 0}
-    uses.set(key, {running: use.running + change, tokens: use.tokens + tokens})
-    if (change > 0 && adapter !== undefined) warm(fleet, adapter, now)
+    const after = {running: use.running + change, tokens: use.tokens + tokens}
+    if (after.running === 0 && after.tokens === 0) uses.delete(key)
+    else uses.set(key, after)
+    if (begun > 0 && adapter !== undefined) warm(fleet, adapter, begun, now)
     addUse(fleet, engine, adapter, change, tokens, now)
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,8 @@
  * most in time goes first; base models stay within the rate of the weight store.
  */
 import {adapterKey} from "../types/fleet.js"
-import {chooseSpot, countHolders, type Spot, takesOrders} from "./placement-choose.js"
+import {chooseSpot, type Spot, takesOrders} from "./placement-choose.js"
+import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {tellNews} from "./placement-news.js"
 import {createPlace} from "./placement-reports.js"
@@ -28,6 +29,7 @@
 export function planFleet(fleet: Fleet, mayOrder: boolean, now: number): void {
   fleet.unplanned = false
   if (mayOrder) {
+    fleet.index = indexFleet(fleet)
     refillLoads(fleet, now)
     for (const engine of fleet.engines.values()) askIfDue(fleet, engine, now)
     for (const engine of fleet.engines.values()) loadBaseModel(fleet, engine, now)
@@ -64,7 +66,7 @@
       const place = engine.places.get(adapter)
       if (!place || place.version >= version || !takesOrders(engine, now)) continue
       if (place.phase !== "ready") continue
-      if (heatOf(fleet, adapter, now) < 0.5 && !hasWaiting(fleet, adapter)) {
+      if (heatOf(fleet, adapter, now) < 0.5 && !fleet.index.awaited.has(adapter)) {
         if (place.running === 0) unload(fleet, engine, adapter, now)
         continue
       }
@@ -88,15 +90,6 @@
   return limits !== undefined && countTaken(engine) < limits.maxAdapters
 }
 
-function hasWaiting(fleet: Fleet, adapter: string): boolean {
-  for (const {need} of fleet.waiting.values()) {
-    if (need.adapter !== undefined && adapterKey(need.model, need.adapter) === adapter) {
-      return true
-    }
-  }
-  return false
-}
-
 /** An adapter that requests wait for, and what its load is worth. */
 interface Wanted {
   readonly adapter: string
@@ -231,6 +224,7 @@
   const time = near ? fleet.copyLoadMs : fleet.storeLoadMs
   const place = createPlace(version, "loading", now + time, now)
   engine.places.set(adapter, {...place, near})
+  noteHolder(fleet, engine, adapter)
   giveLoad(fleet, engine, adapter, version)
   fleet.effects.push({
     type: "note",
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -1,5 +1,11 @@
 /** The decisions of a routed box as one transition function: events in, effects out. */
-import type {EngineNews, Need, UseChange} from "../types/box-messages.js"
+import type {
+  EngineChange,
+  EngineLoads,
+  EngineNews,
+  Need,
+  UseChange
+} from "../types/box-messages.js"
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
 import {
   expireBackends,
@@ -27,12 +33,12 @@
   type BoxEffect,
   type BoxServing,
   drainEffects,
-  takeEngineNews,
   takeVersions
 } from "./box-state.js"
+import {takeChanges, takeLoads, takePicture, viewOf} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
 import {takeOrderResult} from "./placement-orders.js"
-import {takeLate, takeMissing, takeReport} from "./placement-reports.js"
+import {adoptView, takeLate, takeMissing, takeReport} from "./placement-reports.js"
 import {
   dropNeed,
   forgetBox,
@@ -103,6 +109,8 @@
   | {readonly type: "store-trouble"}
   | {readonly type: "store-back"}
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
+  | {readonly type: "places"; readonly changes: readonly EngineChange[]}
+  | {readonly type: "loads"; readonly loads: EngineLoads}
   | {
       readonly type: "versions"
       readonly versions: readonly (readonly [adapter: string, version: number])[]
@@ -110,8 +118,8 @@
   | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
   | {readonly type: "leader-new"}
   | {readonly type: "stop"}
-  /** How many boxes there are, and whether this one is told all places without asking. */
-  | {readonly type: "boxes"; readonly boxes: number; readonly told: boolean}
+  /** How many boxes there are. */
+  | {readonly type: "boxes"; readonly boxes: number}
   | {readonly type: "tick"; readonly mayOrder: boolean}
 
 /** What happens to the fleet this box leads. */
@@ -215,8 +223,13 @@
       serving.backends = noteStoreBack(serving.backends, now)
       return
     case "engines":
-      takeEngineNews(serving, event.engines, now)
+      takePicture(serving, event.engines, now)
       return tickRequests(serving, now)
+    case "places":
+      takeChanges(serving, event.changes, now)
+      return tickRequests(serving, now)
+    case "loads":
+      return takeLoads(serving, event.loads)
     case "versions":
       takeVersions(serving, event.versions, now)
       for (const [adapter, version] of event.versions) {
@@ -225,7 +238,6 @@
       return
     case "boxes":
       serving.boxes = event.boxes
-      serving.told = event.told
       if (state.fleet) state.fleet.boxes = event.boxes
       return
   }
@@ -267,11 +279,16 @@
   for (const [adapter, {version}] of state.serving.versions) {
     takeFleetVersion(state.fleet, adapter, version)
   }
+  state.fleet.boxes = state.serving.boxes
   listEngines(state)
   for (const [id, held] of state.serving.held) {
     const engine = state.fleet.engines.get(id)
     for (const [adapter, at] of held) engine?.copies.set(adapter, at)
   }
+  for (const engine of state.fleet.engines.values()) {
+    const known = state.serving.backends.known.get(engine.id)
+    if (known) adoptView(engine, viewOf(state.serving, known.record), now)
+  }
 }
 
 function listEngines({fleet, serving}: RoutedState): void {
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -5,7 +5,8 @@
 const useChange = z.object({
   engine: z.string(),
   adapter: z.string().optional(),
-  change: z.union([z.literal(1), z.literal(0), z.literal(-1)]),
+  begun: z.number().min(0),
+  ended: z.number().min(0),
   tokens: z.number()
 })
 
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -10,13 +10,30 @@
   readonly readyInMs: number
 }
 
-/** All that is to be known of one engine; replaces what was told before. */
+/** All that one engine holds; replaces what was told before. */
 export interface EngineNews {
   readonly engine: string
   readonly models: readonly string[]
   readonly places: readonly PlaceNews[]
-  /** Prompt tokens that wait to be read there, from all boxes. */
-  readonly load: number
+}
+
+/** What changed on one engine since it was told last. */
+export interface EngineChange {
+  readonly engine: string
+  /** Undefined: as they were. */
+  readonly models?: readonly string[]
+  /** New, or not as they were. */
+  readonly places: readonly PlaceNews[]
+  /** Adapters that it holds no longer. */
+  readonly gone: readonly string[]
+}
+
+/** Work that waits at engines, by their place in a list that all boxes share. */
+export interface EngineLoads {
+  /** The engines in their order; undefined: as told before. */
+  readonly order?: readonly string[]
+  /** Prompt tokens that wait to be read at each, from all boxes, in hundreds. */
+  readonly hundreds: readonly number[]
 }
 
 /** A request that waits for an adapter. */
@@ -36,14 +53,16 @@
   readonly failedAt: readonly string[]
 }
 
-/**
- * Requests begun (+1), answered for the first time (0) and ended (-1) with an adapter on an engine.
- * `tokens`: the change of the prompt tokens that wait there to be read.
- */
+/** What a box began and ended on an engine with an adapter since it told so last. */
 export interface UseChange {
   readonly engine: string
+  /** Undefined: the base model alone. */
   readonly adapter?: string
-  readonly change: 1 | 0 | -1
+  /** Requests sent there. */
+  readonly begun: number
+  /** Requests that are there no longer. */
+  readonly ended: number
+  /** Change of the prompt tokens that wait there to be read. */
   readonly tokens: number
 }
 
@@ -88,17 +107,13 @@
       readonly t: "versions"
       readonly versions: readonly (readonly [adapter: string, version: number])[]
     }
+  /** A picture of all engines, at the start of a link. */
   | {readonly t: "engines"; readonly engines: readonly EngineNews[]}
+  /** What changed since. A link keeps its order and loses nothing, so that changes need no number. */
+  | {readonly t: "places"; readonly changes: readonly EngineChange[]}
+  | {readonly t: "loads"; readonly loads: EngineLoads}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
-  /**
-   * Sent often; `storeAgeMs`: how long ago the store last answered the leader; `pushes`: boxes are
-   * told all places, and need not ask.
-   */
-  | {
-      readonly t: "ping"
-      readonly storeAgeMs: number
-      readonly boxes: number
-      readonly pushes: boolean
-    }
+  /** Sent often; `storeAgeMs`: how long ago the store last answered the leader. */
+  | {readonly t: "ping"; readonly storeAgeMs: number; readonly boxes: number}
 
 export type BoxMessage = ToLeader | FromLeader
