Send prompts that begin alike to one engine, by rendezvous over adapter and beginning

Change: the shared parts of a prompt are decoded into one key and a token count; among the holders of its adapter the rendezvous winner is believed to have read it, and its unread tokens count less by that much. Loads at the leader count what is believed unread. Bounded by work: another holder wins once the home has more unread tokens than the beginning saves. Tests: box-requests, dialect.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -80,10 +80,20 @@
     this.exchanges_.set(exchange.id, exchange)
     res.on("close", () => this.callerClosed(exchange))
     const {id} = exchange
-    const {name, weights, tokens, lastEventId, deadlineMs} = facts
+    const {name, weights, tokens, prefix, lastEventId, deadlineMs} = facts
     this.options_.post({
       type: "arrive",
-      arrival: {id, name, route, service, weights, tokens, deadlineMs, lastEventId}
+      arrival: {
+        id,
+        name,
+        route,
+        service,
+        weights,
+        tokens,
+        prefix,
+        deadlineMs,
+        lastEventId
+      }
     })
   }
 
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -3,14 +3,20 @@
 import {adapterKey} from "../types/fleet.js"
 import {viewOf} from "./box-places.js"
 import type {BoxRequest, BoxServing} from "./box-state.js"
+import {weighMember} from "../utils/rendezvous.js"
 import {isSmall} from "./placement-news.js"
 
 /** A backend server that can take a request, with the version of the weights it holds. */
 export interface Candidate {
   readonly backend: BackendRecord
   readonly version: number | undefined
+  /** Prompt tokens that it is believed to have to read. */
+  readonly unread: number
 }
 
+/** A backend server that can take a request, before its cost is known. */
+type Option = Omit<Candidate, "unread">
+
 /** How long an older version may still be used after a newer one was heard of, milliseconds. */
 const OLD_VERSION_MS = 2_500
 
@@ -34,18 +40,54 @@
   now: number
 ): Candidate | undefined {
   const candidates = listCandidates(box, request, now)
+  const home = homeOf(request, candidates)
   let best: Candidate | undefined
   let least = Infinity
   for (const candidate of candidates) {
-    const cost = costOf(box, request, candidate.backend, now)
+    const {backend} = candidate
+    const unread = unreadAt(request, backend, home)
+    const cost = unread + costOf(box, request, backend, now)
     if (cost < least) {
       least = cost
-      best = candidate
+      best = {...candidate, unread}
     }
   }
   return best
 }
 
+/**
+ * The candidate that is to keep the prompt's shared beginning. All boxes find the same one by
+ * rendezvous hashing over beginning and adapter, so that each beginning is read at one engine and
+ * not at every one that holds the adapter. Work there weighs against what it saves: another engine
+ * is taken as soon as it would begin earlier although it reads all.
+ */
+function homeOf(
+  {arrival: {prefix, weights}}: BoxRequest,
+  candidates: readonly Option[]
+): string | undefined {
+  if (!prefix || candidates.length < 2) return undefined
+  const key = `${weights?.adapter ?? ""} ${prefix.key}`
+  let home: string | undefined
+  let most = -1
+  for (const {backend} of candidates) {
+    const weight = weighMember(key, backend.id)
+    if (weight > most) {
+      most = weight
+      home = backend.id
+    }
+  }
+  return home
+}
+
+function unreadAt(
+  {arrival: {prefix, tokens}}: BoxRequest,
+  {id}: BackendRecord,
+  home: string | undefined
+): number {
+  const kept = prefix && (home === undefined || home === id) ? prefix.tokens : 0
+  return Math.max(0, tokens - kept)
+}
+
 /** Whether some backend server of the service may be sent requests at all. */
 export function hasBackends(box: BoxServing, service: string): boolean {
   for (const {record} of box.backends.known.values()) {
@@ -54,9 +96,9 @@
   return false
 }
 
-function listCandidates(box: BoxServing, request: BoxRequest, now: number): Candidate[] {
+function listCandidates(box: BoxServing, request: BoxRequest, now: number): Option[] {
   const {service, weights} = request.arrival
-  const candidates: Candidate[] = []
+  const candidates: Option[] = []
   for (const {record} of box.backends.known.values()) {
     if (record.service !== service || record.leaving) continue
     if ((request.avoided.get(record.id) ?? 0) > now) continue
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -62,7 +62,7 @@
   if (!attempt) return
   const {backend} = attempt
   box.busy.set(backend, Math.max(0, (box.busy.get(backend) ?? 0) + change))
-  const unread = attempt.firstAt === undefined ? request.arrival.tokens : 0
+  const unread = attempt.firstAt === undefined ? attempt.unread : 0
   const begun = change > 0 ? 1 : 0
   tellUse(box, request, {
     engine: backend,
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -97,6 +97,7 @@
     number: request.attempts,
     backend: backend.id,
     sentAt: now,
+    unread: candidate.unread,
     started: false,
     heardAt: undefined,
     firstAt: undefined,
@@ -122,6 +123,7 @@
     waitedMs: Math.round(now - request.arrivedAt),
     adapter: arrival.weights?.adapter ?? "",
     version: version ?? 0,
+    unread: candidate.unread,
     newsMs: Math.round(now - (box.engines.get(backend.id)?.toldAt ?? now))
   })
 }
@@ -176,7 +178,7 @@
   if (attempt.firstAt !== undefined) return
   attempt.firstAt = now
   // The prompt was read: its work is done, whatever still comes out.
-  const tokens = -request.arrival.tokens
+  const tokens = -attempt.unread
   tellUse(box, request, {engine: attempt.backend, begun: 0, ended: 0, tokens})
 }
 
@@ -294,10 +296,10 @@
 /** Tells a new leader all that waits and runs here. */
 export function tellLeader(box: BoxServing): void {
   for (const request of box.requests.values()) {
-    const {attempt, arrival} = request
+    const {attempt} = request
     if (!attempt) request.needed = false
     else {
-      const unread = attempt.firstAt === undefined ? arrival.tokens : 0
+      const unread = attempt.firstAt === undefined ? attempt.unread : 0
       tellUse(box, request, {engine: attempt.backend, begun: 1, ended: 0, tokens: unread})
     }
   }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -1,6 +1,6 @@
 /** The state of a box's requests, and what its decisions are made from. */
 import type {Need, UseChange} from "../types/box-messages.js"
-import type {BackendRecord, Route, Weights} from "../types/fleet.js"
+import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
 import type {EngineView} from "./box-places.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
@@ -17,6 +17,7 @@
   readonly weights?: Weights
   /** Prompt tokens. */
   readonly tokens: number
+  readonly prefix?: SharedPrefix
   /** What the caller still waits, milliseconds. */
   readonly deadlineMs: number
   /** Resumes a stream of an earlier request after this event. */
@@ -28,6 +29,8 @@
   readonly number: number
   readonly backend: string
   readonly sentAt: number
+  /** Prompt tokens that the backend server is believed to have to read. */
+  readonly unread: number
   /** Bytes may have left: it may run. */
   started: boolean
   /** Bytes of its answer came; the time of the last. */
--- a/src/ports/fleet-ports.ts
+++ b/src/ports/fleet-ports.ts
@@ -1,6 +1,6 @@
 /** What a routed box needs of the platform it stands on: its words, and nothing of its ways. */
 import type {IncomingHttpHeaders} from "node:http"
-import type {BackendRecord, FleetConfig, Weights} from "../types/fleet.js"
+import type {BackendRecord, FleetConfig, SharedPrefix, Weights} from "../types/fleet.js"
 import type {EngineReport, FleetOrder, OrderResult} from "../core/placement-state.js"
 
 /** What a caller's request says of itself. */
@@ -10,7 +10,9 @@
   /** What the caller still waits, milliseconds; Infinity: not told. */
   readonly deadlineMs: number
   readonly weights?: Weights
+  /** Prompt tokens. */
   readonly tokens: number
+  readonly prefix?: SharedPrefix
   readonly lastEventId?: string
 }
 
@@ -63,9 +65,9 @@
 
 /** What the key-value service holds for the boxes, as its owner writes it. */
 export interface FleetRecords {
-  /** The prefix of configuration and versions. */
   /** The key of the configuration. */
   readonly configKey: string
+  /** The prefix of configuration and versions. */
   readonly operatorPrefix: string
   readonly backendPrefix: string
   /** The routing configuration, if the key is its. */
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -100,6 +100,13 @@
   readonly adapter?: string
 }
 
+/** The beginning of a prompt that other requests for the same weights begin with, too. */
+export interface SharedPrefix {
+  /** Alike for alike beginnings. */
+  readonly key: string
+  readonly tokens: number
+}
+
 /** The key of an adapter of a model. */
 export function adapterKey(model: string, adapter: string): string {
   return `${model}/${adapter}`
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -251,6 +251,37 @@
   t.equal(backendOf("q2"), "one")
 })
 
+/** The engine that a new box sends a request to; `load`: tokens in hundreds at each of four. */
+function sentTo(prefix: string, load: readonly number[] = [0, 0, 0, 0]): string {
+  const subject = new Subject()
+  const names = ["one", "two", "three", "four"]
+  subject.box.backends = takeBackends(subject.box.backends, names.map(record), 0)
+  const [place] = engines()[0]?.places ?? []
+  const places = place ? [place] : []
+  const held = names.map(engine => ({engine, models: ["m"], places}))
+  takePicture(subject.box, held, subject.now)
+  takeLoads(subject.box, {order: names, hundreds: load})
+  const shared = {key: prefix, tokens: 5_000}
+  subject.arrive(STREAM, {weights: WEIGHTS, tokens: 6_000, prefix: shared})
+  const sent = subject.effects.find(effect => effect.type === "send")
+  return sent?.type === "send" ? sent.backend.id : ""
+}
+
+t.test("prompts that begin alike go to one engine, from whatever box", async t => {
+  const prefixes = Array.from({length: 40}, (_, i) => `p${i}`)
+  for (const prefix of prefixes) t.equal(sentTo(prefix), sentTo(prefix))
+  const used = new Set(prefixes.map(prefix => sentTo(prefix)))
+  t.equal(used.size, 4, "other beginnings go elsewhere")
+})
+
+t.test("a beginning is read again where that is sooner than to wait", async t => {
+  const home = sentTo("p")
+  const busyBy = (hundreds: number): number[] =>
+    ["one", "two", "three", "four"].map(name => (name === home ? hundreds : 0))
+  t.equal(sentTo("p", busyBy(40)), home)
+  t.not(sentTo("p", busyBy(60)), home)
+})
+
 // Seen on inc-122f: a send some ms too early made the leader load the adapter elsewhere, too.
 t.test("an engine whose weights are late has not failed the request", async t => {
   const subject = new Subject()
--- a/test/dialect.test.ts
+++ b/test/dialect.test.ts
@@ -69,3 +69,16 @@
     [HEADER.deadline, HEADER.expectedVersion, HEADER.priority, HEADER.target].sort()
   )
 })
+
+t.test("all parts of a prompt but the last are shared", async t => {
+  const prefixOf = (text: string) =>
+    platformDialect.readRequest({[HEADER.prompt]: text}).prefix
+  t.same(prefixOf("5c1e:800,91bd:410,e440:250"), {key: "5c1e:800,91bd:410", tokens: 1210})
+  t.equal(prefixOf("e440:250"), undefined)
+  t.equal(prefixOf(""), undefined)
+  t.same(
+    prefixOf("x,y:z,q:7,w:1"),
+    {key: "x,y:z,q:7", tokens: 7},
+    "odd parts are no work"
+  )
+})
