Let a new leader order a lease earlier, and never before another's gap has passed

Cause: where engines check no fences a new leader waited the gap of 3 s and a whole lease of 1.2 s more, in which nothing can be loaded. When it can claim, the lease before has run out in the store, and earlier by its holder's clock, so that only an order on its way is left: the margin of 0.2 s. Weights that no engine holds wait 3.2 s for a lost leader in place of 4.2 s. Only a lead in which the box could order spares the wait now.

--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -13,9 +13,13 @@
   readonly orderGapMs: number
 }
 
-/** How long a new leader waits: an earlier one may believe in its lease for all its time. */
-function handoverMs({checksFences, orderGapMs, ttlMs}: LeadershipOptions): number {
-  return checksFences ? 0 : orderGapMs + ttlMs
+/**
+ * How long a new leader waits before its first order. When it could claim the lead, the lease of the
+ * one before had run out in the store, and earlier by that one's own clock. Its last order may
+ * just have left, which takes no longer than the margin.
+ */
+function handoverMs({checksFences, orderGapMs, marginMs}: LeadershipOptions): number {
+  return checksFences ? 0 : orderGapMs + marginMs
 }
 
 export interface Leadership {
@@ -25,7 +29,10 @@
   validUntil: number
   /** No order before. */
   orderFrom: number
-  /** When an earlier lead of this same process ended; nobody else can have ordered at once. */
+  /**
+   * When the last lead of this same process ended in which it could order. Another that led since
+   * would have had to wait: until then nobody else has ordered.
+   */
   endedAt: number
 }
 
@@ -50,7 +57,6 @@
   leadership.fence = claim.fence
   leadership.lease = claim.lease
   leadership.validUntil = claim.sentAt + options.ttlMs - options.marginMs
-  // Another that led meanwhile would have waited as long before its first order.
   const own = now - leadership.endedAt < handoverMs(options)
   leadership.orderFrom = own ? now : now + handoverMs(options)
 }
@@ -70,7 +76,8 @@
   if (leadership.fence === undefined) return
   leadership.fence = undefined
   leadership.lease = undefined
-  leadership.endedAt = Math.min(now, leadership.validUntil)
+  const end = Math.min(now, leadership.validUntil)
+  if (end >= leadership.orderFrom) leadership.endedAt = end
 }
 
 /** Whether this box still leads by its own clock. */
