--- a/src/bin/sedgectl-tables.ts
+++ b/src/bin/sedgectl-tables.ts
@@ -1,5 +1,6 @@
 /** The tables that sedgectl prints. */
 import type {ExplainedStep, Explanation} from "../core/explain.js"
+import {type LossRow, OUTCOMES} from "../core/losses.js"
 
 /** Rows of records, one a line. */
 export function formatRows(records: readonly {id: string; generation: number}[]): string {
@@ -51,3 +52,12 @@
   )
   return [title, ...rows]
 }
+
+/** What became of requests: a row for each route and span, a column for each outcome met. */
+export function formatLosses(rows: readonly LossRow[]): string {
+  const met = OUTCOMES.filter(outcome => rows.some(({counts}) => counts[outcome]))
+  const lines = rows.map(({fromS, route, total, counts}) =>
+    [fromS, route, total, ...met.map(outcome => counts[outcome] ?? 0)].join("\t")
+  )
+  return [["FROM S", "ROUTE", "TOTAL", ...met].join("\t"), ...lines].join("\n")
+}
--- a/src/bin/sedgectl.ts
+++ b/src/bin/sedgectl.ts
@@ -6,9 +6,11 @@
 import {VERSION} from "../version.js"
 import {readLogs} from "../adapters/log-reader.js"
 import {explainRequest} from "../core/explain.js"
+import {tellLosses} from "../core/losses.js"
 import {
   formatDifference,
   formatExplanation,
+  formatLosses,
   formatRows,
   formatStatus
 } from "./sedgectl-tables.js"
@@ -216,6 +218,18 @@
     if (!explanation) fail(`no line names the request ${request}`, EXIT_REFUSED)
     print(flags, explanation, () => formatExplanation(explanation))
   })
+cli
+  .command("losses", "Count from logs what became of routed requests, and why")
+  .option("--logs <place>", "A file, a folder of files, or - for standard input", {
+    default: "-"
+  })
+  .option("--span <seconds>", "Part the table by spans of time; 0: one span", {
+    default: 0
+  })
+  .action((flags: Flags & {readonly logs: string; readonly span: number}) => {
+    const rows = tellLosses(readLogs(flags.logs), flags.span)
+    print(flags, {rows}, () => formatLosses(rows))
+  })
 cli.help()
 cli.version(VERSION)
 
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -23,6 +23,7 @@
     request: name,
     route: route.name,
     reason,
+    targetMs: Math.round(route.targetMs),
     heldMs: Math.round(now - request.arrivedAt),
     attempts: request.attempts,
     adapter: request.arrival.weights?.adapter ?? "",
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -222,6 +222,7 @@
     route: request.arrival.route.name,
     backend: attempt.backend,
     attempts: request.attempts,
+    targetMs: Math.round(request.arrival.route.targetMs),
     sentMs: Math.round(attempt.sentAt - request.arrivedAt),
     firstMs: Math.round((attempt.firstAt ?? now) - request.arrivedAt),
     totalMs: Math.round(now - request.arrivedAt)
@@ -271,6 +272,7 @@
   if (!request) return
   note(box, "caller-left", {
     request: request.arrival.name,
+    route: request.arrival.route.name,
     backend: request.attempt?.backend ?? "",
     attempts: request.attempts,
     heldMs: Math.round(now - request.arrivedAt),
--- /dev/null
+++ b/test/losses.test.ts
@@ -0,0 +1,64 @@
+/** The table of losses: every request counts once, under the cause that says most. */
+import t from "tap"
+import type {LogLine} from "../src/core/explain.js"
+import {tellLosses} from "../src/core/losses.js"
+
+let clock = 1_000_000
+
+function line(event: number, fields: Record<string, unknown>): LogLine {
+  return {box: "b", event, time: clock, route: "r", targetMs: 400, ...fields} as LogLine
+}
+
+function ended(sentMs: number, firstMs: number, attempts = 1): LogLine {
+  return line(194, {sentMs, firstMs, attempts})
+}
+
+t.test("each end of a request counts once", async t => {
+  const lines = [
+    line(190, {}),
+    ended(0, 400),
+    ended(300, 500),
+    ended(100, 500),
+    ended(100, 500, 2),
+    line(192, {reason: "not-run", heldMs: 100}),
+    line(192, {reason: "not-run", heldMs: 101}),
+    line(192, {reason: "unknown", heldMs: 10}),
+    line(193, {}),
+    line(196, {}),
+    line(197, {route: undefined})
+  ]
+  t.same(tellLosses(lines, 0), [
+    {route: "(none)", fromS: 0, total: 1, counts: {own: 1}},
+    {
+      route: "r",
+      fromS: 0,
+      total: 9,
+      counts: {
+        "in-time": 1,
+        "late-weights": 1,
+        "late-server": 1,
+        "late-repeated": 1,
+        "refused-soon": 1,
+        "refused-held": 1,
+        failed: 1,
+        cut: 1,
+        left: 1
+      }
+    }
+  ])
+})
+
+t.test("rows are parted by spans of time", async t => {
+  const first = ended(0, 1)
+  clock += 12_000
+  const rows = tellLosses([first, ended(0, 1)], 5)
+  t.same(
+    rows.map(({fromS, total}) => [fromS, total]),
+    [
+      [0, 1],
+      [10, 1]
+    ]
+  )
+})
+
+t.test("no lines make no rows", async t => t.same(tellLosses([], 5), []))
