Take the leader's word on servers as final, and never take back that one leaves

Cause 1: a box that the store turned away notes trouble; going back to its leader's news it never noted the store's return, so each server that the leader told gone without a word stayed in doubt for good, and got requests. Cause 2: news of an older list, by a new leader or a whole list, made a leaving server ready again. Ruled out: the relay's queue; a choice never takes a server that is leaving.

--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -101,7 +101,7 @@
             const all = entries.map(({key, value}) =>
               records.readBackend(key.slice(prefix.length), value)
             )
-            this.options_.post({type: "backends", records: all})
+            this.options_.post({type: "backends", records: all, source: "store"})
           } else {
             for (const {key, value} of entries) this.takeOperator(key, value)
           }
@@ -137,7 +137,7 @@
   private takeBackend(id: string, value: string | undefined): void {
     const record =
       value === undefined ? undefined : this.options_.records.readBackend(id, value)
-    this.options_.post({type: "backend", id, record})
+    this.options_.post({type: "backend", id, record, source: "store"})
   }
 
   private takeOperator(key: string, value: string): void {
@@ -175,6 +175,7 @@
   /** Takes news of the leader; true when the message was such. */
   takeNews(message: FromLeader): boolean {
     const {post, log} = this.options_
+    const source = "leader"
     switch (message.t) {
       case "config":
         if (message.config.version <= (this.config_?.version ?? -1)) return true
@@ -190,12 +191,14 @@
         return true
       case "backends":
         // A list of the leader's is whole: what it holds in doubt is among it.
-        if (message.whole) post({type: "backends", records: message.records})
+        if (message.whole) post({type: "backends", records: message.records, source})
         else {
           for (const record of message.records) {
-            post({type: "backend", id: record.id, record})
+            post({type: "backend", id: record.id, record, source})
+          }
+          for (const id of message.gone) {
+            post({type: "backend", id, record: undefined, source})
           }
-          for (const id of message.gone) post({type: "backend", id, record: undefined})
         }
         return true
       default:
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -10,6 +10,9 @@
 /** The time in which trouble of the store may have made an entry lapse, milliseconds. */
 export const LAPSE_WINDOW_MS = 6_000
 
+/** Servers that left which are remembered: more than leave while older news is about. */
+const MAX_LEFT = 2_000
+
 /** An entry that is in the list, or vanished at a time when that proves nothing. */
 export interface KnownBackend {
   readonly record: BackendRecord
@@ -24,11 +27,19 @@
   readonly troubleAt: number
   /** When the store first answered after that. */
   readonly backAt: number
+  /** Servers that said that they leave: none comes back under its id, whatever older news says. */
+  readonly left: ReadonlySet<string>
 }
 
+/**
+ * Where news of servers comes from. The leader's is final: it has waited out its own doubts, and
+ * what the box itself had of trouble with the store says nothing of it.
+ */
+export type BackendSource = "store" | "leader"
+
 /** A list of nothing. */
 export function createBackendList(): BackendList {
-  return {known: new Map(), troubleAt: -Infinity, backAt: -Infinity}
+  return {known: new Map(), troubleAt: -Infinity, backAt: -Infinity, left: new Set()}
 }
 
 /** The store failed a call: what vanishes from now on proves nothing. */
@@ -52,16 +63,18 @@
 export function takeBackends(
   list: BackendList,
   records: readonly BackendRecord[],
-  now: number
+  now: number,
+  source: BackendSource = "store"
 ): BackendList {
+  const left = noteLeaving(list, records)
   const known = new Map<string, KnownBackend>()
-  for (const record of records) known.set(record.id, {record, goneAt: undefined})
+  for (const record of records) known.set(record.id, toKnown(record, left))
   for (const [id, backend] of list.known) {
-    if (known.has(id)) continue
-    const left = vanish(list, backend, now)
-    if (left) known.set(id, left)
+    if (known.has(id) || source === "leader") continue
+    const doubtful = vanish(list, backend, now)
+    if (doubtful) known.set(id, doubtful)
   }
-  return {...list, known}
+  return {...list, known, left}
 }
 
 /** Takes one change; without a record the entry is gone. */
@@ -69,14 +82,34 @@
   list: BackendList,
   id: string,
   record: BackendRecord | undefined,
-  now: number
+  now: number,
+  source: BackendSource = "store"
 ): BackendList {
   const known = new Map(list.known)
-  const before = known.get(id)
-  const after = record ? {record, goneAt: undefined} : before && vanish(list, before, now)
+  const left = record ? noteLeaving(list, [record]) : list.left
+  const before = source === "store" ? known.get(id) : undefined
+  const after = record ? toKnown(record, left) : before && vanish(list, before, now)
   if (after) known.set(id, after)
   else known.delete(id)
-  return {...list, known}
+  return {...list, known, left}
+}
+
+function noteLeaving(
+  {left}: BackendList,
+  records: readonly BackendRecord[]
+): ReadonlySet<string> {
+  const leaving = records.filter(each => each.leaving && !left.has(each.id))
+  if (leaving.length === 0) return left
+  const all = [...left, ...leaving.map(({id}) => id)]
+  return new Set(all.slice(-MAX_LEFT))
+}
+
+function toKnown(record: BackendRecord, left: ReadonlySet<string>): KnownBackend {
+  const leaving = record.leaving || left.has(record.id)
+  return {
+    record: leaving === record.leaving ? record : {...record, leaving},
+    goneAt: undefined
+  }
 }
 
 /** Drops what did not come back in time. */
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -8,6 +8,7 @@
 } from "../types/box-messages.js"
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
 import {
+  type BackendSource,
   expireBackends,
   noteStoreBack,
   noteStoreTrouble,
@@ -100,11 +101,16 @@
     }
   | {readonly type: "hang-up"; readonly id: string}
   | {readonly type: "config"; readonly config: FleetConfig}
-  | {readonly type: "backends"; readonly records: readonly BackendRecord[]}
+  | {
+      readonly type: "backends"
+      readonly records: readonly BackendRecord[]
+      readonly source: BackendSource
+    }
   | {
       readonly type: "backend"
       readonly id: string
       readonly record: BackendRecord | undefined
+      readonly source: BackendSource
     }
   | {readonly type: "store-trouble"}
   | {readonly type: "store-back"}
@@ -209,11 +215,17 @@
       serving.table = buildRouteTable(event.config)
       return listEngines(state)
     case "backends":
-      serving.backends = takeBackends(serving.backends, event.records, now)
+      serving.backends = takeBackends(serving.backends, event.records, now, event.source)
       listEngines(state)
       return tickRequests(serving, now)
     case "backend":
-      serving.backends = takeBackend(serving.backends, event.id, event.record, now)
+      serving.backends = takeBackend(
+        serving.backends,
+        event.id,
+        event.record,
+        now,
+        event.source
+      )
       listEngines(state)
       return
     case "store-trouble":
--- a/test/backend-list.test.ts
+++ b/test/backend-list.test.ts
@@ -44,6 +44,25 @@
   t.same(ids(expireBackends(away, 600_000)), ["a"])
 })
 
+// A box that was turned away by the store and went back to its leader's news kept such servers for good.
+t.test("what the leader says is gone is gone, whatever trouble the box had", async t => {
+  const full = takeBackends(createBackendList(), [record("a"), record("b")], 0)
+  const away = noteStoreTrouble(full, 1_000)
+  t.same(ids(takeBackend(away, "a", undefined, 2_000, "leader")), ["b"])
+  t.same(ids(takeBackends(away, [record("b")], 2_000, "leader")), ["b"])
+  const doubted = takeBackend(away, "a", undefined, 1_500)
+  t.same(ids(takeBackends(doubted, [record("b")], 2_000, "leader")), ["b"])
+})
+
+t.test("a server that said it leaves is leaving, whoever has older news", async t => {
+  const full = takeBackends(createBackendList(), [record("a", true)], 0)
+  const older = takeBackends(full, [record("a")], 500, "leader")
+  t.ok(older.known.get("a")?.record.leaving)
+  t.ok(takeBackend(older, "a", record("a"), 600).known.get("a")?.record.leaving)
+  const gone = takeBackend(older, "a", undefined, 700)
+  t.ok(takeBackends(gone, [record("a")], 800).known.get("a")?.record.leaving)
+})
+
 t.test("a server that said it leaves did not lapse", async t => {
   const full = takeBackends(createBackendList(), [record("a", true)], 0)
   t.same(ids(takeBackend(noteStoreTrouble(full, 1_000), "a", undefined, 2_000)), [])
