Reckon how likely a beginning was read, in place of taking it for read

Engines that were to read much looked idle to the leader. Change: a box reckons the likelihood from its own sends, the number of boxes and the beginnings met on the route.

--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -40,12 +40,14 @@
   now: number
 ): Candidate | undefined {
   const candidates = listCandidates(box, request, now)
+  const {tokens} = request.arrival
   const home = homeOf(request, candidates)
+  const kept = keptTokens(box, request, now)
   let best: Candidate | undefined
   let least = Infinity
   for (const candidate of candidates) {
     const {backend} = candidate
-    const unread = unreadAt(request, backend, home)
+    const unread = tokens - (home === undefined || home === backend.id ? kept : 0)
     const cost = unread + costOf(box, request, backend, now)
     if (cost < least) {
       least = cost
@@ -79,13 +81,13 @@
   return home
 }
 
-function unreadAt(
-  {arrival: {prefix, tokens}}: BoxRequest,
-  {id}: BackendRecord,
-  home: string | undefined
-): number {
-  const kept = prefix && (home === undefined || home === id) ? prefix.tokens : 0
-  return Math.max(0, tokens - kept)
+/** Prompt tokens that its home is believed to have read for earlier requests. */
+function keptTokens(box: BoxServing, {arrival}: BoxRequest, now: number): number {
+  const {prefix, weights, route, tokens} = arrival
+  if (!prefix) return 0
+  const adapter = weights?.adapter ?? ""
+  const share = box.prefixes.keptShare(route.name, adapter, box.boxes, now)
+  return Math.round(Math.min(tokens, prefix.tokens) * share)
 }
 
 /** Whether some backend server of the service may be sent requests at all. */
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -104,6 +104,7 @@
     headed: false
   }
   countUse(box, request, 1)
+  notePrefix(box, request, now)
   const deadlineMs = Math.max(1, Math.round(request.giveUpAt - now))
   const {id, name} = arrival
   const attempt = request.attempts
@@ -128,6 +129,11 @@
   })
 }
 
+function notePrefix(box: BoxServing, {arrival}: BoxRequest, now: number): void {
+  const {prefix, weights, route} = arrival
+  if (prefix) box.prefixes.note(route.name, weights?.adapter ?? "", prefix.key, now)
+}
+
 function wait(box: BoxServing, request: BoxRequest, now: number): void {
   const {weights, service, id, route, tokens} = request.arrival
   if (!weights || !hasBackends(box, service)) return
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -3,6 +3,7 @@
 import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
 import type {EngineView} from "./box-places.js"
+import {PrefixMemory} from "./prefix-memory.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
 import type {RouteTable} from "./route-table.js"
 
@@ -92,6 +93,7 @@
   /** Backend servers that failed lately, and until when others go first. */
   readonly suspects: Map<string, number>
   readonly budgets: Map<string, RetryBudget>
+  readonly prefixes: PrefixMemory
   /** The engines in the order in which loads are told. */
   loadOrder: readonly string[]
   /** Boxes that share budgets and connections. */
@@ -171,6 +173,7 @@
     budgets: new Map(),
     boxes: 1,
     loadOrder: [],
+    prefixes: new PrefixMemory(),
     stoppingAt: undefined,
     effects: []
   }
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -21,6 +21,7 @@
 } from "../src/core/box-state.js"
 import {takeChanges, takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeBackends} from "../src/core/backend-list.js"
+import {PrefixMemory} from "../src/core/prefix-memory.js"
 import type {BackendRecord, Route} from "../src/types/fleet.js"
 
 const ROUTE: Route = {
@@ -251,7 +252,7 @@
   t.equal(backendOf("q2"), "one")
 })
 
-/** The engine that a new box sends a request to; `load`: tokens in hundreds at each of four. */
+/** The engine to which a box sends a request with a beginning that all boxes have sent before. */
 function sentTo(prefix: string, load: readonly number[] = [0, 0, 0, 0]): string {
   const subject = new Subject()
   const names = ["one", "two", "three", "four"]
@@ -261,6 +262,8 @@
   const held = names.map(engine => ({engine, models: ["m"], places}))
   takePicture(subject.box, held, subject.now)
   takeLoads(subject.box, {order: names, hundreds: load})
+  const {prefixes} = subject.box
+  for (let i = 0; i < 9; i++) prefixes.note(STREAM.name, "x", prefix, subject.now)
   const shared = {key: prefix, tokens: 5_000}
   subject.arrive(STREAM, {weights: WEIGHTS, tokens: 6_000, prefix: shared})
   const sent = subject.effects.find(effect => effect.type === "send")
@@ -282,6 +285,18 @@
   t.not(sentTo("p", busyBy(60)), home)
 })
 
+t.test("a beginning counts as read by how many were sent before", async t => {
+  const memory = new PrefixMemory()
+  t.equal(memory.keptShare("r", "x", 10, 0), 0, "never sent")
+  memory.note("r", "x", "p1", 0)
+  t.ok(memory.keptShare("r", "x", 10, 0) > 0.99, "the only beginning there is")
+  for (let i = 0; i < 40; i++) memory.note("r", "other", `p${i}`, 0)
+  const share = memory.keptShare("r", "x", 10, 0)
+  t.ok(share > 0.1 && share < 0.4, "ten requests on forty beginnings")
+  t.ok(memory.keptShare("r", "x", 10, 60_000) < 0.01, "long ago")
+  t.equal(memory.keptShare("r", "new", 10, 0), 0)
+})
+
 // Seen on inc-122f: a send some ms too early made the leader load the adapter elsewhere, too.
 t.test("an engine whose weights are late has not failed the request", async t => {
   const subject = new Subject()
