Count the work that is promised to an engine when weights are placed

Hypothesis: until a request for cold weights is sent and told, half a second later, the engine that gets its weights looks as idle as before, so that all loads of a moment go to the same one. Change: prompt tokens of requests that wait for weights on their way to an engine count as its work.

--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -1,7 +1,7 @@
 /** Where weights go and what makes way: the decisions on an engine's few places. */
 import type {EngineLimits} from "../types/fleet.js"
 import {splitAdapterKey} from "../types/fleet.js"
-import {countHolders, expectedWork} from "./placement-index.js"
+import {countHolders, expectedWork, workAt} from "./placement-index.js"
 import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
 /** Adapters that may be on their way to one engine at once. */
@@ -44,7 +44,7 @@
     const spot = findRoom(fleet, engine, limits, adapter, near, now)
     if (!spot) continue
     const cost =
-      engine.load +
+      workAt(fleet, engine) +
       expectedWork(fleet, engine, now) +
       (spot.victim === undefined ? 0 : FREE_PLACE_TOKENS) +
       (near ? 0 : STORE_TOKENS)
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -200,7 +200,13 @@
     toldAt: -Infinity,
     loadsToldAt: now,
     toldOrder: [],
-    index: {holders: new Map(), awaited: new Set(), expected: new Map()},
+    index: {
+      holders: new Map(),
+      awaited: new Set(),
+      expected: new Map(),
+      waiting: new Map(),
+      promised: new Map()
+    },
     unplanned: false,
     effects: []
   }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -2,7 +2,7 @@
 import t from "tap"
 import {drainFleet, planFleet} from "../src/core/placement.js"
 import {takeOrderResult} from "../src/core/placement-orders.js"
-import {takeMissing, takeReport} from "../src/core/placement-reports.js"
+import {createPlace, takeMissing, takeReport} from "../src/core/placement-reports.js"
 import {
   dropNeed,
   takeEngines,
@@ -318,3 +318,15 @@
   takeUses(subject.fleet, "box", [use, use, use, use, use, use, use], subject.now)
   t.same(subject.need("y").orders().sort(), ["e1 load y", "e2 load x"])
 })
+
+t.test(
+  "loads of one moment go to different engines, before any work is told",
+  async t => {
+    const subject = new Subject(2)
+    const {fleet} = subject
+    fleet.engines.get("e1")?.places.set("base/held", createPlace(1, "ready", 0, 0))
+    fleet.heat.set("base/held", {score: 5, at: subject.now})
+    t.same(subject.need("x", {tokens: 9_000}).orders(), ["e0 load x"])
+    t.same(subject.answer("e0", "accepted").need("y").orders(), ["e1 load y"])
+  }
+)
