Weigh the whole beginning for its home, reckon only what it adds to an engine's work

Now the choice weighs the whole beginning from the first request on, and the reckoning only says how much work an engine is told to have.

--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -40,18 +40,19 @@
   now: number
 ): Candidate | undefined {
   const candidates = listCandidates(box, request, now)
-  const {tokens} = request.arrival
+  const {tokens, prefix} = request.arrival
   const home = homeOf(request, candidates)
   const kept = keptTokens(box, request, now)
   let best: Candidate | undefined
   let least = Infinity
   for (const candidate of candidates) {
     const {backend} = candidate
-    const unread = tokens - (home === undefined || home === backend.id ? kept : 0)
-    const cost = unread + costOf(box, request, backend, now)
+    const isHome = home === undefined || home === backend.id
+    const away = isHome ? 0 : (prefix?.tokens ?? 0)
+    const cost = away + costOf(box, request, backend, now)
     if (cost < least) {
       least = cost
-      best = {...candidate, unread}
+      best = {...candidate, unread: tokens - (isHome ? kept : 0)}
     }
   }
   return best
@@ -60,8 +61,8 @@
 /**
  * The candidate that is to keep the prompt's shared beginning. All boxes find the same one by
  * rendezvous hashing over beginning and adapter, so that each beginning is read at one engine and
- * not at every one that holds the adapter. Work there weighs against what it saves: another engine
- * is taken as soon as it would begin earlier although it reads all.
+ * not at every one that holds the adapter, from its first request on. Work there weighs against
+ * what it saves: another engine is taken as soon as it would begin earlier although it reads all.
  */
 function homeOf(
   {arrival: {prefix, weights}}: BoxRequest,
