Conclude from a refused order that the one before it, without an answer, was carried out

After an order without an answer the next carries the same count; if it is refused, the engine was asked, whose report is 100 ms old, so that orders by it were refused again, eight times in 70 ms. Change: both carry one count, so the refusal shows that the first was done; it is settled as such and the count goes on. With several in doubt the engine is asked as before. An order waits 150 ms for its answer in place of 300: another may go at once.

--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -5,7 +5,11 @@
 import type {BackendRecord} from "../types/fleet.js"
 import type {BackendPools} from "./backend-pools.js"
 
-const ORDER_TIMEOUT_MS = 300
+/**
+ * An engine answers an order within some ms. One without an answer may go out again at once, since
+ * both carry the same count: waiting longer only keeps the engine's other loads back.
+ */
+const ORDER_TIMEOUT_MS = 150
 const REPORT_TIMEOUT_MS = 600
 const CONNECTIONS = 4
 
--- a/src/core/placement-orders.ts
+++ b/src/core/placement-orders.ts
@@ -2,6 +2,7 @@
 import {adapterKey, splitAdapterKey} from "../types/fleet.js"
 import {MAX_COPIES} from "./placement-choose.js"
 import {
+  createPlace,
   type Fleet,
   type FleetEngine,
   type FleetOrder,
@@ -34,8 +35,10 @@
   if (!engine || !order) return
   engine.busy = false
   engine.order = undefined
+  const {doubt} = engine
   if (result === "accepted" || result === "done") {
     engine.failures = 0
+    engine.doubt = undefined
     if (engine.sequence !== undefined) engine.sequence++
     if (result === "done" && order.operation === "load") engine.askAt = now
     settleOrder(engine, order, result, now)
@@ -49,9 +52,14 @@
   })
   if (result === "unknown" && ++engine.failures < MAX_UNKNOWN) {
     // It may be carried out yet. The next order carries the same count, so that only one of the
-    // two is: if this one was, the next is refused and the engine is asked.
+    // two is: if the next is refused, this one was.
+    engine.doubt = doubt ? "several" : order
     return
   }
+  engine.doubt = undefined
+  if (result === "conflict" && doubt && doubt !== "several") {
+    return settleDoubt(fleet, engine, doubt, now)
+  }
   engine.sequence = undefined
   engine.askAt = now
   if (result !== "conflict") holdBack(engine, now)
@@ -81,6 +89,35 @@
   }
 }
 
+/**
+ * A refused order shows that the one before it, which got no answer, was carried out. To ask the
+ * engine instead would take until its report has caught up, and each order until then is refused.
+ */
+function settleDoubt(
+  fleet: Fleet,
+  engine: FleetEngine,
+  order: FleetOrder,
+  now: number
+): void {
+  engine.failures = 0
+  if (engine.sequence !== undefined) engine.sequence++
+  engine.askAt = Math.min(engine.askAt, now + REPORT_LAG_MS)
+  engine.changed = true
+  if (order.adapter === undefined) return
+  const key = adapterKey(order.model, order.adapter)
+  const place = engine.places.get(key)
+  if (order.operation === "unload") {
+    // It may wait for its runs: its place counts until a report is without it.
+    if (place) place.phase = "unloading"
+    return
+  }
+  const version = order.version ?? 0
+  const coming = createPlace(version, "loading", now + fleet.storeLoadMs, now)
+  const replaced = place && place.version !== version ? place.version : undefined
+  engine.places.set(key, {...coming, replaced, running: place?.running ?? 0})
+  touchCopy(engine, key, now)
+}
+
 function undoOrder(engine: FleetEngine, order: FleetOrder): void {
   if (order.adapter === undefined) return
   const key = adapterKey(order.model, order.adapter)
--- a/src/core/placement-reports.ts
+++ b/src/core/placement-reports.ts
@@ -2,7 +2,13 @@
 import {adapterKey} from "../types/fleet.js"
 import {ASK_MS, holdBack, QUIET_MS, REPORT_LAG_MS, touchCopy} from "./placement-orders.js"
 import type {EngineView} from "./box-places.js"
-import type {EngineReport, Fleet, FleetEngine, Place} from "./placement-state.js"
+import {
+  createPlace,
+  type EngineReport,
+  type Fleet,
+  type FleetEngine,
+  type Place
+} from "./placement-state.js"
 
 /** How often otherwise: what it holds may change by itself, milliseconds. */
 const ASK_IDLE_MS = 4_000
@@ -134,24 +140,6 @@
   }
 }
 
-export function createPlace(
-  version: number,
-  phase: Place["phase"],
-  readyAt: number,
-  now: number
-): Place {
-  return {
-    version,
-    phase,
-    readyAt,
-    orderedAt: now,
-    lastUsed: now,
-    running: 0,
-    near: false,
-    replaced: undefined
-  }
-}
-
 function hasLoads(engine: FleetEngine, now: number): boolean {
   for (const {phase, orderedAt} of engine.places.values()) {
     if (phase !== "ready" || now - orderedAt < ASK_MS) return true
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -66,6 +66,8 @@
   busy: boolean
   /** The place and order that is on its way. */
   order: FleetOrder | undefined
+  /** An order without an answer, which may have been carried out, or several. */
+  doubt: FleetOrder | "several" | undefined
   /** Nothing is sent to it before. */
   quietUntil: number
   failures: number
@@ -224,3 +226,22 @@
 export function warm(fleet: Fleet, adapter: string, uses: number, now: number): void {
   fleet.heat.set(adapter, {score: heatOf(fleet, adapter, now) + uses, at: now})
 }
+
+/** A place as it is when nothing has used it. */
+export function createPlace(
+  version: number,
+  phase: Place["phase"],
+  readyAt: number,
+  now: number
+): Place {
+  return {
+    version,
+    phase,
+    readyAt,
+    orderedAt: now,
+    lastUsed: now,
+    running: 0,
+    near: false,
+    replaced: undefined
+  }
+}
--- a/src/core/placement-uses.ts
+++ b/src/core/placement-uses.ts
@@ -45,6 +45,7 @@
     sequence: undefined,
     busy: false,
     order: undefined,
+    doubt: undefined,
     quietUntil: 0,
     failures: 0,
     askAt: 0,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,8 +7,13 @@
 import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {tellNews} from "./placement-news.js"
-import {createPlace} from "./placement-reports.js"
-import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
+import {
+  countTaken,
+  createPlace,
+  type Fleet,
+  type FleetEngine,
+  heatOf
+} from "./placement-state.js"
 
 /** Loads of base models that may be saved up. */
 const MAX_LOAD_TOKENS = 2
