Ask the store less: gather watches longer, look for leaders by number of boxes, follow it later

Reckoned from their kinds: the leader's watch returned up to ten times a second, since engines change their entries with every load; without a leader each box looked for one four times a second and, 1.7 s after its last ping, just before the new one is found, read all of the store; at the start all did. Change: a watch waits 350 ms after changes; looks are 100 a second over all boxes; following starts after 3.5 pings; a box that starts gives itself 600 ms to find its leader. Bounds kept: leaving servers and configurations 2 s and more.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -19,8 +19,16 @@
 }
 
 const RENEW_MS = 300
+
+/** How often a box without a leader looks for one, at first and with few boxes, milliseconds. */
 const LOOK_MS = 250
 
+/**
+ * The same for each box there is: all of them together look some 100 times a second, which finds a
+ * lapsed lease within 10 ms whatever their number.
+ */
+const LOOK_BOX_MS = 8
+
 /** Boxes that find no leader claim the lead after a random part of this, milliseconds. */
 const CLAIM_SCATTER_MS = 200
 
@@ -33,6 +41,8 @@
   readonly won: (fence: number) => void
   readonly lost: (reason: string) => void
   readonly found: (leader: LeaderRecord) => void
+  /** How many boxes there are, as far as is known. */
+  readonly boxes: () => number
 }
 
 export class LeaderElection {
@@ -87,7 +97,11 @@
       this.end("lease ran out")
     }
     if (!this.stopped_)
-      this.later(this.leadership.fence === undefined ? LOOK_MS : RENEW_MS)
+      this.later(this.leadership.fence === undefined ? this.lookMs() : RENEW_MS)
+  }
+
+  private lookMs(): number {
+    return Math.max(LOOK_MS, this.events_.boxes() * LOOK_BOX_MS)
   }
 
   /** Ends the lead by the own clock, whatever call still waits. */
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -17,8 +17,15 @@
 /** Trouble of the store that lasts longer is told at once, milliseconds. */
 const TROUBLE_GRACE_MS = 150
 
-/** A leader that was silent for so many of its pings is no source. */
-const MAX_SILENT_PINGS = 2.8
+/**
+ * A leader that was silent for so many of its pings is no source. A new one leads and is found
+ * 1.9 s after the last ping of the one before; where pings are 600 ms apart, following the store
+ * sooner would have all boxes read all of it for nothing.
+ */
+const MAX_SILENT_PINGS = 3.5
+
+/** A box that starts gives itself so long to find a leader that tells it the news, milliseconds. */
+const START_MS = 600
 
 /** A configuration that was named is read within this time, by each box at another moment. */
 const READ_SCATTER_MS = 250
@@ -32,6 +39,8 @@
   readonly learned: (message: FromLeader) => void
   /** Asks the leader for the configuration that it named. */
   readonly askLeader: () => void
+  /** When the process started, by the clock of `choose`. */
+  readonly startedAt: number
   /** Asks the leader for all it knows. */
   readonly askAll: () => void
 }
@@ -69,13 +78,19 @@
     const fresh =
       now - this.leaderHeardAt_ < MAX_SILENT_PINGS * this.pingMs_ &&
       this.leaderStoreAgeMs_ < MAX_STORE_AGE_MS
-    if (leading || !fresh) return this.startFollowing()
+    if (leading) return this.startFollowing()
+    if (!fresh) return this.seeksLeader(now) ? undefined : this.startFollowing()
     if (!this.follower_) return
     this.stopFollowing()
     // The leader tells differences to what it told before, of which this box may have undone some.
     this.options_.askAll()
   }
 
+  /** It has just started: a leader that it finds makes following needless. */
+  private seeksLeader(now: number): boolean {
+    return this.leaderHeardAt_ === -Infinity && now - this.options_.startedAt < START_MS
+  }
+
   stopFollowing(): void {
     if (!this.follower_) return
     this.follower_.stop()
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -129,6 +129,7 @@
         if (message.t === "config") this.applyLimits()
         this.hub_?.broadcast(this.shorten(message))
       },
+      startedAt: performance.now(),
       askLeader: () => this.link_?.send({t: "ask-config"}),
       askAll: () => {
         const configVersion = this.news_.config?.version ?? -1
@@ -160,7 +161,8 @@
       {
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
-        found: leader => this.linkTo(leader)
+        found: leader => this.linkTo(leader),
+        boxes: () => serving.boxes
       }
     )
   }
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -9,8 +9,12 @@
 /** How often the list is read again: a watch may be deaf without being cut, milliseconds. */
 const RECHECK_MS = 900
 
-/** After changes a watch waits so long, so that it returns once for what comes together. */
-const GATHER_MS = 100
+/**
+ * After changes a watch waits so long, so that it returns once for what comes together: engines
+ * change their entries with every load, and each return of a watch is a call that is paid for.
+ * What changes meanwhile is heard by so much later, of the two seconds and more that it may take.
+ */
+const GATHER_MS = 350
 
 export interface FollowerEvents {
   readonly list: (prefix: string, entries: readonly KvEntry[]) => void
--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -27,6 +27,7 @@
     post: () => undefined,
     log: () => undefined,
     learned: () => undefined,
+    startedAt: 0,
     askLeader: () => undefined,
     askAll: () => asked++
   })
@@ -42,3 +43,23 @@
   news.choose(false, 9_110)
   t.equal(asked, 2, "and again after the next time")
 })
+
+t.test("a box that starts gives itself a moment to find its leader", async t => {
+  let listed = 0
+  const kv = {list: () => (listed++, new Promise(() => undefined))} as unknown as KvStore
+  const news = new NewsSource({
+    kv,
+    records: RECORDS,
+    post: () => undefined,
+    log: () => undefined,
+    learned: () => undefined,
+    startedAt: 0,
+    askLeader: () => undefined,
+    askAll: () => undefined
+  })
+  news.choose(false, 500)
+  t.equal(listed, 0)
+  news.choose(false, 700)
+  t.equal(listed, 2, "both prefixes")
+  news.stopFollowing()
+})
