Leave servers alone that several boxes found silent

Hypothesis: a dead or mute server is met by each of 75 boxes with its own few requests, each of which waits 1.8 targets (1.1 to 1.5 s) until it is given up. Told by the leader after the second box, all others are spared. A broken answer is no evidence: answers are lost on the way at many servers at once.

--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -126,6 +126,8 @@
       readonly boxes?: readonly string[]
     }
   | {readonly type: "loads"; readonly loads: EngineLoads}
+  /** All boxes are to leave a backend server alone for a while. */
+  | {readonly type: "shun"; readonly backend: string}
   | {
       readonly type: "refuse"
       readonly box: string
@@ -140,7 +142,7 @@
 
 /** The events of the catalogue that placement raises. */
 export type FleetNote =
-  "place-load" | "place-unload" | "place-trouble" | "place-restarted"
+  "place-load" | "place-unload" | "place-trouble" | "place-restarted" | "backend-shunned"
 
 /** What one box has in progress with one adapter on one engine. */
 export interface BoxUse {
@@ -171,6 +173,10 @@
   loadsToldAt: number
   /** The order of engines in which loads were told last. */
   toldOrder: readonly string[]
+  /** Boxes that found a backend server silent lately, with when. */
+  readonly silences: Map<string, Map<string, number>>
+  /** Backend servers that boxes leave alone, and until when. */
+  readonly shunned: Map<string, number>
   /** What the current plan looks up. */
   index: FleetIndex
   /** Something came since the last plan that may let an order be given. */
@@ -202,6 +208,8 @@
     toldAt: -Infinity,
     loadsToldAt: now,
     toldOrder: [],
+    silences: new Map(),
+    shunned: new Map(),
     index: {
       holders: new Map(),
       awaited: new Set(),
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -6,6 +6,7 @@
 import {chooseSpot, type Spot, takesOrders} from "./placement-choose.js"
 import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
+import {expireShunned, isShunned} from "./placement-shun.js"
 import {tellNews} from "./placement-news.js"
 import {
   countTaken,
@@ -42,6 +43,7 @@
     placeWanted(fleet, now)
   }
   expireNeeds(fleet, now)
+  expireShunned(fleet, now)
   tellNews(fleet, now)
 }
 
@@ -157,6 +159,7 @@
     if (
       !place ||
       engine.leaving ||
+      isShunned(fleet, engine.id, now) ||
       failedAt.includes(engine.id) ||
       place.phase === "unloading"
     )
@@ -177,6 +180,7 @@
 ): boolean {
   for (const engine of fleet.engines.values()) {
     if (engine.leaving || !engine.copies.has(adapter)) continue
+    if (isShunned(fleet, engine.id, now)) continue
     // What stands there already was found to be of no use.
     if (engine.places.has(adapter) || failedAt.includes(engine.id)) continue
     if (engine.failures > 0 || engine.quietUntil > now + QUIET_MS) continue
