Refuse at once what nobody can load in time; wait no longer than callers do

Callers leave a stream after 2 to 3 s without an event, while requests were held for 0.45 of the route's time limit, up to 6.8 s. Change: the leader tells when it can order; while nobody can, a request whose weights no engine holds, that nothing was done for, is refused unrun with when orders go again, spread by a fifth; routes tell how long callers of streams wait. Tests: box-requests (4).

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -4,7 +4,12 @@
  */
 import {randomUUID} from "node:crypto"
 import type {Server} from "node:http"
-import {mayOrder} from "../core/leadership.js"
+import {
+  handoverMs,
+  type LeadershipOptions,
+  mayOrder,
+  takeoverMs
+} from "../core/leadership.js"
 import {describeFleet, describeLoads, gatherMs, isSmall} from "../core/placement-news.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
@@ -71,6 +76,7 @@
   private readonly backendNews_: BackendNews
   private readonly driver_: EngineDriver
   private readonly election_: LeaderElection
+  private readonly leadershipOptions_: LeadershipOptions
   private hub_: LinkHub | undefined
   private link_: LeaderLink | undefined
   private linked_ = false
@@ -91,6 +97,13 @@
       this.random_ = next
       return value
     }
+    const leadershipOptions: LeadershipOptions = {
+      ttlMs: settings.store.leaseTtlMs,
+      marginMs: LEASE_MARGIN_MS,
+      checksFences: settings.orders.checksFences,
+      orderGapMs: settings.orders.leaseMs
+    }
+    this.leadershipOptions_ = leadershipOptions
     const serving = createBoxServing({
       dataCentre: settings.dataCentre,
       retry: {
@@ -98,6 +111,7 @@
         slack: settings.retry.slack,
         windowMs: settings.retry.windowS * 1000
       },
+      handoverMs: handoverMs(leadershipOptions),
       random: draw
     })
     const initial: RoutedState = {serving, fleet: undefined}
@@ -153,10 +167,7 @@
           incarnation: this.incarnation_,
           address: settings.boxes
         },
-        ttlMs: settings.store.leaseTtlMs,
-        marginMs: LEASE_MARGIN_MS,
-        checksFences: settings.orders.checksFences,
-        orderGapMs: settings.orders.leaseMs
+        ...leadershipOptions
       },
       {
         won: fence => this.lead(fence),
@@ -276,7 +287,9 @@
   }
 
   private ping(boxes: number, now: number): FromLeader {
-    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes}
+    const {orderFrom} = this.election_.leadership
+    const ordersInMs = Math.max(0, Math.round(orderFrom - now))
+    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes, ordersInMs}
   }
 
   /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
@@ -296,6 +309,7 @@
     this.context_.log("leading", {fence, waitMs})
     this.link_?.close()
     this.loop_.post({type: "lead"})
+    this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
     this.loop_.post({type: "leader-new"})
     this.applyLimits()
   }
@@ -304,6 +318,13 @@
     this.context_.log("lead-over", {reason})
     this.hub_?.cutAll()
     this.loop_.post({type: "lead-over"})
+    this.expectTakeover()
+  }
+
+  /** The leader is lost: the next one takes a while to order loads. */
+  private expectTakeover(): void {
+    const inMs = takeoverMs(this.leadershipOptions_)
+    this.loop_.post({type: "orders", led: false, inMs})
   }
 
   private linkTo(leader: LeaderRecord): void {
@@ -319,6 +340,7 @@
       down: () => {
         if (this.link_ === link) this.link_ = undefined
         if (this.linked_) log("leader-lost", {leader: leader.box})
+        if (this.linked_ && !this.leading) this.expectTakeover()
         this.linked_ = false
       },
       message: message => {
@@ -347,7 +369,8 @@
       const {request, retryAfterMs} = message
       post({type: "refuse", request, retryAfterMs})
     } else if (message.t === "ping") {
-      const {storeAgeMs, boxes} = message
+      const {storeAgeMs, boxes, ordersInMs} = message
+      post({type: "orders", led: true, inMs: ordersInMs})
       this.news_.heardLeader(storeAgeMs, pingMs(boxes), performance.now())
       post({type: "boxes", boxes})
     }
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -21,7 +21,8 @@
       timeOut(box, request, now)
     } else if (!request.attempt) {
       advance(box, request, now)
-      if (!request.attempt && now >= request.holdUntil) {
+      const waits = !request.attempt && box.requests.has(request.arrival.id)
+      if (waits && now >= request.holdUntil) {
         giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
       }
     } else {
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -33,6 +33,12 @@
 /** Of a caller's time, the part a request waits for weights before it is refused. */
 const HOLD_SHARE = 0.45
 
+/** How long a load takes at least, from the order until a request is sent, milliseconds. */
+const LOAD_MS = 280
+
+/** Callers come back within so much more than they were told at least. */
+const COME_BACK_SPREAD = 0.2
+
 /** Of the target, the part a request waits where no backend server can take it. */
 const NO_SERVER_SHARE = 0.23
 
@@ -140,6 +146,12 @@
   const {weights, service, id, route, tokens} = request.arrival
   if (!weights || !hasBackends(box, service)) return
   if (request.needed) return
+  const orderMs = expectedOrderMs(box, now)
+  if (isHopeless(request, orderMs, now)) {
+    // Spread, so that not all come back in the same moment.
+    const comeBackMs = orderMs * (1 + COME_BACK_SPREAD * box.options.random())
+    return giveUp(box, request, "not-run", now, Math.round(comeBackMs))
+  }
   request.needed = true
   box.effects.push({
     type: "need",
@@ -157,8 +169,30 @@
   })
 }
 
+/** How long it takes until weights that no engine holds can be ordered. */
+function expectedOrderMs(
+  {led, ordersFrom, options: {handoverMs}}: BoxServing,
+  now: number
+): number {
+  return Math.max(led ? 0 : handoverMs, ordersFrom - now)
+}
+
+/**
+ * A request that nothing was done for yet, whose weights cannot come in time since nobody can order
+ * them yet, is told at once when to come back: its caller is served in time then, or tries elsewhere.
+ */
+function isHopeless(
+  {attempts, arrivedAt, arrival}: BoxRequest,
+  orderMs: number,
+  now: number
+): boolean {
+  const readyAt = now + orderMs + LOAD_MS
+  return attempts === 0 && orderMs > 0 && readyAt > arrivedAt + arrival.route.targetMs
+}
+
 function holdEnd(box: BoxServing, arrival: Arrival, limit: number, now: number): number {
-  const share = arrival.weights ? limit * HOLD_SHARE : limit
+  const patience = Math.min(limit, arrival.route.patienceMs)
+  const share = arrival.weights ? patience * HOLD_SHARE : limit
   const hold = hasBackends(box, arrival.service)
     ? share
     : Math.min(limit, arrival.route.targetMs * NO_SERVER_SHARE)
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -77,6 +77,8 @@
 export interface BoxOptions {
   readonly dataCentre: string
   readonly retry: RetryBudgetOptions
+  /** How long a new leader waits before its first order, milliseconds. */
+  readonly handoverMs: number
   /** A random number in [0, 1). */
   readonly random: () => number
 }
@@ -100,6 +102,9 @@
   readonly prefixes: PrefixMemory
   /** The engines in the order in which loads are told. */
   loadOrder: readonly string[]
+  /** Whether a leader is known, and from when one is believed to order loads. */
+  led: boolean
+  ordersFrom: number
   /** Boxes that share budgets and connections. */
   boxes: number
   /** When the box was asked to stop; undefined: it was not. */
@@ -180,6 +185,8 @@
     boxes: 1,
     shunned: new Map(),
     loadOrder: [],
+    led: false,
+    ordersFrom: 0,
     prefixes: new PrefixMemory(),
     stoppingAt: undefined,
     effects: []
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -13,12 +13,24 @@
   readonly orderGapMs: number
 }
 
+/** A lapsed lease is seen and claimed within this, milliseconds: a look and its scatter. */
+const CLAIM_MS = 450
+
+/** From the loss of a leader until the next one orders: its lease, being found, and the wait. */
+export function takeoverMs(options: LeadershipOptions): number {
+  return options.ttlMs + CLAIM_MS + handoverMs(options)
+}
+
 /**
  * How long a new leader waits before its first order. When it could claim the lead, the lease of the
  * one before had run out in the store, and earlier by that one's own clock. Its last order may
  * just have left, which takes no longer than the margin.
  */
-function handoverMs({checksFences, orderGapMs, marginMs}: LeadershipOptions): number {
+export function handoverMs({
+  checksFences,
+  orderGapMs,
+  marginMs
+}: LeadershipOptions): number {
   return checksFences ? 0 : orderGapMs + marginMs
 }
 
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -126,6 +126,8 @@
   | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
   | {readonly type: "leader-new"}
   | {readonly type: "stop"}
+  /** In how long loads can be ordered, milliseconds, by the leader or by the next one. */
+  | {readonly type: "orders"; readonly led: boolean; readonly inMs: number}
   /** How many boxes there are. */
   | {readonly type: "boxes"; readonly boxes: number}
   | {readonly type: "tick"; readonly mayOrder: boolean}
@@ -253,6 +255,10 @@
         if (state.fleet) takeFleetVersion(state.fleet, adapter, version)
       }
       return
+    case "orders":
+      serving.led = event.led
+      serving.ordersFrom = now + event.inMs
+      return
     case "boxes":
       serving.boxes = event.boxes
       if (state.fleet) state.fleet.boxes = event.boxes
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -117,7 +117,15 @@
   /** Several boxes found a backend server silent. */
   | {readonly t: "shun"; readonly backend: string}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
-  /** Sent often; `storeAgeMs`: how long ago the store last answered the leader. */
-  | {readonly t: "ping"; readonly storeAgeMs: number; readonly boxes: number}
+  /**
+   * Sent often; `storeAgeMs`: how long ago the store last answered the leader; `ordersInMs`: until
+   * it can order loads.
+   */
+  | {
+      readonly t: "ping"
+      readonly storeAgeMs: number
+      readonly boxes: number
+      readonly ordersInMs: number
+    }
 
 export type BoxMessage = ToLeader | FromLeader
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -22,6 +22,8 @@
   readonly timeoutMs: number
   /** Answers within this time are in time, milliseconds. */
   readonly targetMs: number
+  /** Callers leave a stream that is silent for so long, also before its first event, milliseconds. */
+  readonly patienceMs: number
   /** The longest pause between events that is in time, milliseconds; 0: none given. */
   readonly gapTargetMs: number
   /** 0 is the most urgent. */
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -31,7 +31,8 @@
   kind: "safe",
   resumable: false,
   timeoutMs: 4_000,
-  targetMs: 200,
+  targetMs: 300,
+  patienceMs: Infinity,
   gapTargetMs: 0,
   priority: 1,
   maxAttempts: 2,
@@ -53,7 +54,13 @@
 
   constructor(slack = 100) {
     const retry = {ratio: 0, slack, windowMs: 10_000}
-    this.box = createBoxServing({dataCentre: "a", retry, random: () => 0})
+    this.box = createBoxServing({
+      dataCentre: "a",
+      retry,
+      handoverMs: 3_200,
+      random: () => 0
+    })
+    this.box.led = true
     const records = [record("one"), record("two")]
     this.box.backends = takeBackends(this.box.backends, records, 0)
   }
@@ -363,3 +370,43 @@
   t.equal((subject.pass(600), silences()), 1)
   t.equal((subject.pass(100), silences()), 0)
 })
+
+t.test(
+  "what nobody can load in time is refused at once, with when to come back",
+  async t => {
+    const subject = new Subject()
+    subject.box.ordersFrom = subject.now + 2_000
+    subject.arrive(STREAM, {weights: WEIGHTS})
+    t.same(subject.told(), ["end not-run"])
+    const end = subject.effects.find(effect => effect.type === "end")
+    t.equal(end?.type === "end" && end.retryAfterMs, 2_000, "when orders go again")
+    subject.now += 2_000
+    t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
+  }
+)
+
+t.test("without a leader the wait of the next one counts", async t => {
+  const subject = new Subject()
+  subject.box.led = false
+  t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["end not-run"])
+  takePicture(subject.box, engines(), subject.now)
+  t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["send 1"], "it is held")
+})
+
+t.test(
+  "a request that an engine had begun is not given up for a lost leader",
+  async t => {
+    const subject = new Subject()
+    takePicture(subject.box, engines().slice(0, 1), subject.now)
+    subject.arrive(STREAM, {weights: WEIGHTS}).start()
+    subject.box.led = false
+    t.same(subject.fail("broken").told(), ["need"])
+  }
+)
+
+t.test("a request waits no longer than its caller does", async t => {
+  const patient: Route = {...STREAM, patienceMs: 2_000}
+  const subject = new Subject().arrive(patient, {weights: WEIGHTS})
+  t.same(subject.pass(899).told(), [])
+  t.same(subject.pass(1).told(), ["end not-run"])
+})
