Give limits on waiting work as time, by the reading rate that the fleet shows

Change: a copy is due at 300 ms of waiting work, another engine's near copy is used below 400 ms; the rate is learned from spans in which work always waited. At 20 tokens a ms, the first belief, both limits are what they were. Test: placement.

--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -1,6 +1,7 @@
 /** What the leader of a fleet knows of its engines, and who waits for which weights. */
 import type {EngineChange, EngineLoads, Need} from "../types/box-messages.js"
 import type {FleetService} from "../types/fleet.js"
+import {createReadingRate, type ReadingRate, type ReadSpan} from "./reading-rate.js"
 import type {FleetIndex} from "./placement-index.js"
 
 /** Where an adapter stands on an engine. */
@@ -60,6 +61,7 @@
   readonly copies: Map<string, number>
   /** Prompt tokens that wait to be read there. */
   load: number
+  read: ReadSpan
   /** Its own count of orders; undefined until it was asked. */
   sequence: number | undefined
   /** An order or a question is on its way. */
@@ -173,6 +175,7 @@
   loadsToldAt: number
   /** The order of engines in which loads were told last. */
   toldOrder: readonly string[]
+  readonly reading: ReadingRate
   /** Boxes that found a backend server silent lately, with when. */
   readonly silences: Map<string, Map<string, number>>
   /** Backend servers that boxes leave alone, and until when. */
@@ -208,6 +211,7 @@
     toldAt: -Infinity,
     loadsToldAt: now,
     toldOrder: [],
+    reading: createReadingRate(),
     silences: new Map(),
     shunned: new Map(),
     index: {
--- a/src/core/placement-uses.ts
+++ b/src/core/placement-uses.ts
@@ -2,6 +2,7 @@
 import type {Need, UseChange} from "../types/box-messages.js"
 import {adapterKey, type FleetService} from "../types/fleet.js"
 import {answerNeed} from "./placement-news.js"
+import {noteRead} from "./reading-rate.js"
 import {type BoxUse, type Fleet, type FleetEngine, warm} from "./placement-state.js"
 
 /** Takes the engines of the fleet as they are listed now. */
@@ -42,6 +43,7 @@
     places: new Map(),
     copies: new Map(),
     load: 0,
+    read: {since: 0, tokens: 0, busy: false},
     sequence: undefined,
     busy: false,
     order: undefined,
@@ -114,6 +116,7 @@
   const engine = fleet.engines.get(id)
   if (!engine) return
   engine.load = Math.max(0, engine.load + tokens)
+  if (tokens < 0) noteRead(fleet, engine, -tokens, now)
   engine.loadChanged = true
   const place = adapter === undefined ? undefined : engine.places.get(adapter)
   if (!place) return
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,6 +7,7 @@
 import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {expireShunned, isShunned} from "./placement-shun.js"
+import {tokensIn} from "./reading-rate.js"
 import {tellNews} from "./placement-news.js"
 import {
   countTaken,
@@ -25,11 +26,11 @@
 /** Copies of hot adapters come from the weight store only while fewer loads than this are on their way. */
 const COPY_LOADS_PER_ENGINE = 0.25
 
-/** An engine with more unread tokens than this makes a request wait longer than a load does. */
-const BUSY_TOKENS = 8_000
+/** An engine with more work than this makes a request wait longer than a load does, milliseconds. */
+const BUSY_MS = 400
 
-/** Unread tokens on one engine past which a hot adapter gets another: a copy costs a place. */
-const COPY_LOAD_TOKENS = 6_000
+/** Waiting work past which a hot adapter gets another engine: a copy costs a place, milliseconds. */
+const COPY_WAIT_MS = 300
 
 /** Gives the orders that are due, tells what changed and refuses what cannot be served. */
 export function planFleet(fleet: Fleet, mayOrder: boolean, now: number): void {
@@ -184,7 +185,7 @@
     // What stands there already was found to be of no use.
     if (engine.places.has(adapter) || failedAt.includes(engine.id)) continue
     if (engine.failures > 0 || engine.quietUntil > now + QUIET_MS) continue
-    if (engine.load < BUSY_TOKENS) return true
+    if (engine.load < tokensIn(fleet, BUSY_MS)) return true
   }
   return false
 }
@@ -196,7 +197,7 @@
     if (!engine.leaving && engine.models.size > 0) least = Math.min(least, engine.load)
   }
   for (const engine of fleet.engines.values()) {
-    if (engine.load < COPY_LOAD_TOKENS || engine.load < 3 * least) continue
+    if (engine.load < tokensIn(fleet, COPY_WAIT_MS) || engine.load < 3 * least) continue
     const adapter = hottestOf(fleet, engine, now)
     if (
       adapter === undefined ||
