Do not evict weights before their requests can be told of; wait longer for late ones

The leader hears of uses up to 225 ms later with 75 boxes; until then weights that had just come were the coldest and unused. Change: weights are no victim until uses can have been told; refusals of late weights may come six times, with pauses that double. Test: placement (last; red before).

--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -44,6 +44,9 @@
 /** Sends that backend servers may refuse before a request is given up. */
 const MAX_REFUSALS = 3
 
+/** The same where weights are only late: six pauses, each twice the last, are the time of ten loads. */
+const MAX_LATE_REFUSALS = 6
+
 /** A backend server that failed a request is not asked again at once, milliseconds. */
 const FAILED_PAUSE_MS = 200
 
@@ -295,8 +298,9 @@
   // Each pause is longer: what is late may be late for a while, and refusals are counted.
   const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
   request.avoided.set(attempt.backend, now + pauseMs)
+  const most = late ? MAX_LATE_REFUSALS : MAX_REFUSALS
   if (
-    request.refusals > MAX_REFUSALS ||
+    request.refusals > most ||
     budgetOf(box, request.arrival.service).left(now, box.boxes) <= 0
   ) {
     return giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -1,6 +1,7 @@
 /** Where weights go and what makes way: the decisions on an engine's few places. */
 import type {EngineLimits} from "../types/fleet.js"
 import {splitAdapterKey} from "../types/fleet.js"
+import {gatherMs} from "./placement-news.js"
 import {countHolders, expectedWork, workAt} from "./placement-index.js"
 import {countTaken, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
@@ -13,6 +14,12 @@
 /** A load from the weight store is worth so much work at another engine, tokens. */
 const STORE_TOKENS = 4_000
 
+/**
+ * Beyond the time that uses are gathered, how long the leader may not know of one, milliseconds:
+ * weights that have just come would be taken from the requests that waited for them.
+ */
+const USE_WAY_MS = 150
+
 /** Copies an engine is believed to keep near. */
 export const MAX_COPIES = 34
 
@@ -105,8 +112,10 @@
 ): string | undefined {
   let victim: string | undefined
   let least = Infinity
+  const untoldMs = gatherMs(fleet.boxes) + USE_WAY_MS
   for (const [adapter, place] of engine.places) {
-    if (place.phase !== "ready" || place.running > 0 || place.readyAt > now) continue
+    if (place.phase !== "ready" || place.running > 0) continue
+    if (now - place.readyAt < untoldMs) continue
     if (fleet.index.awaited.has(adapter)) continue
     const recent = now - place.lastUsed < 100 ? 100 : 0
     const heat = heatOf(fleet, adapter, now) / countHolders(fleet, adapter) + recent
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -383,3 +383,25 @@
   for (let now = 10_500; now <= 40_000; now += 500) tell(-5_000, now)
   t.ok(Math.abs(tokensIn(fleet, 1) - 10) < 0.5, `${tokensIn(fleet, 1)} tokens a ms`)
 })
+
+t.test("weights that have just come are not taken from those who waited", async t => {
+  const subject = new Subject(1)
+  subject.fleet.boxes = 100
+  for (const name of ["x", "y"]) {
+    subject.need(name).answer("e0", "accepted")
+  }
+  subject.now += 400
+  subject.reportHeld(
+    "e0",
+    [
+      ["x", 1],
+      ["y", 1]
+    ],
+    2
+  )
+  dropNeed(subject.fleet, "box", "r1")
+  dropNeed(subject.fleet, "box", "r2")
+  t.same(subject.need("z").orders(), [], "who waited is about to be told of")
+  subject.now += 400
+  t.same(subject.plan().orders(), ["e0 unload x"])
+})
