Keep the lead while a box stops, and give it to boxes that were restarted already

Change: a stopping leader orders on for as long as it takes requests (2.6 s); boxes that run for less than half as long as most claim first, as those were restarted already; the median age comes with the leader's pings.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -78,6 +78,8 @@
 export class LinkHub {
   private readonly server_: WebSocketServer
   private readonly followers_ = new Map<string, Follower>()
+  /** When the process of each box started, by the clock of this one. */
+  private readonly startedAt_ = new Map<string, number>()
 
   constructor(
     address: string,
@@ -101,6 +103,13 @@
     return this.followers_.size
   }
 
+  /** Since the processes of half of the boxes started, milliseconds; 0: there are none. */
+  medianAgeMs(now: number): number {
+    const starts = [...this.startedAt_.values()].sort((a, b) => a - b)
+    const median = starts[starts.length >> 1]
+    return median === undefined ? 0 : Math.round(now - median)
+  }
+
   /** Sends to all; the message is packed once. */
   broadcast(message: FromLeader): void {
     const packed = packr.pack(message)
@@ -143,11 +152,13 @@
         box = message.incarnation
         this.followers_.get(box)?.close()
         this.followers_.set(box, follower)
+        this.startedAt_.set(box, performance.now() - message.ageMs)
         this.events_.up(box, message.configVersion, follower)
       },
       () => {
         if (box === undefined || this.followers_.get(box) !== follower) return
         this.followers_.delete(box)
+        this.startedAt_.delete(box)
         this.events_.down(box)
       }
     )
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -32,6 +32,15 @@
 /** Boxes that find no leader claim the lead after a random part of this, milliseconds. */
 const CLAIM_SCATTER_MS = 200
 
+/**
+ * Boxes that run for less than half as long as most claim within the first part of the scatter:
+ * where boxes are restarted in turn, these have had theirs. A lead that moves on with each restart
+ * spends most of its time waiting for its first order. One that has just started may fail again.
+ */
+const YOUNG_AGE_SHARE = 0.5
+const YOUNG_SCATTER_SHARE = 0.3
+const SETTLED_MS = 2_000
+
 export interface ElectionOptions extends LeadershipOptions {
   readonly key: string
   readonly self: LeaderRecord
@@ -43,6 +52,8 @@
   readonly found: (leader: LeaderRecord) => void
   /** How many boxes there are, as far as is known. */
   readonly boxes: () => number
+  /** Since the processes of half of the boxes started, as far as is known, milliseconds. */
+  readonly medianAgeMs: (now: number) => number
 }
 
 export class LeaderElection {
@@ -52,6 +63,7 @@
   /** Whether the box needs no look at the key now: it hears the leader. */
   private settled_ = false
   private busy_ = false
+  private readonly startedAt_ = performance.now()
 
   constructor(
     private readonly kv_: KvStore,
@@ -131,7 +143,7 @@
   }
 
   private async claimLater(): Promise<void> {
-    await new Promise(resolve => setTimeout(resolve, Math.random() * CLAIM_SCATTER_MS))
+    await new Promise(resolve => setTimeout(resolve, this.claimDelayMs()))
     if (this.stopped_) return
     const {key, self} = this.options_
     const sentAt = performance.now()
@@ -148,6 +160,14 @@
     else this.end("claim took too long")
   }
 
+  private claimDelayMs(): number {
+    const now = performance.now()
+    const age = now - this.startedAt_
+    const young =
+      age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
+    return Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
+  }
+
   /** The revision of the claim, which is the fence; undefined: another was first. */
   private async claim(
     key: string,
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -51,6 +51,9 @@
 /** After a stop was asked for, new requests are still taken for this long. */
 const STOP_LISTEN_MS = 2_600
 
+/** How often a box that stops looks whether it is done, milliseconds. */
+const STOP_TURN_MS = 50
+
 export interface RoutedContext {
   readonly settings: RoutedSettings
   readonly kv: KvStore
@@ -83,6 +86,9 @@
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
   private readonly uses_ = new UseCounts()
+  private readonly startedAt_ = performance.now()
+  /** When the processes of half of the boxes had started. */
+  private medianStartAt_ = performance.now()
   private pingAt_ = 0
   private lastTickAt_ = performance.now()
   private stopping_ = false
@@ -173,7 +179,8 @@
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
         found: leader => this.linkTo(leader),
-        boxes: () => serving.boxes
+        boxes: () => serving.boxes,
+        medianAgeMs: now => now - this.medianStartAt_
       }
     )
   }
@@ -230,15 +237,19 @@
     const deadline = performance.now() + settings.graceS * 900
     log("stopping", {open: this.relay_.open})
     this.loop_.post({type: "stop"})
-    const released = this.election_.stop()
     const listenUntil =
       performance.now() + Math.min(STOP_LISTEN_MS, settings.graceS * 500)
-    await released
+    // It leads on for as long as it takes requests: the next one waits before it orders anyway, and
+    // where boxes are restarted in turn each wait that comes later is one in which loads go on.
+    while (this.leading && performance.now() < listenUntil) {
+      await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
+    }
+    await this.election_.stop()
     while (performance.now() < deadline) {
       const idle = this.relay_.open === 0 && performance.now() >= listenUntil
       if (performance.now() >= listenUntil) this.closeIdle()
       if (idle) break
-      await new Promise(resolve => setTimeout(resolve, 50))
+      await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
     this.news_.stopFollowing()
     this.link_?.close()
@@ -268,7 +279,7 @@
       this.pingAt_ = now + pingMs(this.loop_.state().serving.boxes)
       this.link_?.send({t: "pong"})
     }
-    return !this.stopping_ && mayOrder(this.election_.leadership, now)
+    return mayOrder(this.election_.leadership, now)
   }
 
   private linkSilenceMs(): number {
@@ -289,7 +300,10 @@
   private ping(boxes: number, now: number): FromLeader {
     const {orderFrom} = this.election_.leadership
     const ordersInMs = Math.max(0, Math.round(orderFrom - now))
-    return {t: "ping", storeAgeMs: this.news_.storeAgeMs(now), boxes, ordersInMs}
+    const storeAgeMs = this.news_.storeAgeMs(now)
+    const medianAgeMs = this.hub_?.medianAgeMs(now) ?? 0
+    this.medianStartAt_ = now - medianAgeMs
+    return {t: "ping", storeAgeMs, boxes, ordersInMs, medianAgeMs}
   }
 
   /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
@@ -334,7 +348,8 @@
       t: "hello",
       box: settings.box,
       incarnation: this.incarnation_,
-      configVersion: this.news_.config?.version ?? -1
+      configVersion: this.news_.config?.version ?? -1,
+      ageMs: Math.round(performance.now() - this.startedAt_)
     }
     const link = new LeaderLink(leader.address, hello, {
       down: () => {
@@ -368,7 +383,8 @@
       const {request, retryAfterMs} = message
       post({type: "refuse", request, retryAfterMs})
     } else if (message.t === "ping") {
-      const {storeAgeMs, boxes, ordersInMs} = message
+      const {storeAgeMs, boxes, ordersInMs, medianAgeMs} = message
+      this.medianStartAt_ = performance.now() - medianAgeMs
       post({type: "orders", led: true, inMs: ordersInMs})
       this.news_.heardLeader(storeAgeMs, pingMs(boxes), performance.now())
       post({type: "boxes", boxes})
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -27,7 +27,8 @@
     t: z.literal("hello"),
     box: z.string(),
     incarnation: z.string(),
-    configVersion: z.number()
+    configVersion: z.number(),
+    ageMs: z.number().min(0)
   }),
   z.object({t: z.literal("ask-config")}),
   z.object({t: z.literal("ask-all"), configVersion: z.number()}),
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -74,6 +74,8 @@
       readonly incarnation: string
       /** Version of the configuration that the box knows; -1: none. */
       readonly configVersion: number
+      /** Since its process started, milliseconds. */
+      readonly ageMs: number
     }
   /** The box could not read a configuration that was named. */
   | {readonly t: "ask-config"}
@@ -115,13 +117,14 @@
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
   /**
    * Sent often; `storeAgeMs`: how long ago the store last answered the leader; `ordersInMs`: until
-   * it can order loads.
+   * it can order loads; `medianAgeMs`: since the processes of boxes started.
    */
   | {
       readonly t: "ping"
       readonly storeAgeMs: number
       readonly boxes: number
       readonly ordersInMs: number
+      readonly medianAgeMs: number
     }
 
 export type BoxMessage = ToLeader | FromLeader
