Part what a leader tells boxes from a box's own work; close connections to servers that are gone

Found while reading: pools of servers that had gone were never closed, though the code was written for it; their idle connections closed by time, the pools stayed for the life of the process. They are closed now with the list.

--- /dev/null
+++ b/src/adapters/box-hub.ts
@@ -0,0 +1,190 @@
+/**
+ * What a leader tells the boxes that follow it, and what it hears from them: configuration, backend
+ * servers, versions, places and loads of engines one way, needs and uses the other.
+ */
+import type {Leadership} from "../core/leadership.js"
+import {describeFleet, describeLoads, isSmall} from "../core/placement-news.js"
+import type {RoutedEffect, RoutedEvent, RoutedState} from "../core/serving.js"
+import type {FromLeader, ToLeader} from "../types/box-messages.js"
+import {BackendNews, withoutModels} from "./backend-news.js"
+import {LinkHub} from "./box-links.js"
+import type {Log} from "./log.js"
+import type {NewsSource} from "./news-source.js"
+
+const PING_MS = 250
+
+/** The leader pings less often where it has many boxes: so much for each, up to a most. */
+const PING_BOX_MS = 8
+const MAX_PING_MS = 800
+
+/** A box from which nothing came for so long is cut off. */
+const FOLLOWER_SILENCE_MS = 2_500
+
+export interface BoxHubOptions {
+  /** Where boxes link to this one, IP number and port. */
+  readonly address: string
+  readonly state: () => RoutedState
+  readonly post: (event: RoutedEvent) => void
+  readonly news: NewsSource
+  readonly leadership: Leadership
+  readonly log: Log
+}
+
+type EngineEffect = Extract<RoutedEffect, {type: "places" | "loads"}>
+
+/** The leader's end of all links. */
+export class BoxHub {
+  /** When the processes of half of the boxes had started, by the clock of this one. */
+  medianStartAt = performance.now()
+  private readonly links_: LinkHub
+  private readonly backendNews_: BackendNews
+  private pingAt_ = 0
+
+  constructor(
+    private readonly options_: BoxHubOptions,
+    listening: () => void,
+    failed: (cause: Error) => void
+  ) {
+    this.links_ = new LinkHub(options_.address, this.linkEvents(), listening, failed)
+    this.backendNews_ = new BackendNews(message => this.links_.broadcast(message))
+  }
+
+  /** Tells of engines what the effect says, to whom it says. */
+  tell(effect: EngineEffect): void {
+    if (effect.type === "loads") {
+      return this.links_.broadcast({t: "loads", loads: effect.loads})
+    }
+    const {changes, boxes} = effect
+    const message = {t: "places" as const, changes}
+    if (boxes) for (const box of boxes) this.links_.send(box, message)
+    else this.links_.broadcast(message)
+  }
+
+  /** Passes on what this box learned from the store. */
+  tellLearned(message: FromLeader): void {
+    this.links_.broadcast(this.shorten(message))
+  }
+
+  /** Tells a box that its request cannot be served in time. */
+  refuse(box: string, request: string, retryAfterMs: number): void {
+    this.links_.send(box, {t: "refuse", request, retryAfterMs})
+  }
+
+  /** Tells of servers what changed, and from time to time that the leader lives. */
+  pingIfDue(now: number): void {
+    const {serving} = this.options_.state()
+    this.backendNews_.tell(serving.backends.known)
+    if (now < this.pingAt_) return
+    this.pingAt_ = now + pingMs(this.boxes)
+    this.links_.cutSilent(FOLLOWER_SILENCE_MS)
+    this.links_.broadcast(this.ping(now))
+    this.options_.post({type: "boxes", boxes: this.boxes})
+  }
+
+  /** Cuts all links: this box leads no longer. */
+  cutAll(): void {
+    this.links_.cutAll()
+  }
+
+  close(): void {
+    this.links_.close()
+  }
+
+  /** All boxes, this one included. */
+  private get boxes(): number {
+    return this.links_.size + 1
+  }
+
+  private linkEvents(): ConstructorParameters<typeof LinkHub>[1] {
+    const {log, post, leadership} = this.options_
+    return {
+      accepts: () => leadership.fence !== undefined,
+      up: (box, configVersion, follower) => {
+        log("box-linked", {box})
+        for (const message of this.tellAll(configVersion)) follower.send(message)
+      },
+      down: box => {
+        log("box-unlinked", {box})
+        post({type: "box-gone", box})
+      },
+      message: (box, message) => this.take(box, message)
+    }
+  }
+
+  private ping(now: number): FromLeader {
+    const {news, leadership} = this.options_
+    const medianAgeMs = this.links_.medianAgeMs(now)
+    this.medianStartAt = now - medianAgeMs
+    return {
+      t: "ping",
+      storeAgeMs: news.storeAgeMs(now),
+      boxes: this.boxes,
+      ordersInMs: Math.max(0, Math.round(leadership.orderFrom - now)),
+      medianAgeMs
+    }
+  }
+
+  /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
+  private shorten(message: FromLeader): FromLeader {
+    if (message.t !== "config" || isSmall(this.links_.size)) return message
+    return {t: "config-named", version: message.config.version}
+  }
+
+  /** All that a new follower has to know. */
+  private tellAll(configVersion: number): FromLeader[] {
+    const now = performance.now()
+    const {serving, fleet} = this.options_.state()
+    const {config} = this.options_.news
+    const records = [...serving.backends.known.values()].map(({record}) =>
+      withoutModels(record)
+    )
+    const versions = [...serving.versions].map(
+      ([adapter, {version}]) => [adapter, version] as const
+    )
+    const engines = fleet ? describeFleet(fleet, now) : []
+    const loads = fleet ? describeLoads(fleet) : {order: [], hundreds: []}
+    const newer = config && config.version > configVersion
+    return [
+      ...(newer ? [this.shorten({t: "config", config})] : []),
+      ...(records.length > 0
+        ? [{t: "backends" as const, records, whole: true, gone: []}]
+        : []),
+      {t: "versions", versions},
+      {t: "engines", engines},
+      {t: "loads", loads},
+      this.ping(now)
+    ]
+  }
+
+  private take(box: string, message: ToLeader): void {
+    const {post, news} = this.options_
+    switch (message.t) {
+      case "need":
+        return post({type: "need", box, need: message.need})
+      case "drop":
+        return post({type: "drop", box, request: message.request})
+      case "use":
+        return post({type: "uses", box, changes: message.changes})
+      case "missing": {
+        const {engine, adapter, late} = message
+        return post({type: "missing", engine, adapter, late})
+      }
+      case "ask-config":
+        if (news.config) this.links_.send(box, {t: "config", config: news.config})
+        return
+      case "ask-all":
+        for (const each of this.tellAll(message.configVersion)) {
+          this.links_.send(box, each)
+        }
+        return
+      case "hello":
+      case "pong":
+        return
+    }
+  }
+}
+
+/** How often a leader of so many boxes, and each of them, says that it lives, milliseconds. */
+export function pingMs(boxes: number): number {
+  return Math.min(MAX_PING_MS, Math.max(PING_MS, boxes * PING_BOX_MS))
+}
--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -102,7 +102,7 @@
     }, timeoutMs)
     const bytes = body === undefined ? null : Buffer.from(body)
     const options = {method, path, headers: [...headers], body: bytes}
-    this.options_.pools.send(`${engine} orders`, record.address, CONNECTIONS, options, {
+    this.options_.pools.send(orderPool(engine), record.address, CONNECTIONS, options, {
       started: given => {
         if (ended || !allowed()) return false
         abort = given
@@ -122,3 +122,8 @@
 function later(act: () => void): void {
   setImmediate(act)
 }
+
+/** The pool of an engine's orders: apart from its requests, which may take all connections. */
+export function orderPool(engine: string): string {
+  return `${engine} orders`
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -10,7 +10,7 @@
   mayOrder,
   takeoverMs
 } from "../core/leadership.js"
-import {describeFleet, describeLoads, gatherMs, isSmall} from "../core/placement-news.js"
+import {gatherMs} from "../core/placement-news.js"
 import {createBoxServing} from "../core/box-state.js"
 import {
   nextTickMs,
@@ -24,9 +24,9 @@
 import type {FromLeader, ToLeader} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
-import {LeaderLink, LinkHub} from "./box-links.js"
-import {BackendNews, withoutModels} from "./backend-news.js"
-import {EngineDriver} from "./engine-driver.js"
+import {BoxHub, pingMs} from "./box-hub.js"
+import {LeaderLink} from "./box-links.js"
+import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection, type LeaderRecord} from "./leader-election.js"
 import type {Log} from "./log.js"
 import {startLoop} from "./loop.js"
@@ -38,12 +38,7 @@
 import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
-const PING_MS = 250
-/** The leader pings less often where it has many boxes: so much for each, up to a most. */
-const PING_BOX_MS = 8
-const MAX_PING_MS = 800
 const LINK_SILENCE_MS = 1_200
-const FOLLOWER_SILENCE_MS = 2_500
 /** Off the lease of the leader: clock rates, and an order's way. */
 const LEASE_MARGIN_MS = 200
 /** The age of news that metrics tell at most; also where there is none. */
@@ -76,11 +71,10 @@
   private readonly loop_
   private readonly relay_: RoutedRelay
   private readonly news_: NewsSource
-  private readonly backendNews_: BackendNews
   private readonly driver_: EngineDriver
   private readonly election_: LeaderElection
   private readonly leadershipOptions_: LeadershipOptions
-  private hub_: LinkHub | undefined
+  private hub_: BoxHub | undefined
   private link_: LeaderLink | undefined
   private linked_ = false
   private callers_: Server | undefined
@@ -90,6 +84,8 @@
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
   private pingAt_ = 0
+  /** The servers for which pools were kept last. */
+  private pooledFor_: unknown
   private lastTickAt_ = performance.now()
   private stopping_ = false
   private random_ = createRandom(Date.now() & 0x7fffffff)
@@ -139,7 +135,6 @@
       log,
       closing: () => this.stopping_
     })
-    this.backendNews_ = new BackendNews(message => this.hub_?.broadcast(message))
     this.news_ = new NewsSource({
       kv,
       records,
@@ -147,7 +142,7 @@
       log,
       learned: message => {
         if (message.t === "config") this.applyLimits()
-        this.hub_?.broadcast(this.shorten(message))
+        this.hub_?.tellLearned(message)
       },
       startedAt: performance.now(),
       askLeader: () => this.link_?.send({t: "ask-config"}),
@@ -210,7 +205,15 @@
       )
     }
     await new Promise<void>((resolve, reject) => {
-      this.hub_ = new LinkHub(settings.boxes, this.hubEvents(), resolve, reject)
+      const options = {
+        address: settings.boxes,
+        state: this.loop_.state,
+        post: this.loop_.post,
+        news: this.news_,
+        leadership: this.election_.leadership,
+        log
+      }
+      this.hub_ = new BoxHub(options, resolve, reject)
     })
     log("started", {callers: settings.callers, boxes: settings.boxes})
   }
@@ -274,42 +277,28 @@
     if (this.link_ && this.link_.silentMs > this.linkSilenceMs()) this.link_.close()
     this.election_.settle(this.linked_)
     if (!this.stopping_) this.news_.choose(leading, now)
-    if (leading) this.pingBoxes(now)
-    else if (now >= this.pingAt_) {
+    this.dropPools()
+    if (leading) {
+      this.hub_?.pingIfDue(now)
+      this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
+    } else if (now >= this.pingAt_) {
       this.pingAt_ = now + pingMs(this.loop_.state().serving.boxes)
       this.link_?.send({t: "pong"})
     }
     return mayOrder(this.election_.leadership, now)
   }
 
-  private linkSilenceMs(): number {
-    return Math.max(LINK_SILENCE_MS, 3 * pingMs(this.loop_.state().serving.boxes))
-  }
-
-  private pingBoxes(now: number): void {
-    const {serving} = this.loop_.state()
-    this.backendNews_.tell(serving.backends.known)
-    if (now < this.pingAt_) return
-    const boxes = (this.hub_?.size ?? 0) + 1
-    this.pingAt_ = now + pingMs(boxes)
-    this.hub_?.cutSilent(FOLLOWER_SILENCE_MS)
-    this.hub_?.broadcast(this.ping(boxes, now))
-    this.loop_.post({type: "boxes", boxes})
+  /** Connections to servers that are gone are closed once their requests have ended. */
+  private dropPools(): void {
+    const {known} = this.loop_.state().serving.backends
+    if (known === this.pooledFor_) return
+    this.pooledFor_ = known
+    const ids = [...known.keys()]
+    this.relay_.pools.keep(new Set([...ids, ...ids.map(orderPool)]))
   }
 
-  private ping(boxes: number, now: number): FromLeader {
-    const {orderFrom} = this.election_.leadership
-    const ordersInMs = Math.max(0, Math.round(orderFrom - now))
-    const storeAgeMs = this.news_.storeAgeMs(now)
-    const medianAgeMs = this.hub_?.medianAgeMs(now) ?? 0
-    this.medianStartAt_ = now - medianAgeMs
-    return {t: "ping", storeAgeMs, boxes, ordersInMs, medianAgeMs}
-  }
-
-  /** Where there are many boxes each reads a configuration itself: the leader's link is narrow. */
-  private shorten(message: FromLeader): FromLeader {
-    if (message.t !== "config" || isSmall(this.hub_?.size ?? 0)) return message
-    return {t: "config-named", version: message.config.version}
+  private linkSilenceMs(): number {
+    return Math.max(LINK_SILENCE_MS, 3 * pingMs(this.loop_.state().serving.boxes))
   }
 
   private fence(): number | undefined {
@@ -391,81 +380,6 @@
     }
   }
 
-  private hubEvents(): ConstructorParameters<typeof LinkHub>[1] {
-    const {log} = this.context_
-    return {
-      accepts: () => this.election_.leadership.fence !== undefined,
-      up: (box, configVersion, follower) => {
-        log("box-linked", {box})
-        for (const message of this.tellAll(configVersion)) follower.send(message)
-      },
-      down: box => {
-        log("box-unlinked", {box})
-        this.loop_.post({type: "box-gone", box})
-      },
-      message: (box, message) => this.takeFollower(box, message)
-    }
-  }
-
-  /** All that a new follower has to know. */
-  private tellAll(configVersion: number): FromLeader[] {
-    const now = performance.now()
-    const {serving, fleet} = this.loop_.state()
-    const {config} = this.news_
-    const records = [...serving.backends.known.values()].map(({record}) =>
-      withoutModels(record)
-    )
-    const versions = [...serving.versions].map(
-      ([adapter, {version}]) => [adapter, version] as const
-    )
-    const boxes = (this.hub_?.size ?? 0) + 1
-    const engines = fleet ? describeFleet(fleet, now) : []
-    const loads = fleet ? describeLoads(fleet) : {order: [], hundreds: []}
-    const newer = config && config.version > configVersion
-    return [
-      ...(newer ? [this.shorten({t: "config", config})] : []),
-      ...(records.length > 0
-        ? [{t: "backends" as const, records, whole: true, gone: []}]
-        : []),
-      {t: "versions", versions},
-      {t: "engines", engines},
-      {t: "loads", loads},
-      this.ping(boxes, now)
-    ]
-  }
-
-  private takeFollower(box: string, message: ToLeader): void {
-    const {post} = this.loop_
-    switch (message.t) {
-      case "need":
-        return post({type: "need", box, need: message.need})
-      case "drop":
-        return post({type: "drop", box, request: message.request})
-      case "use":
-        return post({type: "uses", box, changes: message.changes})
-      case "missing":
-        return post({
-          type: "missing",
-          engine: message.engine,
-          adapter: message.adapter,
-          late: message.late
-        })
-      case "ask-config": {
-        const {config} = this.news_
-        if (config) this.hub_?.send(box, {t: "config", config})
-        return
-      }
-      case "ask-all": {
-        const all = this.tellAll(message.configVersion)
-        for (const each of all) this.hub_?.send(box, each)
-        return
-      }
-      case "hello":
-      case "pong":
-        return
-    }
-  }
-
   private perform(effect: RoutedEffect): void {
     switch (effect.type) {
       case "note":
@@ -495,12 +409,13 @@
         return this.driver_.perform(effect)
       case "places":
       case "loads":
-        return this.tellBoxes(effect)
+        this.hub_?.tell(effect)
+        return this.loop_.post(effect)
       case "refuse": {
         const {request, retryAfterMs} = effect
         if (effect.box === this.incarnation_) {
           this.loop_.post({type: "refuse", request, retryAfterMs})
-        } else this.hub_?.send(effect.box, {t: "refuse", request, retryAfterMs})
+        } else this.hub_?.refuse(effect.box, request, retryAfterMs)
         return
       }
       default:
@@ -508,20 +423,6 @@
     }
   }
 
-  /** Tells boxes of engines; this box itself is told whatever others are. */
-  private tellBoxes(effect: Extract<RoutedEffect, {type: "places" | "loads"}>): void {
-    if (effect.type === "loads") {
-      const {loads} = effect
-      this.hub_?.broadcast({t: "loads", loads})
-      return this.loop_.post({type: "loads", loads})
-    }
-    const {changes, boxes} = effect
-    const message = {t: "places" as const, changes}
-    if (boxes) for (const box of boxes) this.hub_?.send(box, message)
-    else this.hub_?.broadcast(message)
-    this.loop_.post({type: "places", changes})
-  }
-
   private get leading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
@@ -540,14 +441,9 @@
     else this.link_?.send({t: "use", changes})
   }
 
-  /** Applies the callers' limits of the configuration, and drops pools of servers gone. */
+  /** Applies the callers' limits of the configuration. */
   private applyLimits(): void {
     const {config} = this.news_
     if (config && this.callers_) limitCallers(this.callers_, config.limits)
   }
 }
-
-/** How often a leader of so many boxes, and each of them, says that it lives, milliseconds. */
-function pingMs(boxes: number): number {
-  return Math.min(MAX_PING_MS, Math.max(PING_MS, boxes * PING_BOX_MS))
-}
