Have other boxes renew the lease of a leader that the store turns away

Ruled out: a longer lease, since it makes the loss of a dead leader longer by as much. Change: a renewal without an answer after 150 ms is asked of three of the boxes that follow; the lease counts from when they were asked, so that it is never longer than the store's (the specification's renewals take any time on their way). Test: lease-help (red without it: no help is seen, the lead is lost).

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -8,6 +8,7 @@
 import type {FromLeader, ToLeader} from "../types/box-messages.js"
 import {BackendNews, withoutModels} from "./backend-news.js"
 import {LinkHub} from "./box-links.js"
+import {LeaseHelp} from "./lease-help.js"
 import type {Log} from "./log.js"
 import type {NewsSource} from "./news-source.js"
 
@@ -38,6 +39,10 @@
   medianStartAt = performance.now()
   private readonly links_: LinkHub
   private readonly backendNews_: BackendNews
+  private readonly help_ = new LeaseHelp(
+    count => this.links_.draw(count),
+    (box, ask, lease) => this.links_.send(box, {t: "renew", ask, lease})
+  )
   private pingAt_ = 0
 
   constructor(
@@ -81,6 +86,11 @@
     this.options_.post({type: "boxes", boxes: this.boxes})
   }
 
+  /** Has the lease renewed by boxes that the key-value service may still serve. */
+  renewLease(lease: string): Promise<boolean> {
+    return this.help_.renew(lease)
+  }
+
   /** Cuts all links: this box leads no longer. */
   cutAll(): void {
     this.links_.cutAll()
@@ -177,6 +187,8 @@
           this.links_.send(box, each)
         }
         return
+      case "renewed":
+        return this.help_.answered(message.ask, message.known)
       case "hello":
       case "pong":
         return
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -120,6 +120,13 @@
     this.followers_.get(box)?.send(message)
   }
 
+  /** So many boxes at most, drawn by chance. */
+  draw(count: number): string[] {
+    const boxes = [...this.followers_.keys()]
+    const first = Math.floor(Math.random() * boxes.length)
+    return [...boxes.slice(first), ...boxes.slice(0, first)].slice(0, count)
+  }
+
   /** Cuts links from which nothing came for so long. */
   cutSilent(silenceMs: number): void {
     const now = performance.now()
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -41,6 +41,17 @@
 const YOUNG_SCATTER_SHARE = 0.3
 const SETTLED_MS = 2_000
 
+/** A renewal that has no answer after this is asked of other boxes, too, milliseconds. */
+const HELP_AFTER_MS = 150
+
+interface Renewal {
+  /** Whether the service still knew the lease. */
+  readonly known: boolean
+  /** When the call that renewed it, or the wish for it, went out. */
+  readonly sentAt: number
+  readonly helped: boolean
+}
+
 export interface ElectionOptions extends LeadershipOptions {
   readonly key: string
   readonly self: LeaderRecord
@@ -54,6 +65,10 @@
   readonly boxes: () => number
   /** Since the processes of half of the boxes started, as far as is known, milliseconds. */
   readonly medianAgeMs: (now: number) => number
+  /** Has another box renew the lease; rejects where none can. */
+  readonly renewElsewhere: (lease: string) => Promise<boolean>
+  /** The lease is now renewed by other boxes, or by this one again. */
+  readonly helped: (helped: boolean) => void
 }
 
 export class LeaderElection {
@@ -63,6 +78,7 @@
   /** Whether the box needs no look at the key now: it hears the leader. */
   private settled_ = false
   private busy_ = false
+  private helped_ = false
   private readonly startedAt_ = performance.now()
 
   constructor(
@@ -128,10 +144,23 @@
     const {lease} = this.leadership
     if (lease === undefined) return
     const sentAt = performance.now()
-    const known = await this.kv_.keepAlive(lease)
+    const own = this.kv_.keepAlive(lease).then(known => ({known, sentAt, helped: false}))
+    const renewal = await firstOf([own, this.askHelp(own, lease)])
     if (this.leadership.lease !== lease) return
-    if (!known) return this.end("lease is gone")
-    renewLead(this.leadership, sentAt, this.options_)
+    if (renewal.helped !== this.helped_) this.events_.helped(renewal.helped)
+    this.helped_ = renewal.helped
+    if (!renewal.known) return this.end("lease is gone")
+    // It counts from when the box that renewed was asked, so that its way shortens it only.
+    renewLead(this.leadership, renewal.sentAt, this.options_)
+  }
+
+  /** Where the service does not answer this box soon, others may reach it. */
+  private async askHelp(own: Promise<Renewal>, lease: string): Promise<Renewal> {
+    const answer = await Promise.race([own.catch(() => undefined), pause(HELP_AFTER_MS)])
+    if (answer) return answer
+    const sentAt = performance.now()
+    const known = await this.events_.renewElsewhere(lease)
+    return {known, sentAt, helped: true}
   }
 
   private async look(): Promise<void> {
@@ -191,3 +220,16 @@
     this.events_.lost(reason)
   }
 }
+
+/** The first that succeeds; the first failure where none does. */
+async function firstOf<T>(attempts: readonly Promise<T>[]): Promise<T> {
+  try {
+    return await Promise.any(attempts)
+  } catch (cause) {
+    throw cause instanceof AggregateError ? cause.errors[0] : cause
+  }
+}
+
+function pause(ms: number): Promise<undefined> {
+  return new Promise(resolve => setTimeout(() => resolve(undefined), ms))
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -19,6 +19,7 @@
   type RoutedState,
   stepRouted
 } from "../core/serving.js"
+import {KvUnavailable} from "../errors.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
 import type {FromLeader, ToLeader} from "../types/box-messages.js"
@@ -175,7 +176,9 @@
         lost: reason => this.leadOver(reason),
         found: leader => this.linkTo(leader),
         boxes: () => serving.boxes,
-        medianAgeMs: now => now - this.medianStartAt_
+        medianAgeMs: now => now - this.medianStartAt_,
+        renewElsewhere: lease => this.renewElsewhere(lease),
+        helped: helped => log(helped ? "lease-helped" : "lease-own")
       }
     )
   }
@@ -324,6 +327,20 @@
     this.expectTakeover()
   }
 
+  private async renewElsewhere(lease: string): Promise<boolean> {
+    if (!this.hub_) throw new KvUnavailable("no box follows yet")
+    return this.hub_.renewLease(lease)
+  }
+
+  private async renewForLeader(ask: number, lease: string): Promise<void> {
+    try {
+      const known = await this.context_.kv.keepAlive(lease)
+      this.link_?.send({t: "renewed", ask, known})
+    } catch (cause) {
+      this.context_.log("lease-not-helped", {reason: (cause as Error).message})
+    }
+  }
+
   /** The leader is lost: the next one takes a while to order loads. */
   private expectTakeover(): void {
     const inMs = takeoverMs(this.leadershipOptions_)
@@ -365,7 +382,8 @@
       if (message.t === "config") this.applyLimits()
       return
     }
-    if (message.t === "engines") post({type: "engines", engines: message.engines})
+    if (message.t === "renew") void this.renewForLeader(message.ask, message.lease)
+    else if (message.t === "engines") post({type: "engines", engines: message.engines})
     else if (message.t === "places") post({type: "places", changes: message.changes})
     else if (message.t === "loads") post({type: "loads", loads: message.loads})
     else if (message.t === "refuse") {
--- a/src/events.ts
+++ b/src/events.ts
@@ -175,6 +175,21 @@
     level: "info",
     text: "A box follows this leader no longer."
   },
+  "lease-helped": {
+    number: 188,
+    level: "warn",
+    text: "The key-value service does not answer this leader: other boxes renew its lease."
+  },
+  "lease-own": {
+    number: 189,
+    level: "info",
+    text: "This leader renews its lease itself again."
+  },
+  "lease-not-helped": {
+    number: 199,
+    level: "warn",
+    text: "The leader's lease could not be renewed for it: the key-value service does not answer this box either."
+  },
   "route-sent": {
     number: 190,
     level: "info",
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -91,6 +91,8 @@
       readonly adapter: string
       readonly late: boolean
     }
+  /** The lease that the leader asked to renew was renewed, or is not known any more. */
+  | {readonly t: "renewed"; readonly ask: number; readonly known: boolean}
   | {readonly t: "pong"}
 
 /** From the leader to a box. */
@@ -114,6 +116,8 @@
   /** What changed since. A link keeps its order and loses nothing, so that changes need no number. */
   | {readonly t: "places"; readonly changes: readonly EngineChange[]}
   | {readonly t: "loads"; readonly loads: EngineLoads}
+  /** The key-value service turns the leader away: its lease is to be renewed for it. */
+  | {readonly t: "renew"; readonly ask: number; readonly lease: string}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
   /**
    * Sent often; `storeAgeMs`: how long ago the store last answered the leader; `ordersInMs`: until
