--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -47,6 +47,8 @@
 
 export class NewsSource {
   private follower_: StoreFollower | undefined
+  /** Whether it watches, and does not only list. */
+  private watches_ = false
   private readonly troubled_ = new Set<string>()
   private troubledAt_ = Infinity
   private leaderHeardAt_ = -Infinity
@@ -78,8 +80,8 @@
     const fresh =
       now - this.leaderHeardAt_ < MAX_SILENT_PINGS * this.pingMs_ &&
       this.leaderStoreAgeMs_ < MAX_STORE_AGE_MS
-    if (leading) return this.startFollowing()
-    if (!fresh) return this.seeksLeader(now) ? undefined : this.startFollowing()
+    if (leading) return this.startFollowing(true)
+    if (!fresh) return this.seeksLeader(now) ? undefined : this.startFollowing(false)
     if (!this.follower_) return
     this.stopFollowing()
     // The leader tells differences to what it told before, of which this box may have undone some.
@@ -98,8 +100,11 @@
     this.options_.log("news-from-leader")
   }
 
-  private startFollowing(): void {
-    if (this.follower_) return
+  /** A leader watches, since all boxes hear of the world through it; any other box lists. */
+  private startFollowing(leading: boolean): void {
+    if (this.follower_ && leading === this.watches_) return
+    this.follower_?.stop()
+    this.watches_ = leading
     const {kv, records, log} = this.options_
     log("news-from-store", {
       leaderSilentMs: Math.round(performance.now() - this.leaderHeardAt_),
@@ -110,6 +115,7 @@
     this.follower_ = new StoreFollower(
       kv,
       [records.operatorPrefix, records.backendPrefix],
+      leading,
       {
         list: (prefix, entries) => {
           if (prefix === records.backendPrefix) {
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -9,6 +9,12 @@
 /** How often the list is read again: a watch may be deaf without being cut, milliseconds. */
 const RECHECK_MS = 900
 
+/**
+ * How often a box that only lists does so, milliseconds: within the two seconds that news may take,
+ * with a third of the calls of one that also watches.
+ */
+const POLL_MS = 1_200
+
 /**
  * After changes a watch waits so long, so that it returns once for what comes together: engines
  * change their entries with every load, and each return of a watch is a call that is paid for.
@@ -29,9 +35,11 @@
   private readonly abort_ = new AbortController()
   private readonly answeredAt_ = new Map<string, number>()
 
+  /** `watches`: whether it also hears of changes between two lists, at the price of more calls. */
   constructor(
     private readonly kv_: KvStore,
     private readonly prefixes_: readonly string[],
+    private readonly watches_: boolean,
     private readonly events_: FollowerEvents
   ) {
     for (const prefix of prefixes_) void this.follow(prefix)
@@ -57,7 +65,9 @@
       try {
         const revision = await this.readAll(prefix)
         failures = 0
-        await this.watchUntil(prefix, revision, performance.now() + RECHECK_MS)
+        if (this.watches_) {
+          await this.watchUntil(prefix, revision, performance.now() + RECHECK_MS)
+        } else await pause(POLL_MS)
       } catch (cause) {
         if (signal.aborted) return
         this.events_.trouble(prefix, (cause as Error).message)
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -32,6 +32,9 @@
 /** Of a caller's time, the part a request waits for weights before it is refused. */
 const HOLD_SHARE = 0.45
 
+/** Of the time until a caller leaves a silent stream, the same: the rest is the engine's. */
+const PATIENCE_SHARE = 0.75
+
 /** How long a load takes at least, from the order until a request is sent, milliseconds. */
 const LOAD_MS = 280
 
@@ -192,8 +195,8 @@
 }
 
 function holdEnd(box: BoxServing, arrival: Arrival, limit: number, now: number): number {
-  const patience = Math.min(limit, arrival.route.patienceMs)
-  const share = arrival.weights ? patience * HOLD_SHARE : limit
+  const patience = arrival.route.patienceMs * PATIENCE_SHARE
+  const share = arrival.weights ? Math.min(limit * HOLD_SHARE, patience) : limit
   const hold = hasBackends(box, arrival.service)
     ? share
     : Math.min(limit, arrival.route.targetMs * NO_SERVER_SHARE)
