Leave connections to the store when one goes silent, and end every call in time

A kept connection that went silent cost each call its whole limit of 450 ms, up to eight times in turn; a call that is late by 150 ms now moves all later ones to new connections. Limits of watches were made of AbortSignal.any over AbortSignal.timeout, which node 20.20 may collect: with a forced collection 0 of 20 such limits fired where nothing else referred to them. On the code before, a watch with forced collections did end in time, so that this was the cause of anything seen is not shown; limitTime does not rest on it, also for the etcd client. Ruled out: pipelining (off), the limit of a first connection (600 ms, seen only where the store's box is gone).

--- a/src/adapters/kv-etcd.ts
+++ b/src/adapters/kv-etcd.ts
@@ -8,6 +8,7 @@
   KvPutResult,
   KvStore
 } from "../ports/ports.js"
+import {limitTime} from "../utils/time-limit.js"
 
 export interface EtcdOptions {
   /** Base URL, `http://host:port`. */
@@ -119,16 +120,18 @@
     take: (change: KvChange) => void,
     signal: AbortSignal
   ): Promise<number> {
-    const enough = AbortSignal.timeout(this.options.watchMs)
+    const limit = limitTime(this.options.watchMs, signal)
     let seen = afterRevision
     const note = (change: KvChange): void => {
       seen = Math.max(seen, change.revision)
       take(change)
     }
     try {
-      await this.readWatch(prefix, afterRevision, note, AbortSignal.any([signal, enough]))
+      await this.readWatch(prefix, afterRevision, note, limit.signal)
     } catch (cause) {
-      if (!enough.aborted && !signal.aborted) throw cause
+      if (!limit.isOver() && !signal.aborted) throw cause
+    } finally {
+      limit.clear()
     }
     return seen
   }
--- /dev/null
+++ b/src/core/news-age.ts
@@ -0,0 +1,68 @@
+/**
+ * How old the news of a box may be. News is as old as the reading of the store that it rests on,
+ * whoever read it and whoever passed it on: that no call failed, or that a watch told nothing, says
+ * nothing of its age. Within two seconds of the store's word a box must know that a backend server
+ * leaves. The longest way there, milliseconds:
+ *
+ * | from the store's word until | longest |
+ * | --- | --- |
+ * | the box's news is too old | `OLDEST_MS` 1,300 |
+ * | it looks at that (a tick) | 100 |
+ * | its own list counts as late, and the next one is on a new connection | `LATE_MS` 150 |
+ * | a list, a new connection, or another box's list | 50 |
+ *
+ * That is 1,600; what is left bears one more failure. A leader that reads in time is heard sooner:
+ * after `LIST_MS`, a late list, a tick and a way, 1,200. A send looks at the list of servers once more as
+ * its bytes leave, so that no wait for a connection comes on top.
+ */
+
+/** From one list of a leader, or of a box that lists for itself, to the next, milliseconds. */
+export const LIST_MS = 900
+
+/** A box with older news reads the store itself, milliseconds: `LIST_MS`, a late list of the leader's, a tick. */
+export const OLDEST_MS = 1_300
+
+/**
+ * An answer of the store that takes longer is late, milliseconds: it answers within some ten, and a
+ * connection that went silent shows by nothing else. What is asked again goes over a new one.
+ */
+export const LATE_MS = 150
+
+/** Between two times that a box asks others for what it cannot read itself, milliseconds. */
+export const ASK_PAUSE_MS = 250
+
+/** A box passes on news that is so old at most without reading the store first, milliseconds. */
+export const PASS_ON_MS = 200
+
+/** What the news of a box rests on: the clock of the box at the readings, or before. */
+export interface NewsAge {
+  /** Its own reading, or that of a box that it asked. */
+  readonly readAt: number
+  /** Its leader's. */
+  readonly leaderReadAt: number
+}
+
+/** A box that knows nothing. */
+export function createNewsAge(): NewsAge {
+  return {readAt: -Infinity, leaderReadAt: -Infinity}
+}
+
+/** A reading by the box itself or one that it asked; an older one than is known changes nothing. */
+export function noteReading(age: NewsAge, at: number): NewsAge {
+  return {...age, readAt: Math.max(age.readAt, at)}
+}
+
+/** The leader said how old its reading is. */
+export function noteLeaderReading(age: NewsAge, at: number): NewsAge {
+  return {...age, leaderReadAt: Math.max(age.leaderReadAt, at)}
+}
+
+/** Since the newest reading, milliseconds; Infinity: there was none. */
+export function newsAgeMs({readAt, leaderReadAt}: NewsAge, now: number): number {
+  return now - Math.max(readAt, leaderReadAt)
+}
+
+/** Whether a box need not read the store itself, since its leader does. */
+export function hearsOfLeader({leaderReadAt}: NewsAge, now: number): boolean {
+  return now - leaderReadAt < OLDEST_MS
+}
--- a/src/ports/ports.ts
+++ b/src/ports/ports.ts
@@ -52,13 +52,14 @@
   revokeLease(lease: string): Promise<void>
   /**
    * Changes after a revision, in one waiting call; resolves when the call is over, with the
-   * revision to go on from.
+   * revision to go on from. `waitMs`: how long the call waits at most, where the service takes that.
    */
   watch(
     prefix: string,
     afterRevision: number,
     take: (change: KvChange) => void,
-    signal: AbortSignal
+    signal: AbortSignal,
+    waitMs?: number
   ): Promise<number>
 }
 
--- /dev/null
+++ b/test/store-calls.test.ts
@@ -0,0 +1,90 @@
+/** The platform's store as its client sees it when connections go silent. */
+import {type AddressInfo, createServer, type Socket} from "node:net"
+import {setFlagsFromString} from "node:v8"
+import {runInNewContext} from "node:vm"
+import t from "tap"
+import {connectStore} from "../platform/store.js"
+import {LATE_MS} from "../src/core/news-age.js"
+import type {KvStore} from "../src/ports/ports.js"
+
+setFlagsFromString("--expose-gc")
+const collect = runInNewContext("gc") as () => void
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms))
+
+/** A store whose connections can go silent without being closed. */
+class SilentStore {
+  connections = 0
+  private readonly silent_ = new Set<Socket>()
+  private readonly sockets_ = new Set<Socket>()
+  private readonly server_ = createServer(socket => this.take(socket))
+
+  async listen(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server_.listen(0, "127.0.0.1", () => resolve())
+    )
+    return `127.0.0.1:${(this.server_.address() as AddressInfo).port}`
+  }
+
+  /** The connections that there are say nothing from now on; new ones work. */
+  silence(): void {
+    for (const socket of this.sockets_) this.silent_.add(socket)
+  }
+
+  close(): void {
+    for (const socket of this.sockets_) socket.destroy()
+    this.server_.close()
+  }
+
+  private take(socket: Socket): void {
+    this.connections++
+    this.sockets_.add(socket)
+    socket.on("error", () => undefined)
+    socket.on("data", data => {
+      if (this.silent_.has(socket) || data.includes("/kv-watch")) return
+      const body = JSON.stringify({items: [], more: false, at: 1})
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    })
+  }
+}
+
+async function connect(): Promise<{store: SilentStore; kv: KvStore}> {
+  const store = new SilentStore()
+  const address = await store.listen()
+  return {store, kv: connectStore({address, timeoutMs: 450, watchMs: 300})}
+}
+
+// A limit that only a combined signal refers to may be collected, and then never ends its call.
+t.test("a watch ends in time, whatever is collected meanwhile", async t => {
+  const {store, kv} = await connect()
+  t.teardown(() => store.close())
+  const abort = new AbortController()
+  t.teardown(() => abort.abort())
+  const watch = kv
+    .watch("a/", 0, () => undefined, abort.signal)
+    .then(
+      () => "answered",
+      () => "failed"
+    )
+  for (let i = 0; i < 5; i++) {
+    await sleep(50)
+    collect()
+  }
+  t.equal(await Promise.race([watch, sleep(2_000)]), "failed")
+})
+
+// Each of several kept connections that went silent would have cost a call its whole limit.
+t.test("after a connection that went silent calls go over new ones", async t => {
+  const {store, kv} = await connect()
+  t.teardown(() => store.close())
+  await Promise.all([1, 2, 3].map(() => kv.list("a/")))
+  t.equal(store.connections, 3)
+  store.silence()
+  const late = kv.list("a/").catch(() => "late")
+  await sleep(LATE_MS + 50)
+  const asked = performance.now()
+  t.match(await kv.list("a/"), {entries: []})
+  t.ok(performance.now() - asked < LATE_MS)
+  t.equal(await late, "late")
+})
