--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -1,6 +1,7 @@
 /** Performs what the core decides for callers' requests: sends, answers, aborts. */
 import {randomUUID} from "node:crypto"
 import type {IncomingMessage, ServerResponse} from "node:http"
+import {isUsable} from "../core/backend-list.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving.js"
@@ -165,6 +166,11 @@
       {
         started: abort => {
           if (!current()) return false
+          // It may have left while the request waited for a connection.
+          if (!isUsable(serving().backends, backend.id)) {
+            fail("not-sent")
+            return false
+          }
           started = true
           exchange.abort = abort
           post({type: "started", id, attempt})
