--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -17,7 +17,7 @@
 } from "../core/news-age.js"
 import type {ServingEvent} from "../core/serving.js"
 import type {FleetRecords} from "../ports/fleet-ports.js"
-import type {KvStore} from "../ports/ports.js"
+import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {FleetConfig} from "../types/fleet.js"
 import type {FromLeader, StoreNews} from "../types/box-messages.js"
 import type {Log} from "./log.js"
@@ -48,6 +48,8 @@
   readonly askBoxes: (configVersion: number) => Promise<StoreNews | undefined>
 }
 
+type AdapterVersion = readonly [adapter: string, version: number]
+
 /** What this box had of the store since it read it last. */
 type Trouble =
   | "none"
@@ -68,6 +70,7 @@
   private heardLeader_ = false
   private reading_: Promise<void> | undefined
   private config_: FleetConfig | undefined
+  private readonly versions_ = new Map<string, number>()
 
   constructor(private readonly options_: NewsOptions) {}
 
@@ -142,7 +145,7 @@
         change: (prefix, {key, value}) => {
           if (prefix === records.backendPrefix) {
             this.takeBackend(key.slice(prefix.length), value)
-          } else if (value !== undefined) this.takeOperator(key, value)
+          } else if (value !== undefined) this.takeOperator([{key, value}])
         },
         trouble: (prefix, reason) => this.noteFailure(prefix, reason),
         cut: (prefix, reason) => log("kv-watch-cut", {prefix, reason})
@@ -158,9 +161,7 @@
         records.readBackend(key.slice(prefix.length), value)
       )
       post({type: "backends", records: all, reading: {source: "store", at: askedAt}})
-    } else {
-      for (const {key, value} of entries) this.takeOperator(key, value)
-    }
+    } else this.takeOperator(entries)
     this.listedAt_.set(prefix, askedAt)
     if (this.listedAt_.size < 2) return
     const readAt = Math.min(...this.listedAt_.values())
@@ -207,8 +208,7 @@
     if (this.trouble_ === "store") this.trouble_ = "own"
     post({type: "backends", records, reading: {source: "box", at}})
     if (config) this.takeConfig(config, "box")
-    post({type: "versions", versions})
-    this.options_.learned({t: "versions", versions})
+    this.takeVersions(versions)
     this.age_ = noteReading(this.age_, at)
     read()
   }
@@ -234,7 +234,7 @@
     await new Promise(resolve => setTimeout(resolve, Math.random() * READ_SCATTER_MS))
     try {
       const entry = await kv.get(records.configKey)
-      if (entry) this.takeOperator(entry.key, entry.value)
+      if (entry) this.takeOperator([entry])
     } catch (cause) {
       this.options_.log("kv-trouble", {
         prefix: records.configKey,
@@ -251,14 +251,27 @@
     this.options_.post({type: "backend", id, record, reading})
   }
 
-  private takeOperator(key: string, value: string): void {
-    const {records, post, learned} = this.options_
-    const config = records.readConfig(key, value)
-    if (config) return this.takeConfig(config, "store")
-    const version = records.readVersion(key, value)
-    if (!version) return
-    post({type: "versions", versions: [version]})
-    learned({t: "versions", versions: [version]})
+  private takeOperator(entries: readonly Pick<KvEntry, "key" | "value">[]): void {
+    const {records} = this.options_
+    const versions: AdapterVersion[] = []
+    for (const {key, value} of entries) {
+      const config = records.readConfig(key, value)
+      if (config) this.takeConfig(config, "store")
+      const version = records.readVersion(key, value)
+      if (version) versions.push(version)
+    }
+    this.takeVersions(versions)
+  }
+
+  /** Takes and passes on what is newer than what this box knows: lists tell all, again and again. */
+  private takeVersions(versions: readonly AdapterVersion[]): void {
+    const newer = versions.filter(
+      ([adapter, version]) => version > (this.versions_.get(adapter) ?? -1)
+    )
+    if (newer.length === 0) return
+    for (const [adapter, version] of newer) this.versions_.set(adapter, version)
+    this.options_.post({type: "versions", versions: newer})
+    this.options_.learned({t: "versions", versions: newer})
   }
 
   private takeConfig(config: FleetConfig, from: "store" | "box" | "leader"): void {
@@ -272,7 +285,6 @@
 
   /** Takes news of the leader; true when the message was such. */
   takeNews(message: FromLeader): boolean {
-    const {post} = this.options_
     switch (message.t) {
       case "config":
         this.takeConfig(message.config, "leader")
@@ -281,7 +293,7 @@
         void this.readNamed(message.version)
         return true
       case "versions":
-        post({type: "versions", versions: message.versions})
+        this.takeVersions(message.versions)
         return true
       case "backends":
         this.takeLeaderBackends(message)
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -71,7 +71,7 @@
 /** Between ticks, milliseconds: while news for the leader's plan waits, while requests do, otherwise. */
 const PLAN_TICK_MS = 3
 const WAITING_TICK_MS = 20
-const IDLE_TICK_MS = 100
+export const IDLE_TICK_MS = 100
 
 /** How long after a tick the next is due. */
 export function nextTickMs({serving, fleet}: RoutedState): number {
