--- /dev/null
+++ b/src/adapters/leader-tie.ts
@@ -0,0 +1,157 @@
+/** A box's tie to its leader: the link, and what the leader tells over it. */
+import type {RoutedEvent} from "../core/serving.js"
+import type {KvStore} from "../ports/ports.js"
+import type {FromLeader, LeaderRecord, ToLeader} from "../types/box-messages.js"
+import {pingMs} from "./box-hub.js"
+import {LeaderLink} from "./box-links.js"
+import type {Log} from "./log.js"
+import type {NewsHelp} from "./news-help.js"
+import type {NewsSource} from "./news-source.js"
+
+/** A link on which the leader says nothing for so long is given up, milliseconds. */
+const LINK_SILENCE_MS = 1_200
+
+/** The same where pings are far between, in pings. */
+const SILENT_PINGS = 3
+
+export interface LeaderTieOptions {
+  /** This box, as other boxes know it. */
+  readonly self: LeaderRecord
+  /** When its process started. */
+  readonly startedAt: number
+  readonly kv: KvStore
+  readonly news: NewsSource
+  readonly help: NewsHelp
+  readonly post: (event: RoutedEvent) => void
+  readonly boxes: () => number
+  /** The box stops: it follows nobody new. */
+  readonly closed: () => boolean
+  /** The leader told a configuration. */
+  readonly configured: () => void
+  /** The link to a leader that had answered is down. */
+  readonly lost: () => void
+  /** So long ago the processes of half of the boxes had started, milliseconds. */
+  readonly pinged: (medianAgeMs: number) => void
+  readonly log: Log
+}
+
+export class LeaderTie {
+  private link_: LeaderLink | undefined
+  private leader_: LeaderRecord | undefined
+  private linked_ = false
+  private pongAt_ = 0
+
+  constructor(private readonly options_: LeaderTieOptions) {}
+
+  /** Whom this box follows, or tries to. */
+  get leader(): LeaderRecord | undefined {
+    return this.leader_
+  }
+
+  /** Whether the leader has answered on the link. */
+  get linked(): boolean {
+    return this.linked_
+  }
+
+  send(message: ToLeader): void {
+    this.link_?.send(message)
+  }
+
+  close(): void {
+    this.link_?.close()
+  }
+
+  /** Gives a silent link up, and says from time to time that this box lives. */
+  tick(now: number, leading: boolean): void {
+    const every = pingMs(this.options_.boxes())
+    const silence = Math.max(LINK_SILENCE_MS, SILENT_PINGS * every)
+    if (this.link_ && this.link_.silentMs > silence) this.link_.close()
+    if (leading || now < this.pongAt_) return
+    this.pongAt_ = now + every
+    this.send({t: "pong"})
+  }
+
+  /** Links to a leader, unless there is a link already. */
+  follow(leader: LeaderRecord): void {
+    const {closed, help, log, lost, post} = this.options_
+    if (this.link_ || closed()) return
+    this.leader_ = leader
+    help.learn([leader.address])
+    const link = new LeaderLink(leader.address, this.hello(), {
+      down: () => {
+        if (this.link_ === link) this.link_ = undefined
+        if (this.leader_ === leader) this.leader_ = undefined
+        const wasLinked = this.linked_
+        this.linked_ = false
+        if (!wasLinked) return
+        log("leader-lost", {leader: leader.box})
+        lost()
+      },
+      message: message => {
+        if (!this.linked_) {
+          this.linked_ = true
+          log("leader-linked", {leader: leader.box})
+          post({type: "leader-new"})
+        }
+        this.take(message)
+      }
+    })
+    this.link_ = link
+  }
+
+  private hello(): ToLeader {
+    const {self, news, startedAt} = this.options_
+    return {
+      t: "hello",
+      box: self.box,
+      incarnation: self.incarnation,
+      configVersion: news.config?.version ?? -1,
+      ageMs: Math.round(performance.now() - startedAt),
+      address: self.address
+    }
+  }
+
+  private take(message: FromLeader): void {
+    const {news, post, configured} = this.options_
+    if (news.takeNews(message)) {
+      if (message.t === "config") configured()
+      return
+    }
+    switch (message.t) {
+      case "renew":
+        return void this.renew(message.ask, message.lease)
+      case "engines":
+        return post({type: "engines", engines: message.engines})
+      case "places":
+        return post({type: "places", changes: message.changes})
+      case "loads":
+        return post({type: "loads", loads: message.loads})
+      case "refuse": {
+        const {request, retryAfterMs} = message
+        return post({type: "refuse", request, retryAfterMs})
+      }
+      case "ping":
+        return this.takePing(message)
+    }
+  }
+
+  private takePing(ping: Extract<FromLeader, {t: "ping"}>): void {
+    const {news, help, post, pinged} = this.options_
+    pinged(ping.medianAgeMs)
+    post({type: "orders", led: true, inMs: ping.ordersInMs})
+    news.heardLeader(ping.newsAgeMs, performance.now())
+    help.learn(ping.others)
+    post({type: "boxes", boxes: ping.boxes})
+  }
+
+  /** Renews the leader's lease, which the store does not let it renew itself. */
+  private async renew(ask: number, lease: string): Promise<void> {
+    const {kv, log} = this.options_
+    try {
+      const known = await kv.keepAlive(lease)
+      this.send({t: "renewed", ask, known})
+    } catch (cause) {
+      log("lease-not-helped", {reason: (cause as Error).message})
+    }
+  }
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -22,18 +22,13 @@
 import {KvUnavailable} from "../errors.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
-import type {
-  FromLeader,
-  LeaderRecord,
-  StoreNews,
-  ToLeader
-} from "../types/box-messages.js"
+import type {LeaderRecord, StoreNews} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
-import {BoxHub, pingMs} from "./box-hub.js"
-import {LeaderLink} from "./box-links.js"
+import {BoxHub} from "./box-hub.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection} from "./leader-election.js"
+import {LeaderTie} from "./leader-tie.js"
 import type {Log} from "./log.js"
 import {startLoop} from "./loop.js"
 import type {Metrics} from "./metrics.js"
@@ -45,7 +40,8 @@
 import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
-const LINK_SILENCE_MS = 1_200
+/** A turn of the clock that comes later by so much means that the process stood still, milliseconds. */
+const PAUSED_MS = 1_200
 /** Off the lease of the leader: clock rates, and an order's way. */
 const LEASE_MARGIN_MS = 200
 /** The age of news that metrics tell at most; also where there is none. */
@@ -82,19 +78,15 @@
   private readonly election_: LeaderElection
   private readonly leadershipOptions_: LeadershipOptions
   private readonly self_: LeaderRecord
-  /** Whom this box is linked to, or tries to be. */
-  private leader_: LeaderRecord | undefined
+  private readonly tie_: LeaderTie
   private readonly help_: NewsHelp
   private hub_: BoxHub | undefined
-  private link_: LeaderLink | undefined
-  private linked_ = false
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
   private readonly uses_ = new UseCounts()
   private readonly startedAt_ = performance.now()
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
-  private pingAt_ = 0
   /** The servers for which pools were kept last. */
   private pooledFor_: unknown
   private lastTickAt_ = performance.now()
@@ -162,14 +154,30 @@
         this.hub_?.tellLearned(message)
       },
       startedAt: performance.now(),
-      askLeader: () => this.link_?.send({t: "ask-config"}),
+      askLeader: () => this.tie_.send({t: "ask-config"}),
       askAll: () => {
         const configVersion = this.news_.config?.version ?? -1
-        this.link_?.send({t: "ask-all", configVersion})
+        this.tie_.send({t: "ask-all", configVersion})
       },
       read: () => this.hub_?.tellReading(performance.now()),
       askBoxes: configVersion => this.askBoxes(configVersion)
     })
+    this.tie_ = new LeaderTie({
+      self: this.self_,
+      startedAt: this.startedAt_,
+      kv,
+      news: this.news_,
+      help: this.help_,
+      post,
+      boxes: () => serving.boxes,
+      closed: () => this.stopping_,
+      configured: () => this.applyLimits(),
+      lost: () => {
+        if (!this.leading) this.expectTakeover()
+      },
+      pinged: medianAgeMs => (this.medianStartAt_ = performance.now() - medianAgeMs),
+      log
+    })
     this.driver_ = new EngineDriver({
       dialect,
       pools: this.relay_.pools,
@@ -188,7 +196,7 @@
       {
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
-        found: leader => this.linkTo(leader),
+        found: leader => this.tie_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
         renewElsewhere: lease => this.renewElsewhere(lease),
@@ -228,7 +236,7 @@
         post: this.loop_.post,
         news: this.news_,
         leadership: this.election_.leadership,
-        leader: () => (this.leading ? this.self_ : this.leader_),
+        leader: () => (this.leading ? this.self_ : this.tie_.leader),
         met: (addresses: readonly string[]) => this.help_.learn(addresses),
         log
       }
@@ -274,7 +282,7 @@
       await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
     this.news_.stopFollowing()
-    this.link_?.close()
+    this.tie_.close()
     this.hub_?.close()
     log("stopped", {open: this.relay_.open})
     this.finish_()
@@ -290,19 +298,16 @@
     const now = performance.now()
     const gap = now - this.lastTickAt_
     this.lastTickAt_ = now
-    if (gap > LINK_SILENCE_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
+    if (gap > PAUSED_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
     this.election_.check()
     const leading = this.election_.leadership.fence !== undefined
-    if (this.link_ && this.link_.silentMs > this.linkSilenceMs()) this.link_.close()
-    this.election_.settle(this.linked_)
+    this.tie_.tick(now, leading)
+    this.election_.settle(this.tie_.linked)
     this.news_.choose(leading, now)
     this.dropPools()
     if (leading) {
       this.hub_?.pingIfDue(now)
       this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
-    } else if (now >= this.pingAt_) {
-      this.pingAt_ = now + pingMs(this.loop_.state().serving.boxes)
-      this.link_?.send({t: "pong"})
     }
     return mayOrder(this.election_.leadership, now)
   }
@@ -316,10 +321,6 @@
     this.relay_.pools.keep(new Set([...ids, ...ids.map(orderPool)]))
   }
 
-  private linkSilenceMs(): number {
-    return Math.max(LINK_SILENCE_MS, 3 * pingMs(this.loop_.state().serving.boxes))
-  }
-
   private fence(): number | undefined {
     const {leadership} = this.election_
     return mayOrder(leadership, performance.now()) ? leadership.fence : undefined
@@ -329,7 +330,7 @@
     const {orderFrom} = this.election_.leadership
     const waitMs = Math.round(orderFrom - performance.now())
     this.context_.log("leading", {fence, waitMs})
-    this.link_?.close()
+    this.tie_.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
     this.loop_.post({type: "leader-new"})
@@ -348,20 +349,11 @@
     return this.hub_.renewLease(lease)
   }
 
-  private async renewForLeader(ask: number, lease: string): Promise<void> {
-    try {
-      const known = await this.context_.kv.keepAlive(lease)
-      this.link_?.send({t: "renewed", ask, known})
-    } catch (cause) {
-      this.context_.log("lease-not-helped", {reason: (cause as Error).message})
-    }
-  }
-
   /** Has another box read the store, and learns from it who leads. */
   private async askBoxes(configVersion: number): Promise<StoreNews | undefined> {
     const news = await this.help_.ask(configVersion)
     if (news?.leader && news.leader.incarnation !== this.incarnation_ && !this.leading) {
-      this.linkTo(news.leader)
+      this.tie_.follow(news.leader)
     }
     return news
   }
@@ -372,62 +364,6 @@
     this.loop_.post({type: "orders", led: false, inMs})
   }
 
-  private linkTo(leader: LeaderRecord): void {
-    if (this.link_ || this.stopping_) return
-    const {log, settings} = this.context_
-    this.leader_ = leader
-    this.help_.learn([leader.address])
-    const hello: ToLeader = {
-      t: "hello",
-      box: settings.box,
-      incarnation: this.incarnation_,
-      configVersion: this.news_.config?.version ?? -1,
-      ageMs: Math.round(performance.now() - this.startedAt_),
-      address: settings.boxes
-    }
-    const link = new LeaderLink(leader.address, hello, {
-      down: () => {
-        if (this.link_ === link) this.link_ = undefined
-        if (this.leader_ === leader) this.leader_ = undefined
-        if (this.linked_) log("leader-lost", {leader: leader.box})
-        if (this.linked_ && !this.leading) this.expectTakeover()
-        this.linked_ = false
-      },
-      message: message => {
-        if (!this.linked_) {
-          this.linked_ = true
-          log("leader-linked", {leader: leader.box})
-          this.loop_.post({type: "leader-new"})
-        }
-        this.takeLeader(message)
-      }
-    })
-    this.link_ = link
-  }
-
-  private takeLeader(message: FromLeader): void {
-    const {post} = this.loop_
-    if (this.news_.takeNews(message)) {
-      if (message.t === "config") this.applyLimits()
-      return
-    }
-    if (message.t === "renew") void this.renewForLeader(message.ask, message.lease)
-    else if (message.t === "engines") post({type: "engines", engines: message.engines})
-    else if (message.t === "places") post({type: "places", changes: message.changes})
-    else if (message.t === "loads") post({type: "loads", loads: message.loads})
-    else if (message.t === "refuse") {
-      const {request, retryAfterMs} = message
-      post({type: "refuse", request, retryAfterMs})
-    } else if (message.t === "ping") {
-      const {newsAgeMs, boxes, ordersInMs, medianAgeMs, others} = message
-      this.medianStartAt_ = performance.now() - medianAgeMs
-      post({type: "orders", led: true, inMs: ordersInMs})
-      this.news_.heardLeader(newsAgeMs, performance.now())
-      this.help_.learn(others)
-      post({type: "boxes", boxes})
-    }
-  }
-
   private perform(effect: RoutedEffect): void {
     switch (effect.type) {
       case "note":
@@ -436,12 +372,12 @@
       case "need":
         if (this.leading) {
           this.loop_.post({type: "need", box: this.incarnation_, need: effect.need})
-        } else this.link_?.send({t: "need", need: effect.need})
+        } else this.tie_.send({t: "need", need: effect.need})
         return
       case "drop":
         if (this.leading) {
           this.loop_.post({type: "drop", box: this.incarnation_, request: effect.request})
-        } else this.link_?.send({t: "drop", request: effect.request})
+        } else this.tie_.send({t: "drop", request: effect.request})
         return
       case "use":
         if (this.uses_.add(effect.change)) this.flushUsesLater()
@@ -449,7 +385,7 @@
       case "missing": {
         const {engine, adapter, late} = effect
         if (this.leading) this.loop_.post({type: "missing", engine, adapter, late})
-        else this.link_?.send({t: "missing", engine, adapter, late})
+        else this.tie_.send({t: "missing", engine, adapter, late})
         return
       }
       case "order":
@@ -486,7 +422,7 @@
     const changes = this.uses_.drain()
     if (changes.length === 0) return
     if (this.leading) this.loop_.post({type: "uses", box: this.incarnation_, changes})
-    else this.link_?.send({t: "use", changes})
+    else this.tie_.send({t: "use", changes})
   }
 
   /** Applies the callers' limits of the configuration. */
