Ask no more of a store that fails all boxes

Asked boxes read the store for others though their own calls failed, late lists were asked twice in an outage, and asks came every 250 ms for as long as it lasted.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -205,14 +205,10 @@
   limitMs: number
 ): Promise<StoreNews | undefined> {
   return new Promise(resolve => {
-    const socket = new WebSocket(`ws://${address}`, {
-      perMessageDeflate: false,
-      maxPayload: MAX_MESSAGE_BYTES
-    })
-    const read = (value: unknown): FromLeader => value as FromLeader
+    const socket = openSocket(address)
     const link = new BoxLink<ToLeader, FromLeader>(
       socket,
-      read,
+      trustBox,
       message => {
         if (message.t === "news") resolve(message)
         link.close()
@@ -227,6 +223,18 @@
   })
 }
 
+function openSocket(address: string): WebSocket {
+  return new WebSocket(`ws://${address}`, {
+    perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES
+  })
+}
+
+/** Addresses of boxes come from the leader's key in the store, or from a leader: their word is taken. */
+function trustBox(value: unknown): FromLeader {
+  return value as FromLeader
+}
+
 export interface LeaderLinkEvents {
   readonly message: (message: FromLeader) => void
   readonly down: () => void
@@ -242,13 +250,8 @@
     hello: ToLeader,
     events: LeaderLinkEvents
   ) {
-    const socket = new WebSocket(`ws://${address}`, {
-      perMessageDeflate: false,
-      maxPayload: MAX_MESSAGE_BYTES
-    })
-    // The leader was found by its key in the store: its word is taken.
-    const read = (value: unknown): FromLeader => value as FromLeader
-    this.link_ = new BoxLink(socket, read, events.message, () => {
+    const socket = openSocket(address)
+    this.link_ = new BoxLink(socket, trustBox, events.message, () => {
       clearTimeout(this.timer_)
       events.down()
     })
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -5,7 +5,7 @@
  */
 import type {Reading} from "../core/backend-list.js"
 import {
-  ASK_PAUSE_MS,
+  askPauseMs,
   createNewsAge,
   hearsOfLeader,
   LIST_MS,
@@ -16,6 +16,7 @@
   PASS_ON_MS
 } from "../core/news-age.js"
 import type {ServingEvent} from "../core/serving.js"
+import {KvUnavailable} from "../errors.js"
 import type {FleetRecords} from "../ports/fleet-ports.js"
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {FleetConfig} from "../types/fleet.js"
@@ -67,6 +68,8 @@
   private readonly listedAt_ = new Map<string, number>()
   private trouble_: Trouble = "none"
   private askAt_ = -Infinity
+  /** Asks in turn that brought nothing. */
+  private vainAsks_ = 0
   private heardLeader_ = false
   private reading_: Promise<void> | undefined
   private config_: FleetConfig | undefined
@@ -167,6 +170,7 @@
     const readAt = Math.min(...this.listedAt_.values())
     if (readAt <= this.age_.readAt) return
     this.age_ = noteReading(this.age_, readAt)
+    this.vainAsks_ = 0
     if (this.trouble_ !== "none") log("kv-back")
     if (this.trouble_ === "store") post({type: "store-back"})
     this.trouble_ = "none"
@@ -191,15 +195,16 @@
   private seekHelp(now: number): void {
     this.noteOutage(now)
     if (now < this.askAt_ || this.ownAgeMs(now) < LIST_MS) return
-    this.askAt_ = now + ASK_PAUSE_MS
+    this.askAt_ = now + askPauseMs(this.vainAsks_)
+    this.vainAsks_++
     void this.takeHelp(now)
   }
 
   private async takeHelp(askedAt: number): Promise<void> {
     const {askBoxes, post, read, log} = this.options_
     const news = await askBoxes(this.config_?.version ?? -1)
-    if (!this.follower_) return
-    if (!news) return
+    if (!this.follower_ || !news) return
+    this.vainAsks_ = 0
     const {ageMs, records, config, versions} = news
     const at = askedAt - ageMs
     if (at <= this.age_.readAt) return
@@ -213,9 +218,14 @@
     read()
   }
 
-  /** Has news that is new enough to pass on; reads the store for it if need be. */
+  /**
+   * Has news that is new enough to pass on; reads the store for it if need be. Rejects where it
+   * cannot: a box whose own calls fail does not add to them for others, who are in the same outage.
+   */
   async refresh(): Promise<void> {
-    if (this.ageMs(performance.now()) <= PASS_ON_MS) return
+    const now = performance.now()
+    if (this.ageMs(now) <= PASS_ON_MS) return
+    if (this.follower_?.isFailing(now)) throw new KvUnavailable("its own calls fail")
     this.reading_ ??= this.readOnce().finally(() => (this.reading_ = undefined))
     await this.reading_
   }
@@ -223,7 +233,7 @@
   private async readOnce(): Promise<void> {
     const {kv, records} = this.options_
     const prefixes = [records.operatorPrefix, records.backendPrefix]
-    const listings = await Promise.all(prefixes.map(prefix => listAll(kv, prefix)))
+    const listings = await Promise.all(prefixes.map(prefix => listAll(kv, prefix, true)))
     listings.forEach((listing, i) => this.takeListing(prefixes[i] ?? "", listing))
   }
 
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -71,7 +71,7 @@
     while (!signal.aborted) {
       const end = performance.now() + LIST_MS
       try {
-        const revision = await this.list(prefix)
+        const revision = await this.list(prefix, failures === 0)
         failures = 0
         if (this.watches_) await this.watchUntil(prefix, revision, end)
         else await pause(end - performance.now())
@@ -85,10 +85,10 @@
     }
   }
 
-  private async list(prefix: string): Promise<number> {
+  private async list(prefix: string, again: boolean): Promise<number> {
     this.asking_.set(prefix, performance.now())
     try {
-      const listing = await listAll(this.kv_, prefix)
+      const listing = await listAll(this.kv_, prefix, again)
       this.failed_.delete(prefix)
       if (!this.abort_.signal.aborted) this.events_.list(prefix, listing)
       return listing.revision
@@ -125,15 +125,23 @@
   }
 }
 
-/** All keys of a prefix; a page whose answer is late is asked for once more. */
-export async function listAll(kv: KvStore, prefix: string): Promise<Listing> {
+/**
+ * All keys of a prefix. `again`: a page whose answer is late is asked for once more; where calls fail
+ * already that would only add to them.
+ */
+export async function listAll(
+  kv: KvStore,
+  prefix: string,
+  again: boolean
+): Promise<Listing> {
   const askedAt = performance.now()
   const entries: KvEntry[] = []
   let first: number | undefined
   let after: string | undefined
   for (let page = 0; page < PAGE_LIMIT; page++) {
     const from = after
-    const answer = await askAgainAfter(LATE_MS, () => kv.list(prefix, from))
+    const ask = (): ReturnType<KvStore["list"]> => kv.list(prefix, from)
+    const answer = await (again ? askAgainAfter(LATE_MS, ask) : ask())
     // Pages are no snapshot: what changed since the first is told by the watch once more.
     first ??= answer.revision
     entries.push(...answer.entries)
--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -28,8 +28,14 @@
  */
 export const LATE_MS = 150
 
-/** Between two times that a box asks others for what it cannot read itself, milliseconds. */
-export const ASK_PAUSE_MS = 250
+/** Between two times that a box asks others for what it cannot read itself, at first and at most, milliseconds. */
+const ASK_PAUSE_MS = 250
+const LONGEST_ASK_PAUSE_MS = 1_000
+
+/** The pause after an ask, by how many in turn brought nothing: in an outage all boxes ask all others. */
+export function askPauseMs(vainAsks: number): number {
+  return Math.min(LONGEST_ASK_PAUSE_MS, ASK_PAUSE_MS * 2 ** vainAsks)
+}
 
 /** A box passes on news that is so old at most without reading the store first, milliseconds. */
 export const PASS_ON_MS = 200
