--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -130,3 +130,22 @@
   t.same(statuses, [200, 200, 200, 200])
   t.ok(lastBeganMs(bed, worker) <= LIMIT_MS, `last ${lastBeganMs(bed, worker)} ms after`)
 })
+
+/** What boxes ask of a store that refuses or answers none of them: retries of two lists and the looks for a leader. */
+const MOST_CALLS_PER_S = 15
+
+// Boxes asked each other to read a store that failed all of them: 29 calls a second each, three times what a box alone asks.
+t.test("boxes ask little more of a store that fails them all", async t => {
+  const bed = await PlatformBed.start({boxes: 4, engines: 1})
+  t.teardown(() => bed.stop())
+  for (const faults of [{refusing: true}, {silent: true}]) {
+    bed.store.faults = faults
+    await sleep(1_500)
+    const before = bed.store.calls
+    await sleep(2_000)
+    const perS = (bed.store.calls - before) / 2 / bed.boxes.length
+    t.ok(perS < MOST_CALLS_PER_S, `${JSON.stringify(faults)}: ${perS} a second each`)
+    bed.store.faults = {}
+    await sleep(1_500)
+  }
+})
