--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -217,6 +217,18 @@
   t.same(subject.pass(1).told(), ["end not-run"])
 })
 
+// Such requests were cut, unanswered, when their box had to be gone.
+t.test("a box that stops keeps new requests waiting no longer than it can", async t => {
+  const subject = new Subject()
+  stopServing(subject.box, subject.now)
+  t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
+  t.same(subject.pass(499).told(), [])
+  t.same(subject.pass(1).told(), ["end not-run"])
+  subject.now += 2_001
+  const late = subject.arrive(ROUTE, {id: "late"})
+  t.same(late.told(), ["end not-run"], "not even a send: it might outlast the box")
+})
+
 t.test("an older version serves for a moment after a newer one was named", async t => {
   const subject = new Subject()
   takePicture(subject.box, engines(), subject.now)
