Pass on news that a leader's reading keeps new without reading for each ask

Cause: boxes that the store turned away, without a leader for a moment, had the boxes they asked list the store up to five times a second each.

--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -37,8 +37,13 @@
   return Math.min(LONGEST_ASK_PAUSE_MS, ASK_PAUSE_MS * 2 ** vainAsks)
 }
 
-/** A box passes on news that is so old at most without reading the store first, milliseconds. */
-export const PASS_ON_MS = 200
+/**
+ * A box that is asked passes on news that is so old at most without reading the store, milliseconds:
+ * one that hears of a leader that reads in time never needs to. Were it to read for each ask, boxes
+ * that are turned away would have all others read, some ten calls a second each. Who asked asks
+ * again after `ASK_PAUSE_MS` and is told what was read meanwhile.
+ */
+export const PASS_ON_MS = LIST_MS + LATE_MS
 
 /** What the news of a box rests on: the clock of the box at the readings, or before. */
 export interface NewsAge {
