--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -15,32 +15,18 @@
   OLDEST_MS,
   PASS_ON_MS
 } from "../core/news-age.js"
-import type {ServingEvent} from "../core/serving.js"
 import {KvUnavailable} from "../errors.js"
-import type {FleetRecords} from "../ports/fleet-ports.js"
-import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {FleetConfig} from "../types/fleet.js"
 import type {FromLeader, StoreNews} from "../types/box-messages.js"
-import type {Log} from "./log.js"
+import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
 import {listAll, type Listing, StoreFollower} from "./store-follower.js"
 
 /** A box that starts gives itself so long to find a leader that tells it the news, milliseconds. */
 const START_MS = 600
 
-/** A configuration that was named is read within this time, by each box at another moment. */
-const READ_SCATTER_MS = 250
-
-export interface NewsOptions {
-  readonly kv: KvStore
-  readonly records: FleetRecords
-  readonly post: (event: ServingEvent) => void
-  readonly log: Log
-  /** Configuration and versions learned from the store, for a leader to pass on. */
-  readonly learned: (message: FromLeader) => void
-  /** The news of this box, which reads the store for others, is newer than before. */
-  readonly read: () => void
-  /** Asks the leader for the configuration that it named. */
-  readonly askLeader: () => void
+export interface NewsOptions extends OperatorNewsOptions {
+  /** The news of this box is newer than before, by its own reading or another box's. */
+  readonly renewed: () => void
   /** When the process started, by the clock of `choose`. */
   readonly startedAt: number
   /** Asks the leader for all it knows. */
@@ -49,15 +35,13 @@
   readonly askBoxes: (configVersion: number) => Promise<StoreNews | undefined>
 }
 
-type AdapterVersion = readonly [adapter: string, version: number]
-
 /** What this box had of the store since it read it last. */
 type Trouble =
   | "none"
-  /** Its calls failed, and nobody could read the store for it. */
-  | "store"
-  /** Its calls failed, but other boxes read the store for it. */
+  /** Its calls failed; others may be served. */
   | "own"
+  /** Nobody has read the store for it since its news grew old: the store may be away for all. */
+  | "store"
 
 export class NewsSource {
   private follower_: StoreFollower | undefined
@@ -72,13 +56,14 @@
   private vainAsks_ = 0
   private heardLeader_ = false
   private reading_: Promise<void> | undefined
-  private config_: FleetConfig | undefined
-  private readonly versions_ = new Map<string, number>()
+  private readonly operator_: OperatorNews
 
-  constructor(private readonly options_: NewsOptions) {}
+  constructor(private readonly options_: NewsOptions) {
+    this.operator_ = new OperatorNews(options_)
+  }
 
   get config(): FleetConfig | undefined {
-    return this.config_
+    return this.operator_.config
   }
 
   /** Since the store was read for what this box knows, milliseconds; Infinity: it never was. */
@@ -148,7 +133,7 @@
         change: (prefix, {key, value}) => {
           if (prefix === records.backendPrefix) {
             this.takeBackend(key.slice(prefix.length), value)
-          } else if (value !== undefined) this.takeOperator([{key, value}])
+          } else if (value !== undefined) this.operator_.takeEntries([{key, value}])
         },
         trouble: (prefix, reason) => this.noteFailure(prefix, reason),
         cut: (prefix, reason) => log("kv-watch-cut", {prefix, reason})
@@ -157,14 +142,14 @@
   }
 
   private takeListing(prefix: string, {entries, askedAt}: Listing): void {
-    const {records, post, read, log} = this.options_
+    const {records, post, renewed, log} = this.options_
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
     if (prefix === records.backendPrefix) {
       const all = entries.map(({key, value}) =>
         records.readBackend(key.slice(prefix.length), value)
       )
       post({type: "backends", records: all, reading: {source: "store", at: askedAt}})
-    } else this.takeOperator(entries)
+    } else this.operator_.takeEntries(entries)
     this.listedAt_.set(prefix, askedAt)
     if (this.listedAt_.size < 2) return
     const readAt = Math.min(...this.listedAt_.values())
@@ -174,7 +159,7 @@
     if (this.trouble_ !== "none") log("kv-back")
     if (this.trouble_ === "store") post({type: "store-back"})
     this.trouble_ = "none"
-    read()
+    renewed()
   }
 
   private noteFailure(prefix: string, reason: string): void {
@@ -201,21 +186,23 @@
   }
 
   private async takeHelp(askedAt: number): Promise<void> {
-    const {askBoxes, post, read, log} = this.options_
-    const news = await askBoxes(this.config_?.version ?? -1)
+    const {askBoxes, post, renewed, log} = this.options_
+    const news = await askBoxes(this.operator_.configVersion)
     if (!this.follower_ || !news) return
     this.vainAsks_ = 0
     const {ageMs, records, config, versions} = news
     const at = askedAt - ageMs
     if (at <= this.age_.readAt) return
     log("news-from-box", {ageMs: Math.round(performance.now() - at)})
-    if (this.trouble_ === "store") post({type: "store-served"})
-    if (this.trouble_ === "store") this.trouble_ = "own"
+    if (this.trouble_ === "store") {
+      post({type: "store-served"})
+      this.trouble_ = "own"
+    }
     post({type: "backends", records, reading: {source: "box", at}})
-    if (config) this.takeConfig(config, "box")
-    this.takeVersions(versions)
+    if (config) this.operator_.takeConfig(config, "box")
+    this.operator_.takeVersions(versions)
     this.age_ = noteReading(this.age_, at)
-    read()
+    renewed()
   }
 
   /**
@@ -237,23 +224,6 @@
     listings.forEach((listing, i) => this.takeListing(prefixes[i] ?? "", listing))
   }
 
-  /** Reads a configuration that the leader named; a box that cannot asks the leader for it. */
-  private async readNamed(version: number): Promise<void> {
-    const {kv, records, askLeader} = this.options_
-    if (version <= (this.config_?.version ?? -1)) return
-    await new Promise(resolve => setTimeout(resolve, Math.random() * READ_SCATTER_MS))
-    try {
-      const entry = await kv.get(records.configKey)
-      if (entry) this.takeOperator([entry])
-    } catch (cause) {
-      this.options_.log("kv-trouble", {
-        prefix: records.configKey,
-        reason: (cause as Error).message
-      })
-    }
-    if (version > (this.config_?.version ?? -1)) askLeader()
-  }
-
   private takeBackend(id: string, value: string | undefined): void {
     const record =
       value === undefined ? undefined : this.options_.records.readBackend(id, value)
@@ -261,49 +231,17 @@
     this.options_.post({type: "backend", id, record, reading})
   }
 
-  private takeOperator(entries: readonly Pick<KvEntry, "key" | "value">[]): void {
-    const {records} = this.options_
-    const versions: AdapterVersion[] = []
-    for (const {key, value} of entries) {
-      const config = records.readConfig(key, value)
-      if (config) this.takeConfig(config, "store")
-      const version = records.readVersion(key, value)
-      if (version) versions.push(version)
-    }
-    this.takeVersions(versions)
-  }
-
-  /** Takes and passes on what is newer than what this box knows: lists tell all, again and again. */
-  private takeVersions(versions: readonly AdapterVersion[]): void {
-    const newer = versions.filter(
-      ([adapter, version]) => version > (this.versions_.get(adapter) ?? -1)
-    )
-    if (newer.length === 0) return
-    for (const [adapter, version] of newer) this.versions_.set(adapter, version)
-    this.options_.post({type: "versions", versions: newer})
-    this.options_.learned({t: "versions", versions: newer})
-  }
-
-  private takeConfig(config: FleetConfig, from: "store" | "box" | "leader"): void {
-    if (config.version <= (this.config_?.version ?? -1)) return
-    const {post, learned, log} = this.options_
-    this.config_ = config
-    log("config-applied", {version: config.version, routes: config.routes.length, from})
-    post({type: "config", config})
-    if (from !== "leader") learned({t: "config", config})
-  }
-
   /** Takes news of the leader; true when the message was such. */
   takeNews(message: FromLeader): boolean {
     switch (message.t) {
       case "config":
-        this.takeConfig(message.config, "leader")
+        this.operator_.takeConfig(message.config, "leader")
         return true
       case "config-named":
-        void this.readNamed(message.version)
+        void this.operator_.readNamed(message.version)
         return true
       case "versions":
-        this.takeVersions(message.versions)
+        this.operator_.takeVersions(message.versions)
         return true
       case "backends":
         this.takeLeaderBackends(message)
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -159,7 +159,7 @@
         const configVersion = this.news_.config?.version ?? -1
         this.tie_.send({t: "ask-all", configVersion})
       },
-      read: () => this.hub_?.tellReading(performance.now()),
+      renewed: () => this.hub_?.tellReading(performance.now()),
       askBoxes: configVersion => this.askBoxes(configVersion)
     })
     this.tie_ = new LeaderTie({
--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -35,7 +35,7 @@
     log: () => undefined,
     learned: () => undefined,
     startedAt: 0,
-    read: () => undefined,
+    renewed: () => undefined,
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
     askAll: () => asked++
@@ -63,7 +63,7 @@
     log: () => undefined,
     learned: () => undefined,
     startedAt: 0,
-    read: () => undefined,
+    renewed: () => undefined,
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
     askAll: () => undefined
@@ -86,7 +86,7 @@
     log: () => undefined,
     learned: () => undefined,
     startedAt: 0,
-    read: () => undefined,
+    renewed: () => undefined,
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
     askAll: () => undefined
@@ -192,7 +192,7 @@
     log: () => undefined,
     learned: () => undefined,
     startedAt: -10_000,
-    read: () => undefined,
+    renewed: () => undefined,
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
     askAll: () => undefined
