--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -159,7 +159,9 @@
 
 t.test("the time of the route or of the caller ends a request at once", async t => {
   const slow: Route = {...ROUTE, kind: "unsafe"}
-  t.same(new Subject().arrive(slow).start().pass(4_000).told(), ["abort", "end timeout"])
+  const short: Route = {...slow, timeoutMs: 700}
+  t.same(new Subject().arrive(short).start().pass(699).told(), [])
+  t.same(new Subject().arrive(short).start().pass(700).told(), ["abort", "end timeout"])
   t.same(new Subject().arrive(slow, {deadlineMs: 500}).start().pass(500).told(), [
     "abort",
     "end timeout"
@@ -229,6 +231,25 @@
   t.same(late.told(), ["end not-run"], "not even a send: it might outlast the box")
 })
 
+t.test("a server that leaves gets no request, the only one neither", async t => {
+  const subject = new Subject()
+  const leave = (ids: readonly string[]): void => {
+    const records = ["one", "two"].map(id => ({...record(id), leaving: ids.includes(id)}))
+    const reading = {source: "store" as const, at: subject.now}
+    subject.box.backends = takeBackends(
+      subject.box.backends,
+      records,
+      reading,
+      subject.now
+    )
+  }
+  leave(["one"])
+  const sent = subject.arrive(ROUTE).effects.find(effect => effect.type === "send")
+  t.match(sent, {backend: {id: "two"}})
+  leave(["one", "two"])
+  t.same(subject.arrive(ROUTE, {id: "later"}).told(), [])
+})
+
 t.test("an older version serves for a moment after a newer one was named", async t => {
   const subject = new Subject()
   takePicture(subject.box, engines(), subject.now)
