--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -7,6 +7,7 @@
 import {describeFleet, describeLoads, isSmall} from "../core/placement-news.js"
 import type {RoutedEffect, RoutedEvent, RoutedState} from "../core/serving.js"
 import type {
+  AskNews,
   FromLeader,
   LeaderRecord,
   StoreNews,
@@ -137,7 +138,7 @@
     const {log, post, leadership} = this.options_
     return {
       accepts: () => leadership.fence !== undefined,
-      asked: configVersion => this.newsFor(configVersion),
+      asked: ask => this.newsFor(ask),
       up: (box, configVersion, follower) => {
         log("box-linked", {box})
         this.options_.met(this.links_.drawAddresses(TOLD_ADDRESSES))
@@ -166,10 +167,10 @@
   }
 
   /** What a box is told that has no other way to learn; undefined: this one cannot read the store either. */
-  private async newsFor(configVersion: number): Promise<StoreNews | undefined> {
+  private async newsFor({configVersion, ageMs}: AskNews): Promise<StoreNews | undefined> {
     const {news, state, leader, log} = this.options_
     try {
-      await news.refresh()
+      await news.refresh(ageMs)
     } catch (cause) {
       log("news-not-passed", {reason: (cause as Error).message})
       return undefined
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -2,7 +2,13 @@
 import {Packr} from "msgpackr"
 import {WebSocket, WebSocketServer} from "ws"
 import {readToLeader} from "../types/box-frames.js"
-import type {BoxMessage, FromLeader, StoreNews, ToLeader} from "../types/box-messages.js"
+import type {
+  AskNews,
+  BoxMessage,
+  FromLeader,
+  StoreNews,
+  ToLeader
+} from "../types/box-messages.js"
 import {splitAddress} from "../utils/address.js"
 
 /** Bytes that may wait for a slow peer; past that the link is cut. */
@@ -72,7 +78,7 @@
   /** Asked for each box that wants to follow: whether this box leads. */
   readonly accepts: () => boolean
   /** A box that follows nobody asks for news; undefined: there is none. */
-  readonly asked: (configVersion: number) => Promise<FromLeader | undefined>
+  readonly asked: (ask: AskNews) => Promise<FromLeader | undefined>
   readonly up: (box: string, configVersion: number, follower: Follower) => void
   readonly down: (box: string) => void
   readonly message: (box: string, message: ToLeader) => void
@@ -188,11 +194,8 @@
     this.events_.up(box, configVersion, follower)
   }
 
-  private async answer(
-    follower: Follower,
-    {configVersion}: Extract<ToLeader, {t: "ask-news"}>
-  ): Promise<void> {
-    const news = await this.events_.asked(configVersion)
+  private async answer(follower: Follower, ask: AskNews): Promise<void> {
+    const news = await this.events_.asked(ask)
     if (news) follower.send(news)
     else follower.close()
   }
@@ -201,7 +204,7 @@
 /** Asks a box that need not lead for its news; undefined: it has none, or does not answer in time. */
 export function askNews(
   address: string,
-  configVersion: number,
+  ask: AskNews,
   limitMs: number
 ): Promise<StoreNews | undefined> {
   return new Promise(resolve => {
@@ -219,7 +222,7 @@
       }
     )
     const timer = setTimeout(() => link.close(), limitMs)
-    socket.once("open", () => link.send({t: "ask-news", configVersion}))
+    socket.once("open", () => link.send(ask))
   })
 }
 
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -8,16 +8,16 @@
   askPauseMs,
   createNewsAge,
   hearsOfLeader,
+  isNewer,
   LIST_MS,
   newsAgeMs,
   noteLeaderReading,
   noteReading,
-  OLDEST_MS,
-  PASS_ON_MS
+  OLDEST_MS
 } from "../core/news-age.js"
 import {KvUnavailable} from "../errors.js"
 import type {FleetConfig} from "../types/fleet.js"
-import type {FromLeader, StoreNews} from "../types/box-messages.js"
+import type {AskNews, FromLeader, StoreNews} from "../types/box-messages.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
 import {listAll, type Listing, StoreFollower} from "./store-follower.js"
 
@@ -32,7 +32,7 @@
   /** Asks the leader for all it knows. */
   readonly askAll: () => void
   /** Asks other boxes to read the store; undefined: none of them could. */
-  readonly askBoxes: (configVersion: number) => Promise<StoreNews | undefined>
+  readonly askBoxes: (ask: AskNews) => Promise<StoreNews | undefined>
 }
 
 /** What this box had of the store since it read it last. */
@@ -187,7 +187,11 @@
 
   private async takeHelp(askedAt: number): Promise<void> {
     const {askBoxes, post, renewed, log} = this.options_
-    const news = await askBoxes(this.operator_.configVersion)
+    const news = await askBoxes({
+      t: "ask-news",
+      configVersion: this.operator_.configVersion,
+      ageMs: this.ageMs(askedAt)
+    })
     if (!this.follower_ || !news) return
     this.vainAsks_ = 0
     const {ageMs, records, config, versions} = news
@@ -206,12 +210,12 @@
   }
 
   /**
-   * Has news that is new enough to pass on; reads the store for it if need be. Rejects where it
+   * Has news that is newer than an asker's; reads the store for it if need be. Rejects where it
    * cannot: a box whose own calls fail does not add to them for others, who are in the same outage.
    */
-  async refresh(): Promise<void> {
+  async refresh(askerAgeMs: number): Promise<void> {
     const now = performance.now()
-    if (this.ageMs(now) <= PASS_ON_MS) return
+    if (isNewer(this.ageMs(now), askerAgeMs)) return
     if (this.follower_?.isFailing(now)) throw new KvUnavailable("its own calls fail")
     this.reading_ ??= this.readOnce().finally(() => (this.reading_ = undefined))
     await this.reading_
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -22,7 +22,7 @@
 import {KvUnavailable} from "../errors.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
-import type {LeaderRecord, StoreNews} from "../types/box-messages.js"
+import type {AskNews, LeaderRecord, StoreNews} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {BoxHub} from "./box-hub.js"
@@ -160,7 +160,7 @@
         this.tie_.send({t: "ask-all", configVersion})
       },
       renewed: () => this.hub_?.tellReading(performance.now()),
-      askBoxes: configVersion => this.askBoxes(configVersion)
+      askBoxes: ask => this.askBoxes(ask)
     })
     this.tie_ = new LeaderTie({
       self: this.self_,
@@ -350,8 +350,8 @@
   }
 
   /** Has another box read the store, and learns from it who leads. */
-  private async askBoxes(configVersion: number): Promise<StoreNews | undefined> {
-    const news = await this.help_.ask(configVersion)
+  private async askBoxes(ask: AskNews): Promise<StoreNews | undefined> {
+    const news = await this.help_.ask(ask)
     if (news?.leader && news.leader.incarnation !== this.incarnation_ && !this.leading) {
       this.tie_.follow(news.leader)
     }
--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -38,12 +38,13 @@
 }
 
 /**
- * A box that is asked passes on news that is so old at most without reading the store, milliseconds:
- * one that hears of a leader that reads in time never needs to. Were it to read for each ask, boxes
- * that are turned away would have all others read, some ten calls a second each. Who asked asks
- * again after `ASK_PAUSE_MS` and is told what was read meanwhile.
+ * Whether a box that is asked passes on what it knows without reading the store. Only what is newer
+ * than the asker's own: most boxes hold what their leader told them, which is nothing new where the
+ * leader asks. Boxes that the store turns away have others read seldom by it.
  */
-export const PASS_ON_MS = LIST_MS + LATE_MS
+export function isNewer(ageMs: number, askerAgeMs: number): boolean {
+  return ageMs + LATE_MS < askerAgeMs
+}
 
 /** What the news of a box rests on: the clock of the box at the readings, or before. */
 export interface NewsAge {
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -31,7 +31,11 @@
     ageMs: z.number().min(0),
     address: z.string()
   }),
-  z.object({t: z.literal("ask-news"), configVersion: z.number()}),
+  z.object({
+    t: z.literal("ask-news"),
+    configVersion: z.number(),
+    ageMs: z.union([z.number().min(0), z.literal(Infinity)])
+  }),
   z.object({t: z.literal("ask-config")}),
   z.object({t: z.literal("ask-all"), configVersion: z.number()}),
   z.object({t: z.literal("need"), need}),
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -79,8 +79,7 @@
       /** Where it takes links, IP number and port. */
       readonly address: string
     }
-  /** From a box that leads or that has no leader: it cannot read the store itself. */
-  | {readonly t: "ask-news"; readonly configVersion: number}
+  | AskNews
   /** The box could not read a configuration that was named. */
   | {readonly t: "ask-config"}
   /** The box followed the store and goes back to the leader's news: it has to be told all. */
@@ -148,6 +147,14 @@
   readonly address: string
 }
 
+/** From a box that leads or that has no leader: it cannot read the store itself. */
+export interface AskNews {
+  readonly t: "ask-news"
+  readonly configVersion: number
+  /** Since the reading that its own news rests on, milliseconds; Infinity: it has none. */
+  readonly ageMs: number
+}
+
 /** What a box that reads the store tells one that cannot. */
 export interface StoreNews {
   readonly t: "news"
--- a/test/news-age.test.ts
+++ b/test/news-age.test.ts
@@ -4,6 +4,7 @@
 import {
   createNewsAge,
   hearsOfLeader,
+  isNewer,
   LATE_MS,
   LIST_MS,
   newsAgeMs,
@@ -12,7 +13,8 @@
   OLDEST_MS
 } from "../src/core/news-age.js"
 import {IDLE_TICK_MS} from "../src/core/serving.js"
-import type {StoreNews} from "../src/types/box-messages.js"
+import {readToLeader} from "../src/types/box-frames.js"
+import type {AskNews, StoreNews} from "../src/types/box-messages.js"
 
 /** Within this a box must know that a server leaves, milliseconds. */
 const BOUND_MS = 2_000
@@ -20,6 +22,8 @@
 /** A list over a new connection between data centres, with the work of both ends, milliseconds. */
 const ROUND_TRIP_MS = 50
 
+const ASK: AskNews = {t: "ask-news", configVersion: -1, ageMs: Infinity}
+
 const NEWS: StoreNews = {t: "news", ageMs: 0, records: [], versions: []}
 
 t.test(
@@ -52,22 +56,33 @@
   t.notOk(hearsOfLeader(own, 1_000), "its own reading says nothing of the leader")
 })
 
+// A leader that was turned away got its own news back from boxes that had it of this leader.
+t.test("a box passes on only what is newer than the asker's own", async t => {
+  t.notOk(isNewer(1_000, 1_010), "the leader's own, on its way back")
+  t.ok(isNewer(300, 1_010))
+  t.ok(isNewer(5_000, Infinity), "it had none")
+})
+
+t.test("a box that knows nothing may ask, too", async t => {
+  t.same(readToLeader(ASK), ASK)
+})
+
 t.test("a box asks a few others, and takes the first that can read", async t => {
   const asked: string[] = []
   const help = new NewsHelp("self:1", address => {
     asked.push(address)
     return Promise.resolve(address === "c:1" ? NEWS : undefined)
   })
-  t.equal(await help.ask(-1), undefined, "it knows nobody")
+  t.equal(await help.ask(ASK), undefined, "it knows nobody")
   help.learn(["self:1", "a:1", "b:1", "c:1"])
-  t.same(await help.ask(-1), NEWS)
+  t.same(await help.ask(ASK), NEWS)
   t.same([...asked].sort(), ["a:1", "b:1", "c:1"], "not itself")
 })
 
 t.test("where nobody can read there is no news, and no error", async t => {
   const help = new NewsHelp("self:1", () => Promise.resolve(undefined))
   help.learn(["a:1", "b:1"])
-  t.equal(await help.ask(-1), undefined)
+  t.equal(await help.ask(ASK), undefined)
 })
 
 t.test("of many boxes it remembers those that it heard of last", async t => {
@@ -77,7 +92,7 @@
     return Promise.resolve(undefined)
   })
   for (let i = 0; i < 500; i++) help.learn([`box-${i}:1`])
-  for (let i = 0; i < 200; i++) await help.ask(-1)
+  for (let i = 0; i < 200; i++) await help.ask(ASK)
   t.ok(asked.size <= 24)
   t.ok([...asked].every(address => Number(/\d+/.exec(address)?.[0]) >= 476))
 })
