--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -164,19 +164,19 @@
 
   private accept(socket: WebSocket): void {
     let box: string | undefined
-    const strange = setTimeout(() => follower.close(), FIRST_MESSAGE_MS)
+    const firstMessageTimer = setTimeout(() => follower.close(), FIRST_MESSAGE_MS)
     const take = (message: ToLeader): void => {
       if (message.t === "ask-news") return void this.answer(follower, message)
       if (message.t === "hello") {
         if (!this.events_.accepts()) return follower.close()
-        clearTimeout(strange)
+        clearTimeout(firstMessageTimer)
         box = message.incarnation
         return this.join(follower, message)
       }
       if (box !== undefined) this.events_.message(box, message)
     }
     const follower: Follower = new BoxLink(socket, readToLeader, take, () => {
-      clearTimeout(strange)
+      clearTimeout(firstMessageTimer)
       if (box === undefined || this.followers_.get(box) !== follower) return
       this.followers_.delete(box)
       this.startedAt_.delete(box)
--- a/src/adapters/leader-tie.ts
+++ b/src/adapters/leader-session.ts
@@ -1,4 +1,4 @@
-/** A box's tie to its leader: the link, and what the leader tells over it. */
+/** A box's session with its leader: the link, and what the leader tells over it. */
 import type {RoutedEvent} from "../core/serving.js"
 import type {KvStore} from "../ports/ports.js"
 import type {FromLeader, LeaderRecord, ToLeader} from "../types/box-messages.js"
@@ -14,7 +14,7 @@
 /** The same where pings are far between, in pings. */
 const SILENT_PINGS = 3
 
-export interface LeaderTieOptions {
+export interface LeaderSessionOptions {
   /** This box, as other boxes know it. */
   readonly self: LeaderRecord
   /** When its process started. */
@@ -35,13 +35,13 @@
   readonly log: Log
 }
 
-export class LeaderTie {
+export class LeaderSession {
   private link_: LeaderLink | undefined
   private leader_: LeaderRecord | undefined
   private linked_ = false
   private pongAt_ = 0
 
-  constructor(private readonly options_: LeaderTieOptions) {}
+  constructor(private readonly options_: LeaderSessionOptions) {}
 
   /** Whom this box follows, or tries to. */
   get leader(): LeaderRecord | undefined {
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -52,8 +52,8 @@
   private readonly listedAt_ = new Map<string, number>()
   private trouble_: Trouble = "none"
   private askAt_ = -Infinity
-  /** Asks in turn that brought nothing. */
-  private vainAsks_ = 0
+  /** Asks in turn that brought no news. */
+  private failedAsks_ = 0
   private heardLeader_ = false
   private reading_: Promise<void> | undefined
   private readonly operator_: OperatorNews
@@ -155,7 +155,7 @@
     const readAt = Math.min(...this.listedAt_.values())
     if (readAt <= this.age_.readAt) return
     this.age_ = noteReading(this.age_, readAt)
-    this.vainAsks_ = 0
+    this.failedAsks_ = 0
     if (this.trouble_ !== "none") log("kv-back")
     if (this.trouble_ === "store") post({type: "store-back"})
     this.trouble_ = "none"
@@ -180,8 +180,8 @@
   private seekHelp(now: number): void {
     this.noteOutage(now)
     if (now < this.askAt_ || this.ownAgeMs(now) < LIST_MS) return
-    this.askAt_ = now + askPauseMs(this.vainAsks_)
-    this.vainAsks_++
+    this.askAt_ = now + askPauseMs(this.failedAsks_)
+    this.failedAsks_++
     void this.takeHelp(now)
   }
 
@@ -193,7 +193,7 @@
       ageMs: this.ageMs(askedAt)
     })
     if (!this.follower_ || !news) return
-    this.vainAsks_ = 0
+    this.failedAsks_ = 0
     const {ageMs, records, config, versions} = news
     const at = askedAt - ageMs
     if (at <= this.age_.readAt) return
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -28,7 +28,7 @@
 import {BoxHub} from "./box-hub.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection} from "./leader-election.js"
-import {LeaderTie} from "./leader-tie.js"
+import {LeaderSession} from "./leader-session.js"
 import type {Log} from "./log.js"
 import {startLoop} from "./loop.js"
 import type {Metrics} from "./metrics.js"
@@ -78,7 +78,7 @@
   private readonly election_: LeaderElection
   private readonly leadershipOptions_: LeadershipOptions
   private readonly self_: LeaderRecord
-  private readonly tie_: LeaderTie
+  private readonly session_: LeaderSession
   private readonly help_: NewsHelp
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
@@ -154,15 +154,15 @@
         this.hub_?.tellLearned(message)
       },
       startedAt: performance.now(),
-      askLeader: () => this.tie_.send({t: "ask-config"}),
+      askLeader: () => this.session_.send({t: "ask-config"}),
       askAll: () => {
         const configVersion = this.news_.config?.version ?? -1
-        this.tie_.send({t: "ask-all", configVersion})
+        this.session_.send({t: "ask-all", configVersion})
       },
       renewed: () => this.hub_?.tellReading(performance.now()),
       askBoxes: ask => this.askBoxes(ask)
     })
-    this.tie_ = new LeaderTie({
+    this.session_ = new LeaderSession({
       self: this.self_,
       startedAt: this.startedAt_,
       kv,
@@ -196,7 +196,7 @@
       {
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
-        found: leader => this.tie_.follow(leader),
+        found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
         renewElsewhere: lease => this.renewElsewhere(lease),
@@ -236,7 +236,7 @@
         post: this.loop_.post,
         news: this.news_,
         leadership: this.election_.leadership,
-        leader: () => (this.leading ? this.self_ : this.tie_.leader),
+        leader: () => (this.leading ? this.self_ : this.session_.leader),
         met: (addresses: readonly string[]) => this.help_.learn(addresses),
         log
       }
@@ -282,7 +282,7 @@
       await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
     this.news_.stopFollowing()
-    this.tie_.close()
+    this.session_.close()
     this.hub_?.close()
     log("stopped", {open: this.relay_.open})
     this.finish_()
@@ -301,8 +301,8 @@
     if (gap > PAUSED_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
     this.election_.check()
     const leading = this.election_.leadership.fence !== undefined
-    this.tie_.tick(now, leading)
-    this.election_.settle(this.tie_.linked)
+    this.session_.tick(now, leading)
+    this.election_.settle(this.session_.linked)
     this.news_.choose(leading, now)
     this.dropPools()
     if (leading) {
@@ -330,7 +330,7 @@
     const {orderFrom} = this.election_.leadership
     const waitMs = Math.round(orderFrom - performance.now())
     this.context_.log("leading", {fence, waitMs})
-    this.tie_.close()
+    this.session_.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
     this.loop_.post({type: "leader-new"})
@@ -353,7 +353,7 @@
   private async askBoxes(ask: AskNews): Promise<StoreNews | undefined> {
     const news = await this.help_.ask(ask)
     if (news?.leader && news.leader.incarnation !== this.incarnation_ && !this.leading) {
-      this.tie_.follow(news.leader)
+      this.session_.follow(news.leader)
     }
     return news
   }
@@ -372,12 +372,12 @@
       case "need":
         if (this.leading) {
           this.loop_.post({type: "need", box: this.incarnation_, need: effect.need})
-        } else this.tie_.send({t: "need", need: effect.need})
+        } else this.session_.send({t: "need", need: effect.need})
         return
       case "drop":
         if (this.leading) {
           this.loop_.post({type: "drop", box: this.incarnation_, request: effect.request})
-        } else this.tie_.send({t: "drop", request: effect.request})
+        } else this.session_.send({t: "drop", request: effect.request})
         return
       case "use":
         if (this.uses_.add(effect.change)) this.flushUsesLater()
@@ -385,7 +385,7 @@
       case "missing": {
         const {engine, adapter, late} = effect
         if (this.leading) this.loop_.post({type: "missing", engine, adapter, late})
-        else this.tie_.send({t: "missing", engine, adapter, late})
+        else this.session_.send({t: "missing", engine, adapter, late})
         return
       }
       case "order":
@@ -422,7 +422,7 @@
     const changes = this.uses_.drain()
     if (changes.length === 0) return
     if (this.leading) this.loop_.post({type: "uses", box: this.incarnation_, changes})
-    else this.tie_.send({t: "use", changes})
+    else this.session_.send({t: "use", changes})
   }
 
   /** Applies the callers' limits of the configuration. */
--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -33,8 +33,8 @@
 const LONGEST_ASK_PAUSE_MS = 1_000
 
 /** The pause after an ask, by how many in turn brought nothing: in an outage all boxes ask all others. */
-export function askPauseMs(vainAsks: number): number {
-  return Math.min(LONGEST_ASK_PAUSE_MS, ASK_PAUSE_MS * 2 ** vainAsks)
+export function askPauseMs(failedAsks: number): number {
+  return Math.min(LONGEST_ASK_PAUSE_MS, ASK_PAUSE_MS * 2 ** failedAsks)
 }
 
 /**
