Test bed: tell at once that a box ended, with what it wrote, and end a bed that did not start

The second failure follows from the first: a bed that did not start was held by nobody, its stand-ins and boxes went on, and the test's process never ended. Of the first nothing is known: the bed waited 30 s for a box without looking whether it still ran, and its output was lost. Change: waiting for a box ends when its process has; the error carries what the boxes wrote; a bed that fails to start is stopped. Tests of the product are unchanged. Conclusion: sight only; the cause follows.

--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -13,6 +13,9 @@
 export const MODEL = "base"
 const HOST = "callers.example"
 
+/** Of the boxes' output, told where a bed does not start. */
+const LOGGED_CHARACTERS = 6_000
+
 /** What a caller got. */
 export interface Outcome {
   readonly id: string
@@ -64,12 +67,19 @@
 
   static async start(options: BedOptions = {}): Promise<PlatformBed> {
     const bed = new PlatformBed(await StandInStore.start(), options)
-    bed.configure()
-    for (let i = 0; i < (options.engines ?? 2); i++) await bed.addEngine(i)
-    for (let i = 0; i < (options.plain ?? 2); i++) await bed.addPlain(i)
-    for (let i = 0; i < (options.boxes ?? 2); i++) await bed.addBox(i)
-    await bed.ready()
-    return bed
+    try {
+      bed.configure()
+      for (let i = 0; i < (options.engines ?? 2); i++) await bed.addEngine(i)
+      for (let i = 0; i < (options.plain ?? 2); i++) await bed.addPlain(i)
+      for (let i = 0; i < (options.boxes ?? 2); i++) await bed.addBox(i)
+      await bed.ready()
+      return bed
+    } catch (cause) {
+      // No test holds a bed that did not start: what runs of it would keep the process from ending.
+      const logs = bed.logs().slice(-LOGGED_CHARACTERS)
+      await bed.stop()
+      throw new Error(`${(cause as Error).message}; the boxes wrote:\n${logs}`)
+    }
   }
 
   async addEngine(index = this.engines.length): Promise<StandInWorker> {
@@ -156,7 +166,10 @@
   /** Waits until all boxes take requests and one leads. */
   async ready(): Promise<void> {
     for (const box of this.boxes) {
-      await until(`${box.name} is ready`, () => this.isReady(box))
+      await until(`${box.name} is ready`, () => {
+        if (box.child.ended) throw new Error(`${box.name} ended, not ready`)
+        return this.isReady(box)
+      })
     }
     await until("a leader", () => this.leader() !== undefined)
   }
