--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -149,3 +149,18 @@
     await sleep(1_500)
   }
 })
+
+// A box that stops takes requests for 2.6 s more, and chose no other source of news when its leader was lost.
+t.test("a box that stops as its leader dies hears of departures", async t => {
+  const bed = await PlatformBed.start({boxes: 2, engines: 1})
+  t.teardown(() => bed.stop())
+  const [stopping] = othersOf(bed) as [BedBox]
+  const worker = plainOf(bed, stopping)
+  stopping.child.signal("SIGTERM")
+  await leaderOf(bed).child.end("SIGKILL")
+  worker.drain()
+  await callFor(bed, [stopping], 2_500)
+  const late = bed.judge.runs.filter(run => run.at - (worker.drainedAt ?? 0) > LIMIT_MS)
+  t.ok(late.length > 0, "it still sends after the limit")
+  t.ok(lastBeganMs(bed, worker) <= LIMIT_MS, `last ${lastBeganMs(bed, worker)} ms after`)
+})
