Red test: a box that stood still sends by what it knew before

By the log, box-1 stood still for some 3 s, wrote that it reads the store itself, as its news was 3,173 ms old, and 6 ms later sent a request that had come meanwhile by that news; the server had left within the standstill. Ruled out: the store (no fault of it at the time), the leader (the box had just led). Conclusion: the bound has to hold at the send, whatever kept the box from looking.

--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -164,3 +164,20 @@
   t.ok(late.length > 0, "it still sends after the limit")
   t.ok(lastBeganMs(bed, worker) <= LIMIT_MS, `last ${lastBeganMs(bed, worker)} ms after`)
 })
+
+// A soak's box stood still for 3 s; what came meanwhile went out in the same turn, by what it knew before.
+t.test("a box that stood still hears of departures before it sends", async t => {
+  const bed = await PlatformBed.start({boxes: 2, engines: 1})
+  t.teardown(() => bed.stop())
+  const [frozen] = othersOf(bed) as [BedBox]
+  const worker = plainOf(bed, frozen)
+  await callFor(bed, [frozen], 200)
+  frozen.child.signal("SIGSTOP")
+  worker.drain()
+  await sleep(LIMIT_MS)
+  const calls = callFor(bed, [frozen], 1_000)
+  await sleep(1_000)
+  frozen.child.signal("SIGCONT")
+  await calls
+  t.ok(lastBeganMs(bed, worker) <= LIMIT_MS, `last ${lastBeganMs(bed, worker)} ms after`)
+})
