Hold requests while a box's news is older than it may be, and read anew after a standstill

Cause: the age of news bound who reads when, not what is sent. A process that stands still looks at nothing; when it goes on it takes what came meanwhile in the same turn, by news from before, and its leader's pings from the link's buffer look newer than they are by as long as they lay there. Lists asked for before count as late at once, so that the box takes the store for away. Ruled out: a watch on the clock alone (the tick may come after the requests of the same turn); cutting the leader's link after each standstill (a picture of all engines each time, and nothing new if the leader's word is whole). Change: the core knows when the news was as new as it can be had (`box-news.ts`); past 1,700 ms requests wait, are not refused for it, and bytes do not leave. The source says so with each reading, and at each look where nothing newer is to be had, so that a lost store stops nobody. After a standstill of 400 ms with news older than 1,300 ms it asks anew and believes its leader only once it has read. Elsewhere: a request that waited for a connection over the standstill is looked at as its bytes leave, too.

--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -30,6 +30,8 @@
   readonly configured: () => void
   /** The link to a leader that had answered is down. */
   readonly lost: () => void
+  /** A message of the leader's is about to be taken. */
+  readonly hearing: () => void
   /** So long ago the processes of half of the boxes had started, milliseconds. */
   readonly pinged: (medianAgeMs: number) => void
   readonly log: Log
@@ -88,6 +90,7 @@
         lost()
       },
       message: message => {
+        this.options_.hearing()
         if (!this.linked_) {
           this.linked_ = true
           log("leader-linked", {leader: leader.box})
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -55,6 +55,8 @@
   /** Asks in turn that brought no news. */
   private failedAsks_ = 0
   private heardLeader_ = false
+  /** What it hears may have waited while the process stood still: it reads for itself first. */
+  private rereads_ = false
   private reading_: Promise<void> | undefined
   private readonly operator_: OperatorNews
 
@@ -79,13 +81,24 @@
   /** The leader's news rests on a reading that is so old. */
   heardLeader(ageMs: number, now: number): void {
     this.heardLeader_ = true
+    if (this.rereads_) return
     this.age_ = noteLeaderReading(this.age_, now - ageMs)
+    this.options_.post({type: "news", at: now - ageMs})
+  }
+
+  /** The process stood still: where its news has grown old, neither old asks nor old answers count. */
+  resume(now: number): void {
+    const ageMs = this.ageMs(now)
+    if (ageMs === Infinity || ageMs < OLDEST_MS) return
+    this.rereads_ = true
+    this.follower_?.stop()
+    this.follower_ = undefined
   }
 
   /** Reads the store if nobody else can tell the news; `leading` boxes always do. */
   choose(leading: boolean, now: number): void {
     if (leading) this.startFollowing(true, now)
-    else if (hearsOfLeader(this.age_, now)) this.trustLeader()
+    else if (!this.rereads_ && hearsOfLeader(this.age_, now)) this.trustLeader()
     else if (!this.seeksLeader(now)) this.startFollowing(false, now)
     if (this.follower_?.isFailing(now)) this.seekHelp(now)
   }
@@ -142,7 +155,7 @@
   }
 
   private takeListing(prefix: string, {entries, askedAt}: Listing): void {
-    const {records, post, renewed, log} = this.options_
+    const {records, post, log} = this.options_
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
     if (prefix === records.backendPrefix) {
       const all = entries.map(({key, value}) =>
@@ -154,12 +167,19 @@
     if (this.listedAt_.size < 2) return
     const readAt = Math.min(...this.listedAt_.values())
     if (readAt <= this.age_.readAt) return
-    this.age_ = noteReading(this.age_, readAt)
     this.failedAsks_ = 0
     if (this.trouble_ !== "none") log("kv-back")
     if (this.trouble_ === "store") post({type: "store-back"})
     this.trouble_ = "none"
-    renewed()
+    this.noteRead(readAt)
+  }
+
+  /** The store was read at that time, by this box or by one that it asked. */
+  private noteRead(at: number): void {
+    this.age_ = noteReading(this.age_, at)
+    this.rereads_ = false
+    this.options_.post({type: "news", at})
+    this.options_.renewed()
   }
 
   private noteFailure(prefix: string, reason: string): void {
@@ -179,14 +199,21 @@
   /** Has other boxes read the store, where this one cannot. */
   private seekHelp(now: number): void {
     this.noteOutage(now)
+    if (this.trouble_ === "store") this.sendOn(now)
     if (now < this.askAt_ || this.ownAgeMs(now) < LIST_MS) return
     this.askAt_ = now + askPauseMs(this.failedAsks_)
     this.failedAsks_++
     void this.takeHelp(now)
   }
 
+  /** Nothing newer is to be had: requests do not wait for it. */
+  private sendOn(now: number): void {
+    this.rereads_ = false
+    this.options_.post({type: "news", at: now})
+  }
+
   private async takeHelp(askedAt: number): Promise<void> {
-    const {askBoxes, post, renewed, log} = this.options_
+    const {askBoxes, post, log} = this.options_
     const news = await askBoxes({
       t: "ask-news",
       configVersion: this.operator_.configVersion,
@@ -205,8 +232,7 @@
     post({type: "backends", records, reading: {source: "box", at}})
     if (config) this.operator_.takeConfig(config, "box")
     this.operator_.takeVersions(versions)
-    this.age_ = noteReading(this.age_, at)
-    renewed()
+    this.noteRead(at)
   }
 
   /**
@@ -261,6 +287,7 @@
     gone,
     ageMs
   }: Extract<FromLeader, {t: "backends"}>): void {
+    if (this.rereads_) return
     const {post} = this.options_
     const now = performance.now()
     // A list of the leader's is whole: what it holds in doubt is among it.
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -37,6 +37,7 @@
 import type {RunningProcess} from "./process.js"
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
+import {STOOD_STILL_MS} from "../core/news-age.js"
 import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
@@ -175,6 +176,7 @@
       lost: () => {
         if (!this.leading) this.expectTakeover()
       },
+      hearing: () => this.noteStandstill(performance.now()),
       pinged: medianAgeMs => (this.medianStartAt_ = performance.now() - medianAgeMs),
       log
     })
@@ -296,9 +298,8 @@
   /** Once a turn of the clock; whether orders may be given. */
   private tick(): boolean {
     const now = performance.now()
-    const gap = now - this.lastTickAt_
+    this.noteStandstill(now)
     this.lastTickAt_ = now
-    if (gap > PAUSED_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
     this.election_.check()
     const leading = this.election_.leadership.fence !== undefined
     this.session_.tick(now, leading)
@@ -312,6 +313,15 @@
     return mayOrder(this.election_.leadership, now)
   }
 
+  /** Looked at before anything that came meanwhile is believed. */
+  private noteStandstill(now: number): void {
+    const gap = now - this.lastTickAt_
+    if (gap < STOOD_STILL_MS) return
+    if (gap > PAUSED_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
+    this.lastTickAt_ = now
+    this.news_.resume(now)
+  }
+
   /** Connections to servers that are gone are closed once their requests have ended. */
   private dropPools(): void {
     const {known} = this.loop_.state().serving.backends
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from "node:crypto"
 import type {IncomingMessage, ServerResponse} from "node:http"
 import {isUsable} from "../core/backend-list.js"
+import {isStale} from "../core/box-news.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving.js"
@@ -167,7 +168,8 @@
         started: abort => {
           if (!current()) return false
           // It may have left while the request waited for a connection.
-          if (!isUsable(serving().backends, backend.id)) {
+          const now = performance.now()
+          if (!isUsable(serving().backends, backend.id) || isStale(serving(), now)) {
             fail("not-sent")
             return false
           }
--- /dev/null
+++ b/src/core/box-news.ts
@@ -0,0 +1,16 @@
+/** How old the news is that a box sends requests by. */
+import type {BoxServing} from "./box-state.js"
+import {STALE_MS} from "./news-age.js"
+
+/** At that time the news was as new as it can be had. */
+export function noteNews(box: BoxServing, at: number): void {
+  box.newsAt = Math.max(box.newsAt ?? -Infinity, at)
+}
+
+/**
+ * Whether requests have to wait for newer news. A process that stood still takes what came meanwhile in
+ * the turn in which it goes on, and would send it to servers that left long before.
+ */
+export function isStale({newsAt}: BoxServing, now: number): boolean {
+  return newsAt !== undefined && now - newsAt > STALE_MS
+}
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -27,6 +27,7 @@
   budgetOf,
   note
 } from "./box-state.js"
+import {isStale} from "./box-news.js"
 import {isRepeatable} from "./route-table.js"
 
 /** Of a caller's time, the part a request waits for weights before it is refused. */
@@ -97,7 +98,7 @@
 
 /** Sends the request if it can be sent now; otherwise it waits. */
 export function advance(box: BoxServing, request: BoxRequest, now: number): void {
-  if (request.attempt) return
+  if (request.attempt || isStale(box, now)) return
   const candidate = chooseBackend(box, request, now)
   if (!candidate) return wait(box, request, now)
   const {arrival} = request
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -85,6 +85,8 @@
   readonly options: BoxOptions
   table: RouteTable | undefined
   backends: BackendList
+  /** When the news of servers was as new as it can be had; undefined: nobody says. */
+  newsAt: number | undefined
   readonly engines: Map<string, EngineView>
   /** Adapters that each engine held lately, newest last: what a new leader begins with. */
   readonly held: Map<string, Map<string, number>>
@@ -171,6 +173,7 @@
     options,
     table: undefined,
     backends: createBackendList(),
+    newsAt: undefined,
     engines: new Map(),
     held: new Map(),
     versions: new Map(),
--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -13,7 +13,8 @@
  *
  * That is 1,600; what is left bears one more failure. A leader that reads in time is heard sooner:
  * after `LIST_MS`, a late list, a tick and a way, 1,200. A send looks at the list of servers once more as
- * its bytes leave, so that no wait for a connection comes on top.
+ * its bytes leave, so that no wait for a connection comes on top. A process that stood still has looked
+ * at nothing: whatever kept it, no request goes out by news older than `STALE_MS` before it has looked.
  */
 
 /** From one list of a leader, or of a box that lists for itself, to the next, milliseconds. */
@@ -22,6 +23,12 @@
 /** A box with older news reads the store itself, milliseconds: `LIST_MS`, a late list of the leader's, a tick. */
 export const OLDEST_MS = 1_300
 
+/** Requests wait while news is older, until newer comes or none is to be had, milliseconds. */
+export const STALE_MS = 1_700
+
+/** A process whose tick is late by more stood still: what it asked before says nothing now, milliseconds. */
+export const STOOD_STILL_MS = 400
+
 /**
  * An answer of the store that takes longer is late, milliseconds: it answers within some ten, and a
  * connection that went silent shows by nothing else. What is asked again goes over a new one.
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -40,6 +40,7 @@
   note,
   takeVersions
 } from "./box-state.js"
+import {noteNews} from "./box-news.js"
 import {takeChanges, takeLoads, takePicture, viewOf} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
 import {takeOrderResult} from "./placement-orders.js"
@@ -121,6 +122,8 @@
   /** This box could not read the store, but others could. */
   | {readonly type: "store-served"}
   | {readonly type: "store-back"}
+  /** At that time, by the clock of the box, the news of servers was as new as it can be had. */
+  | {readonly type: "news"; readonly at: number}
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
   | {readonly type: "places"; readonly changes: readonly EngineChange[]}
   | {readonly type: "loads"; readonly loads: EngineLoads}
@@ -244,6 +247,9 @@
     case "store-back":
       serving.backends = noteStoreBack(serving.backends, now)
       return
+    case "news":
+      noteNews(serving, event.at)
+      return tickRequests(serving, now)
     case "engines":
       takePicture(serving, event.engines, now)
       return tickRequests(serving, now)
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -21,6 +21,8 @@
 } from "../src/core/box-state.js"
 import {takeChanges, takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeBackends} from "../src/core/backend-list.js"
+import {noteNews} from "../src/core/box-news.js"
+import {STALE_MS} from "../src/core/news-age.js"
 import {PrefixMemory} from "../src/core/prefix-memory.js"
 import type {BackendRecord, Route} from "../src/types/fleet.js"
 
@@ -417,3 +419,32 @@
   t.same(subject.pass(1_499).told(), [])
   t.same(subject.pass(1).told(), ["end not-run"])
 })
+
+// What comes while the process stands still is taken first when it goes on, by news from before.
+t.test("a request waits while the box's news is too old, and is not refused", async t => {
+  const subject = new Subject()
+  noteNews(subject.box, subject.now)
+  t.same(subject.pass(STALE_MS).arrive(ROUTE).told(), ["send 1"], "just new enough")
+  const stale = new Subject()
+  noteNews(stale.box, stale.now)
+  t.same(
+    stale
+      .pass(STALE_MS + 1)
+      .arrive(ROUTE)
+      .told(),
+    []
+  )
+  t.same(stale.pass(100).told(), [])
+  noteNews(stale.box, stale.now - 20)
+  t.same(stale.pass(0).told(), ["send 1"])
+})
+
+t.test("no request is sent once more by news that is too old", async t => {
+  const subject = new Subject()
+  noteNews(subject.box, subject.now)
+  subject.arrive(ROUTE).start()
+  subject.now += STALE_MS + 1
+  t.same(subject.fail("refused").told(), [])
+  noteNews(subject.box, subject.now)
+  t.same(subject.pass(0).told(), ["send 2"])
+})
--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -197,3 +197,70 @@
   await sleep(1_500)
   t.notOk(isUsable(serving.backends, "b"))
 })
+
+/** A source whose calls of the store are answered by hand, with what it told the box of its news. */
+function followByHand() {
+  const answers: ((answer: object) => void)[] = []
+  const news: number[] = []
+  const list = () => new Promise(resolve => answers.push(resolve))
+  const source = new NewsSource({
+    kv: {list} as unknown as KvStore,
+    records: RECORDS,
+    post: event => {
+      if (event.type === "news") news.push(event.at)
+    },
+    log: () => undefined,
+    learned: () => undefined,
+    startedAt: -10_000,
+    renewed: () => undefined,
+    askBoxes: () => Promise.resolve(undefined),
+    askLeader: () => undefined,
+    askAll: () => undefined
+  })
+  const answerAll = async (): Promise<void> => {
+    for (const answer of answers.splice(0)) {
+      answer({entries: [], revision: 1, more: false})
+    }
+    await sleep(5)
+  }
+  return {source, news, answers, answerAll}
+}
+
+t.test("after a standstill a box believes its leader once it has read", async t => {
+  const {source, news, answers, answerAll} = followByHand()
+  t.teardown(() => source.stopFollowing())
+  const now = performance.now()
+  source.heardLeader(0, now - 3_000)
+  source.resume(now)
+  // It may have lain in the link's buffer for all the time.
+  source.heardLeader(100, now)
+  t.same(news, [now - 3_000])
+  source.choose(false, now)
+  t.equal(answers.length, 2, "it reads both prefixes")
+  await answerAll()
+  t.equal(news.length, 2)
+  t.ok((news[1] ?? 0) >= now)
+  source.heardLeader(0, now + 50)
+  t.equal(news[2], now + 50)
+})
+
+t.test("a short standstill costs no call", async t => {
+  const {source, answers} = followByHand()
+  const now = performance.now()
+  source.heardLeader(0, now - 800)
+  source.resume(now)
+  source.choose(false, now)
+  t.equal(answers.length, 0)
+})
+
+t.test("requests do not wait for news that is not to be had", async t => {
+  const {source, news} = followByHand()
+  t.teardown(() => source.stopFollowing())
+  const now = performance.now()
+  source.heardLeader(0, now - 3_000)
+  source.resume(now)
+  source.choose(false, now)
+  t.same(news, [now - 3_000], "its lists are asked for, and not late")
+  source.choose(false, now + 200)
+  t.equal(news.at(-1), now + 200)
+})
