Bench of what boxes are told: the real core and codec, by the number of boxes

Cause: places.md stood on arithmetic for what a leader sends and a box hears, and nobody had measured what the leader's decisions cost beyond 86 boxes. Change: `npm run bench -- places`: a leader's placement before engines that take orders, boxes that send by what one of them believes, links with rate, delay, loss and a cut, all under simulated time; other ways of telling the same are counted on the same run.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,11 +1,13 @@
 /** `npm run bench -- NAME`: runs one of the benchmarks. */
 import {benchCapacity} from "./capacity.js"
+import {benchPlaces} from "./places.js"
 import {benchPolicy} from "./policy.js"
 import {benchRelay} from "./relay.js"
 import {benchRules} from "./rules.js"
 
 const BENCHMARKS: Readonly<Record<string, () => Promise<void> | void>> = {
   capacity: benchCapacity,
+  places: benchPlaces,
   policy: benchPolicy,
   relay: benchRelay,
   rules: benchRules
--- /dev/null
+++ b/bench/places.ts
@@ -0,0 +1,70 @@
+/**
+ * What every box's knowledge of every place costs, by the number of boxes: the real core and codec of
+ * a leader and its boxes under simulated time, over links with rate, delay, loss and a cut. Bytes of
+ * other ways of telling the same are counted on the same run.
+ */
+import {PlacesRun, type Size} from "./places-run.js"
+
+const SIZES: readonly Size[] = [
+  {boxes: 9, engines: 9, adapters: 500, requestsPerS: 150, lengthMs: 10_000},
+  {boxes: 75, engines: 63, adapters: 10_000, requestsPerS: 400, lengthMs: 10_000},
+  {boxes: 150, engines: 500, adapters: 12_000, requestsPerS: 1_500, lengthMs: 5_000},
+  {boxes: 300, engines: 4_000, adapters: 15_000, requestsPerS: 6_000, lengthMs: 4_000},
+  {boxes: 550, engines: 7_400, adapters: 23_000, requestsPerS: 11_000, lengthMs: 3_000}
+]
+
+/** Boxes that a box passes news on to, were it told over a tree. */
+const TREE_WIDTH = 8
+
+/** Runs the size of so many boxes that is named after the benchmark, or all; a line of JSON each. */
+export function benchPlaces(): void {
+  const only = Number(process.argv[3] ?? 0)
+  for (const size of SIZES) {
+    if (only === 0 || size.boxes === only) console.log(JSON.stringify(measure(size)))
+  }
+}
+
+function measure(size: Size): Record<string, number> {
+  const before = heapBytes()
+  const run = new PlacesRun(size)
+  const unknown = heapBytes()
+  run.tellPicture()
+  const boxHeapMb = (heapBytes() - unknown) / 1e6
+  const leaderHeapMb = (unknown - before) / 1e6
+  const counted = run.run()
+  const {boxes, engines, requestsPerS} = size
+  const {countedMs} = counted
+  if (countedMs <= 0) return {boxes, engines, requestsPerS, countedMs}
+  const perS = (count: number, digits = 0): number =>
+    Number((count / (countedMs / 1_000)).toFixed(digits))
+  const {boxBytes} = counted
+  return {
+    boxes,
+    engines,
+    requestsPerS,
+    countedMs,
+    needsPerS: perS(counted.needs),
+    loadsPerS: perS(counted.loads),
+    leaderMessagesPerS: perS(counted.leaderMessages),
+    leaderKbPerS: perS(counted.leaderBytes / 1e3),
+    boxKbPerS: perS(boxBytes / 1e3, 1),
+    heardMessagesPerS: perS(counted.heardMessages),
+    heardKbPerS: perS(counted.heardBytes / 1e3),
+    leaderCoreMsPerS: perS(counted.coreMs),
+    leaderPackMsPerS: perS(counted.packMs, 1),
+    boxApplyMsPerS: perS(counted.applyMs, 1),
+    ageP50Ms: counted.ageP50Ms,
+    ageP99Ms: counted.ageP99Ms,
+    pictureKb: Math.round(counted.pictureBytes / 1e3),
+    boxHeapMb: Number(boxHeapMb.toFixed(1)),
+    leaderHeapMb: Number(leaderHeapMb.toFixed(1)),
+    picturesBoxKbPerS: perS(counted.picturesBytes / 1e3, 1),
+    treeNodeKbPerS: perS(((1 + TREE_WIDTH) * boxBytes) / 1e3, 1),
+    askingLeaderKbPerS: perS(counted.askingBytes / 1e3)
+  }
+}
+
+function heapBytes(): number {
+  globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
