--- a/src/bin/sedgectl-tables.ts
+++ b/src/bin/sedgectl-tables.ts
@@ -1,6 +1,11 @@
 /** The tables that sedgectl prints. */
 import type {ExplainedStep, Explanation} from "../core/explain.js"
 import {type LossRow, OUTCOMES} from "../core/losses.js"
+import type {TimelineEntry} from "../core/timeline.js"
+import {EVENTS} from "../events.js"
+
+/** Boxes that a row of a timeline names at most. */
+const NAMED_BOXES = 4
 
 /** Rows of records, one a line. */
 export function formatRows(records: readonly {id: string; generation: number}[]): string {
@@ -61,3 +66,17 @@
   )
   return [["FROM S", "ROUTE", "TOTAL", ...met].join("\t"), ...lines].join("\n")
 }
+
+/** What the boxes went through: when the first and the last wrote of it, what it was, and who they are. */
+export function formatTimeline(entries: readonly TimelineEntry[]): string {
+  const names = new Map<number, string>(Object.entries(EVENTS).map(([name, {number}]) => [number, name]))
+  const lines = entries.map(({fromS, toS, event, subject, boxes}) => {
+    const who =
+      boxes.length <= NAMED_BOXES
+        ? boxes.join(" ")
+        : `${boxes.length} boxes, ${boxes[0]} first`
+    const what = names.get(event) ?? String(event)
+    return [fromS.toFixed(3), toS.toFixed(3), what, subject, who].join("\t")
+  })
+  return [["FROM S", "TO S", "EVENT", "ABOUT", "BOXES"].join("\t"), ...lines].join("\n")
+}
--- a/src/bin/sedgectl.ts
+++ b/src/bin/sedgectl.ts
@@ -7,12 +7,14 @@
 import {readLogs} from "../adapters/log-reader.js"
 import {explainRequest} from "../core/explain.js"
 import {tellLosses} from "../core/losses.js"
+import {tellTimeline} from "../core/timeline.js"
 import {
   formatDifference,
   formatExplanation,
   formatLosses,
   formatRows,
-  formatStatus
+  formatStatus,
+  formatTimeline
 } from "./sedgectl-tables.js"
 
 const EXIT_REFUSED = 1
@@ -230,6 +232,15 @@
     const rows = tellLosses(readLogs(flags.logs), flags.span)
     print(flags, {rows}, () => formatLosses(rows))
   })
+cli
+  .command("timeline", "Tell from logs what the boxes went through, in order")
+  .option("--logs <place>", "A file, a folder of files, or - for standard input", {
+    default: "-"
+  })
+  .action((flags: Flags & {readonly logs: string}) => {
+    const entries = tellTimeline(readLogs(flags.logs))
+    print(flags, {entries}, () => formatTimeline(entries))
+  })
 cli.help()
 cli.version(VERSION)
 
--- /dev/null
+++ b/test/timeline.test.ts
@@ -0,0 +1,65 @@
+/** What boxes went through, from their logs: one entry for what several wrote of the same thing. */
+import {mkdtempSync, writeFileSync} from "node:fs"
+import {tmpdir} from "node:os"
+import {join} from "node:path"
+import t from "tap"
+import type {LogLine} from "../src/core/explain.js"
+import {tellTimeline} from "../src/core/timeline.js"
+import {Child} from "./support/child.js"
+import {until} from "./support/wait.js"
+
+const BEGIN = 1_700_000_000_000
+
+function line(box: string, atMs: number, event: number, fields = {}): LogLine {
+  return {box, event, time: BEGIN + atMs, ...fields}
+}
+
+const left = (box: string, atMs: number): LogLine =>
+  line(box, atMs, 205, {backend: "s", source: "store"})
+
+t.test("boxes that learn of the same thing make one entry", async t => {
+  const lines = [left("b", 1_400), left("a", 1_000), left("b", 1_500), left("c", 2_900)]
+  t.same(tellTimeline([line("a", 0, 190), ...lines]), [
+    {fromS: 1, toS: 2.9, event: 205, subject: "s", boxes: ["a", "b", "c"]}
+  ])
+})
+
+t.test("what comes later than news may take is another entry", async t => {
+  const entries = tellTimeline([left("a", 0), left("b", 2_001)])
+  t.same(
+    entries.map(({fromS, boxes}) => [fromS, ...boxes]),
+    [
+      [0, "a"],
+      [2.001, "b"]
+    ]
+  )
+})
+
+t.test("different things stay apart, in the order of their first lines", async t => {
+  const entries = tellTimeline([
+    line("a", 500, 184, {fence: 7, waitMs: 3_200}),
+    left("a", 300),
+    line("b", 600, 204, {backend: "s", source: "store"}),
+    line("b", 700, 205, {backend: "other", source: "store"})
+  ])
+  t.same(
+    entries.map(({event, subject}) => [event, subject]),
+    [
+      [205, "s"],
+      [184, "7"],
+      [204, "s"],
+      [205, "other"]
+    ]
+  )
+})
+
+t.test("no lines make no entries", async t => t.same(tellTimeline([]), []))
+
+t.test("an operator reads it with sedgectl", async t => {
+  const file = join(mkdtempSync(join(tmpdir(), "sedge-logs-")), "boxes.log")
+  const lines = [left("a", 0), left("b", 250)]
+  writeFileSync(file, lines.map(each => JSON.stringify(each)).join("\n"))
+  const child = new Child("src/bin/sedgectl.js", ["timeline", "--logs", file])
+  await until("sedgectl ends", () => child.ended)
+  t.match(child.output, /0\.000\t0\.250\tbackend-unusable\ts\ta b/)
+})
