--- a/src/bin/sedgectl-tables.ts
+++ b/src/bin/sedgectl-tables.ts
@@ -69,7 +69,9 @@
 
 /** What the boxes went through: when the first and the last wrote of it, what it was, and who they are. */
 export function formatTimeline(entries: readonly TimelineEntry[]): string {
-  const names = new Map<number, string>(Object.entries(EVENTS).map(([name, {number}]) => [number, name]))
+  const names = new Map<number, string>(
+    Object.entries(EVENTS).map(([name, {number}]) => [number, name])
+  )
   const lines = entries.map(({fromS, toS, event, subject, boxes}) => {
     const who =
       boxes.length <= NAMED_BOXES
