--- a/bench/places.ts
+++ b/bench/places.ts
@@ -3,6 +3,7 @@
  * a leader and its boxes under simulated time, over links with rate, delay, loss and a cut. Bytes of
  * other ways of telling the same are counted on the same run.
  */
+import {settledHeap} from "./measure.js"
 import {PlacesRun, type Size} from "./places-run.js"
 
 const SIZES: readonly Size[] = [
@@ -25,11 +26,11 @@
 }
 
 function measure(size: Size): Record<string, number> {
-  const before = heapBytes()
+  const before = settledHeap()
   const run = new PlacesRun(size)
-  const unknown = heapBytes()
+  const unknown = settledHeap()
   run.tellPicture()
-  const boxHeapMb = (heapBytes() - unknown) / 1e6
+  const boxHeapMb = (settledHeap() - unknown) / 1e6
   const leaderHeapMb = (unknown - before) / 1e6
   const counted = run.run()
   const {boxes, engines, requestsPerS} = size
@@ -63,8 +64,3 @@
     askingLeaderKbPerS: perS(counted.askingBytes / 1e3)
   }
 }
-
-function heapBytes(): number {
-  globalThis.gc?.()
-  return process.memoryUsage().heapUsed
-}
--- a/bench/rules.ts
+++ b/bench/rules.ts
@@ -3,6 +3,7 @@
 import type {EngineView, Policy, RequestView} from "../src/core/policy.js"
 import {createRulePolicy} from "../src/plugins/rule-policy.js"
 import {compileRules} from "../src/plugins/rules.js"
+import {settledHeap} from "./measure.js"
 
 const ENGINES = 16
 const SLOTS = 8
@@ -71,8 +72,3 @@
     `a compiled policy of ${Object.keys(TEXTS).length} rules: ${heapKb.toFixed(1)} KB`
   )
 }
-
-function settledHeap(): number {
-  globalThis.gc?.()
-  return process.memoryUsage().heapUsed
-}
