--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -3,7 +3,7 @@
 import {isUsable} from "../src/core/backend-list.js"
 import {createBoxServing} from "../src/core/box-state.js"
 import {type RoutedState, stepRouted} from "../src/core/serving.js"
-import {NewsSource} from "../src/adapters/news-source.js"
+import {type NewsOptions, NewsSource} from "../src/adapters/news-source.js"
 import {StoreFollower} from "../src/adapters/store-follower.js"
 import type {FleetRecords} from "../src/ports/fleet-ports.js"
 import type {KvStore} from "../src/ports/ports.js"
@@ -22,24 +22,30 @@
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
-/** A store that never answers. */
-const SILENT = {list: () => new Promise(() => undefined)} as unknown as KvStore
-
-// Seen in soaks: a server that lapsed for the box alone was never told of again.
-t.test("a box that goes back to its leader's news asks for all of it", async t => {
-  let asked = 0
-  const news = new NewsSource({
-    kv: SILENT,
+/** A source on the given store; whatever else it asks or tells goes nowhere but where `more` says. */
+function createSource(kv: unknown, more: Partial<NewsOptions> = {}): NewsSource {
+  return new NewsSource({
+    kv: kv as KvStore,
     records: RECORDS,
     post: () => undefined,
     log: () => undefined,
     learned: () => undefined,
-    startedAt: 0,
+    startedAt: -10_000,
     renewed: () => undefined,
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
-    askAll: () => asked++
+    askAll: () => undefined,
+    ...more
   })
+}
+
+/** A store that never answers. */
+const SILENT = {list: () => new Promise(() => undefined)}
+
+// Seen in soaks: a server that lapsed for the box alone was never told of again.
+t.test("a box that goes back to its leader's news asks for all of it", async t => {
+  let asked = 0
+  const news = createSource(SILENT, {startedAt: 0, askAll: () => asked++})
   news.choose(false, 1_000)
   t.equal(asked, 0, "nobody leads: it follows the store")
   news.heardLeader(100, 2_000)
@@ -56,19 +62,8 @@
 /** A source whose calls of the store are counted and never answered. */
 function countLists(): {readonly news: NewsSource; readonly listed: () => number} {
   let listed = 0
-  const kv = {list: () => (listed++, new Promise(() => undefined))} as unknown as KvStore
-  const news = new NewsSource({
-    kv,
-    records: RECORDS,
-    post: () => undefined,
-    log: () => undefined,
-    learned: () => undefined,
-    startedAt: 0,
-    renewed: () => undefined,
-    askBoxes: () => Promise.resolve(undefined),
-    askLeader: () => undefined,
-    askAll: () => undefined
-  })
+  const kv = {list: () => (listed++, new Promise(() => undefined))}
+  const news = createSource(kv, {startedAt: 0})
   return {news, listed: () => listed}
 }
 
@@ -162,8 +157,7 @@
     watch: () =>
       new Promise((_resolve, reject) => setTimeout(reject, 100, new Error("cut")))
   } as unknown as KvStore
-  const news = new NewsSource({
-    kv,
+  const news = createSource(kv, {
     records: {
       ...RECORDS,
       readBackend: id => ({
@@ -175,14 +169,7 @@
         models: []
       })
     },
-    post: event => (state = stepRouted(state, event, performance.now()).state),
-    log: () => undefined,
-    learned: () => undefined,
-    startedAt: -10_000,
-    renewed: () => undefined,
-    askBoxes: () => Promise.resolve(undefined),
-    askLeader: () => undefined,
-    askAll: () => undefined
+    post: event => (state = stepRouted(state, event, performance.now()).state)
   })
   t.teardown(() => news.stopFollowing())
   news.choose(false, performance.now())
@@ -203,20 +190,14 @@
   const answers: ((answer: object) => void)[] = []
   const news: number[] = []
   const list = () => new Promise(resolve => answers.push(resolve))
-  const source = new NewsSource({
-    kv: {list} as unknown as KvStore,
-    records: RECORDS,
-    post: event => {
-      if (event.type === "news") news.push(event.at)
-    },
-    log: () => undefined,
-    learned: () => undefined,
-    startedAt: -10_000,
-    renewed: () => undefined,
-    askBoxes: () => Promise.resolve(undefined),
-    askLeader: () => undefined,
-    askAll: () => undefined
-  })
+  const source = createSource(
+    {list},
+    {
+      post: event => {
+        if (event.type === "news") news.push(event.at)
+      }
+    }
+  )
   const answerAll = async (): Promise<void> => {
     for (const answer of answers.splice(0)) {
       answer({entries: [], revision: 1, more: false})
