--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -1,6 +1,6 @@
 /** Sends the leader's orders and questions to engines, under its lease. */
 import type {FleetEffect, EngineReport, OrderResult} from "../core/placement-state.js"
-import type {FleetEvent} from "../core/serving.js"
+import type {FleetEvent} from "../core/serving-events.js"
 import type {Dialect, EngineCall} from "../ports/fleet-ports.js"
 import type {BackendRecord} from "../types/fleet.js"
 import type {BackendPools} from "./backend-pools.js"
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -1,5 +1,5 @@
 /** A box's session with its leader: the link, and what the leader tells over it. */
-import type {RoutedEvent} from "../core/serving.js"
+import type {RoutedEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {FromLeader, LeaderRecord, ToLeader} from "../types/box-messages.js"
 import {pingMs} from "./box-hub.js"
--- a/src/adapters/operator-news.ts
+++ b/src/adapters/operator-news.ts
@@ -1,5 +1,5 @@
 /** The newest configuration and versions that a box knows, from wherever it learned them. */
-import type {ServingEvent} from "../core/serving.js"
+import type {ServingEvent} from "../core/serving-events.js"
 import type {FleetRecords} from "../ports/fleet-ports.js"
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {FromLeader} from "../types/box-messages.js"
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -12,13 +12,9 @@
 } from "../core/leadership.js"
 import {gatherMs} from "../core/placement-news.js"
 import {createBoxServing} from "../core/box-state.js"
-import {
-  nextTickMs,
-  type RoutedEffect,
-  type RoutedEvent,
-  type RoutedState,
-  stepRouted
-} from "../core/serving.js"
+import {nextTickMs, type RoutedState, stepRouted} from "../core/serving.js"
+import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
+import {STOOD_STILL_MS} from "../core/news-age.js"
 import {KvUnavailable} from "../errors.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
@@ -37,7 +33,6 @@
 import type {RunningProcess} from "./process.js"
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
-import {STOOD_STILL_MS} from "../core/news-age.js"
 import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -19,6 +19,7 @@
   leaveAttempt,
   tellUse
 } from "./box-ends.js"
+import {isStale} from "./box-news.js"
 import {
   type Arrival,
   type Attempt,
@@ -27,7 +28,6 @@
   budgetOf,
   note
 } from "./box-state.js"
-import {isStale} from "./box-news.js"
 import {isRepeatable} from "./route-table.js"
 
 /** Of a caller's time, the part a request waits for weights before it is refused. */
--- /dev/null
+++ b/src/core/serving-events.ts
@@ -0,0 +1,92 @@
+/** What can happen to a box, as leader too, and what follows from it. */
+import type {
+  EngineChange,
+  EngineLoads,
+  EngineNews,
+  Need,
+  UseChange
+} from "../types/box-messages.js"
+import type {BackendRecord, FleetConfig} from "../types/fleet.js"
+import type {Reading} from "./backend-list.js"
+import type {AttemptFailure} from "./box-doubts.js"
+import type {Arrival, BoxEffect} from "./box-state.js"
+import type {EngineReport, FleetEffect, OrderResult} from "./placement-state.js"
+
+/** What happens to the requests of a box, and what it hears of the world. */
+export type ServingEvent =
+  | {readonly type: "arrive"; readonly arrival: Arrival}
+  | {readonly type: "started"; readonly id: string; readonly attempt: number}
+  | {readonly type: "heard"; readonly id: string; readonly attempt: number}
+  | {
+      readonly type: "head"
+      readonly id: string
+      readonly attempt: number
+      readonly head: {readonly failed: boolean; readonly streamed: boolean}
+    }
+  | {readonly type: "done"; readonly id: string; readonly attempt: number}
+  | {
+      readonly type: "failed"
+      readonly id: string
+      readonly attempt: number
+      readonly failure: AttemptFailure
+      readonly lastEventId: string | undefined
+    }
+  | {readonly type: "hang-up"; readonly id: string}
+  | {readonly type: "config"; readonly config: FleetConfig}
+  | {
+      readonly type: "backends"
+      readonly records: readonly BackendRecord[]
+      readonly reading: Reading
+    }
+  | {
+      readonly type: "backend"
+      readonly id: string
+      readonly record: BackendRecord | undefined
+      readonly reading: Reading
+    }
+  /** Neither this box nor another that it asked could read the store. */
+  | {readonly type: "store-trouble"}
+  /** This box could not read the store, but others could. */
+  | {readonly type: "store-served"}
+  | {readonly type: "store-back"}
+  /** At that time, by the clock of the box, the news of servers was as new as it can be had. */
+  | {readonly type: "news"; readonly at: number}
+  | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
+  | {readonly type: "places"; readonly changes: readonly EngineChange[]}
+  | {readonly type: "loads"; readonly loads: EngineLoads}
+  | {
+      readonly type: "versions"
+      readonly versions: readonly (readonly [adapter: string, version: number])[]
+    }
+  | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
+  | {readonly type: "leader-new"}
+  | {readonly type: "stop"}
+  /** In how long loads can be ordered, milliseconds, by the leader or by the next one. */
+  | {readonly type: "orders"; readonly led: boolean; readonly inMs: number}
+  /** How many boxes there are. */
+  | {readonly type: "boxes"; readonly boxes: number}
+  | {readonly type: "tick"; readonly mayOrder: boolean}
+
+/** What happens to the fleet this box leads. */
+export type FleetEvent =
+  | {readonly type: "lead"}
+  | {readonly type: "lead-over"}
+  | {readonly type: "need"; readonly box: string; readonly need: Need}
+  | {readonly type: "drop"; readonly box: string; readonly request: string}
+  | {readonly type: "uses"; readonly box: string; readonly changes: readonly UseChange[]}
+  | {
+      readonly type: "missing"
+      readonly engine: string
+      readonly adapter: string
+      readonly late: boolean
+    }
+  | {readonly type: "box-gone"; readonly box: string}
+  | {
+      readonly type: "report"
+      readonly engine: string
+      readonly report: EngineReport | undefined
+    }
+  | {readonly type: "order-result"; readonly engine: string; readonly result: OrderResult}
+
+export type RoutedEvent = ServingEvent | FleetEvent
+export type RoutedEffect = BoxEffect | FleetEffect
