--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -13,7 +13,8 @@
   newsAgeMs,
   noteLeaderReading,
   noteReading,
-  OLDEST_MS
+  OLDEST_MS,
+  type StoreTrouble
 } from "../core/news-age.js"
 import {KvUnavailable} from "../errors.js"
 import type {FleetConfig} from "../types/fleet.js"
@@ -35,14 +36,6 @@
   readonly askBoxes: (ask: AskNews) => Promise<StoreNews | undefined>
 }
 
-/** What this box had of the store since it read it last. */
-type Trouble =
-  | "none"
-  /** Its calls failed; others may be served. */
-  | "own"
-  /** Nobody has read the store for it since its news grew old: the store may be away for all. */
-  | "store"
-
 export class NewsSource {
   private follower_: StoreFollower | undefined
   /** Whether it watches, and does not only list. */
@@ -50,7 +43,7 @@
   private age_ = createNewsAge()
   /** When the newest list of each prefix was asked for. */
   private readonly listedAt_ = new Map<string, number>()
-  private trouble_: Trouble = "none"
+  private trouble_: StoreTrouble = "none"
   private askAt_ = -Infinity
   /** Asks in turn that brought no news. */
   private failedAsks_ = 0
--- a/src/core/news-age.ts
+++ b/src/core/news-age.ts
@@ -85,3 +85,11 @@
 export function hearsOfLeader({leaderReadAt}: NewsAge, now: number): boolean {
   return now - leaderReadAt < OLDEST_MS
 }
+
+/** What a box had of the store since it read it last. */
+export type StoreTrouble =
+  | "none"
+  /** Its calls failed; others may be served. */
+  | "own"
+  /** Nobody has read the store for it since its news grew old: the store may be away for all. */
+  | "store"
