--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -89,6 +89,11 @@
     this.put(key, text, 0)
   }
 
+  /** Writes a key as another writer may: bytes that need not be JSON. */
+  writeBytes(key: string, bytes: Buffer): void {
+    this.put(key, bytes.toString("base64"), 0)
+  }
+
   remove(key: string): void {
     if (!this.rows_.delete(key)) return
     this.append({key, revision: ++this.revision_, gone: true})
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -93,8 +93,11 @@
   private sequence_ = 0
   private fence_ = 0
   private state_ = "ready"
+  private held_ = false
+  /** When this life of it began, milliseconds since 1970. */
+  private born_ = Date.now()
   private readonly sockets_ = new Set<Socket>()
-  private readonly server_: Server
+  private server_: Server
   private readonly timer_: NodeJS.Timeout
 
   private constructor(
@@ -103,12 +106,7 @@
     private readonly options_: WorkerOptions,
     private readonly newest_: ReadonlyMap<string, number>
   ) {
-    this.server_ = createServer((req, res) => void this.take(req, res))
-    this.server_.keepAliveTimeout = 60_000
-    this.server_.on("connection", socket => {
-      this.sockets_.add(socket)
-      socket.on("close", () => this.sockets_.delete(socket))
-    })
+    this.server_ = this.createServer()
     this.timer_ = setInterval(() => this.beat(), HEARTBEAT_MS)
   }
 
@@ -119,13 +117,47 @@
     newest: ReadonlyMap<string, number> = new Map()
   ): Promise<StandInWorker> {
     const worker = new StandInWorker(store, judge, options, newest)
-    await new Promise<void>(resolve =>
-      worker.server_.listen(0, "127.0.0.1", () => resolve())
-    )
+    await worker.listen(0)
     worker.beat()
     return worker
   }
 
+  private createServer(): Server {
+    const server = createServer((req, res) => void this.take(req, res))
+    server.keepAliveTimeout = 60_000
+    server.on("connection", socket => {
+      this.sockets_.add(socket)
+      socket.on("close", () => this.sockets_.delete(socket))
+    })
+    return server
+  }
+
+  private listen(port: number): Promise<void> {
+    return new Promise(resolve => this.server_.listen(port, "127.0.0.1", () => resolve()))
+  }
+
+  /**
+   * Crashes and starts again under its id: empty, with counts that begin anew. `moved`: at another
+   * port. `bornBefore`: by a clock that stands so much before that of its last life, milliseconds.
+   */
+  async restart({moved = false, bornBefore = 0} = {}): Promise<void> {
+    const {port} = this.server_.address() as AddressInfo
+    const closed = new Promise(resolve => this.server_.close(resolve))
+    for (const socket of this.sockets_) socket.destroy()
+    await closed
+    this.born_ =
+      bornBefore > 0 ? this.born_ - bornBefore : Math.max(Date.now(), this.born_ + 1)
+    for (const each of [this.adapters, this.pending_, this.leaving_, this.running_])
+      each.clear()
+    this.copies_.clear()
+    this.sequence_ = 0
+    this.fence_ = 0
+    this.state_ = "ready"
+    this.server_ = this.createServer()
+    await this.listen(moved ? 0 : port)
+    this.beat()
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.server_.address() as AddressInfo).port}`
   }
@@ -155,12 +187,23 @@
     this.store_.remove(`servers/${this.id}`)
   }
 
+  /** Writes its entry no more, until `resume`. */
+  hold(): void {
+    this.held_ = true
+  }
+
+  resume(): void {
+    this.held_ = false
+    this.beat()
+  }
+
   /** Writes its entry. */
   announce(): void {
     this.beat()
   }
 
   private beat(): void {
+    if (this.held_) return
     const {service, dataCentre, model} = this.options_
     this.store_.write(`servers/${this.id}`, {
       service,
@@ -171,7 +214,8 @@
       state: this.state_,
       coldRemainingMs: 0,
       ...(model ? {stage: "unified", models: this.models()} : {}),
-      sequence: this.sequence_
+      sequence: this.sequence_,
+      born: this.born_
     })
   }
 
@@ -336,7 +380,9 @@
     this.pending_.set(adapter, wanted)
     const time = this.copies_.has(adapter) ? loadMs / 10 : loadMs
     this.copies_.add(adapter)
+    const life = this.born_
     setTimeout(() => {
+      if (this.born_ !== life) return
       this.pending_.delete(adapter)
       this.adapters.set(adapter, wanted)
     }, time)
@@ -364,7 +410,8 @@
       sequence: this.sequence_,
       queued: 0,
       active: 0,
-      pending
+      pending,
+      born: this.born_
     }
     reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
   }
