--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -2,7 +2,7 @@
 import type {FleetEffect, EngineReport, OrderResult} from "../core/placement-state.js"
 import type {FleetEvent} from "../core/serving-events.js"
 import type {Dialect, EngineCall} from "../ports/fleet-ports.js"
-import {nameLife} from "../core/server-lives.js"
+import {nameLife, tellsLife} from "../core/server-lives.js"
 import type {BackendRecord} from "../types/fleet.js"
 import {UnreadableEntry} from "../errors.js"
 import type {BackendPools} from "./backend-pools.js"
@@ -129,9 +129,10 @@
   }
 }
 
-/** A report that tells no start is taken as that of the life that was asked. */
-function isOfOtherLife({startedAt}: EngineReport, {id, server}: BackendRecord): boolean {
-  return startedAt !== undefined && nameLife(server, startedAt) !== id
+/** Where the entry or the report tells no start, the report is taken as that of the life that was asked. */
+function isOfOtherLife({startedAt}: EngineReport, record: BackendRecord): boolean {
+  if (startedAt === undefined || !tellsLife(record)) return false
+  return nameLife(record.server, startedAt) !== record.id
 }
 
 function later(act: () => void): void {
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -98,13 +98,13 @@
   const known = new Map<string, KnownBackend>()
   const before = indexServers(list)
   for (const record of records) {
-    if (goneAt(gone, record) >= reading.at) continue
     const last = before.get(record.server)
     // The list is older than what is known: its entry is that of a life that is over.
     if (last && succeeds(last.record, record)) {
       known.set(last.record.id, last)
       continue
     }
+    if (goneAt(gone, record) >= reading.at) continue
     forgetGone(gone, record)
     known.set(record.id, toKnown(record, left))
   }
