Red test: versions that follow each other let the first be used for ever

An adapter's older version may be used for 2.5 s after a newer one was named. Each further version set that time back. Run: box-requests 1 failed (sent 2.6 s after the first newer version was named, 1.8 s after the last).

--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -274,6 +274,26 @@
   t.same(later.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
 })
 
+t.test(
+  "each version is judged from when it was named, also where others follow",
+  async t => {
+    const subject = new Subject()
+    takePicture(subject.box, engines(), subject.now)
+    for (const version of [2, 3, 4]) {
+      takeVersions(subject.box, [["m/x", version]], subject.now)
+      subject.now += 400
+    }
+    t.same(
+      subject.arrive(STREAM, {weights: WEIGHTS}).told(),
+      ["send 1"],
+      "1.2 s after the first"
+    )
+    subject.now += 1_400
+    const late = subject.arrive(STREAM, {id: "q2", weights: WEIGHTS})
+    t.same(late.told(), ["need"], "2.6 s after the first, 1.8 s after the last")
+  }
+)
+
 t.test("a change adds and takes away places, and leaves the others", async t => {
   const subject = new Subject()
   takePicture(subject.box, engines().slice(0, 1), subject.now)
