An adapter's version is judged from when it was itself replaced

Cause: only the newest version and its time were kept, so that versions named within 2.5 s of each other let the first be used on. Now each named version keeps its time until it has replaced all before it. Ruled out: the leader's loads (they carry the version they are for).

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -2,6 +2,7 @@
  * What a leader tells the boxes that follow it, and what it hears from them: configuration, backend
  * servers, versions, places and loads of engines one way, needs and uses the other.
  */
+import {newestOf} from "../core/adapter-versions.js"
 import type {BoxServing} from "../core/box-state.js"
 import type {Leadership} from "../core/leadership.js"
 import {describeFleet, describeLoads, isSmall} from "../core/placement-news.js"
@@ -260,7 +261,7 @@
 }
 
 function listVersions({versions}: BoxServing): (readonly [string, number])[] {
-  return [...versions].map(([adapter, {version}]) => [adapter, version] as const)
+  return [...versions].map(([adapter, named]) => [adapter, newestOf(named)] as const)
 }
 
 /** How often a leader of so many boxes, and each of them, says that it lives, milliseconds. */
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -1,6 +1,7 @@
 /** Which backend server gets a request, among those that can serve it now. */
 import type {BackendRecord} from "../types/fleet.js"
 import {adapterKey} from "../types/fleet.js"
+import {isOutdated} from "./adapter-versions.js"
 import {viewOf} from "./box-places.js"
 import type {BoxRequest, BoxServing} from "./box-state.js"
 import {weighMember} from "../utils/rendezvous.js"
@@ -17,9 +18,6 @@
 /** A backend server that can take a request, before its cost is known. */
 type Option = Omit<Candidate, "unread">
 
-/** How long an older version may still be used after a newer one was heard of, milliseconds. */
-const OLD_VERSION_MS = 2_500
-
 /** Work in tokens that weighs as much as another data centre does. */
 const FAR_TOKENS = 300
 
@@ -118,18 +116,12 @@
     const key = adapterKey(weights.model, weights.adapter)
     const place = view.places.get(key)
     if (!place || place.readyAt > now) continue
-    if (isOutdated(box, key, place.version, now)) continue
+    if (isOutdated(box.versions.get(key) ?? [], place.version, now)) continue
     candidates.push({backend: record, version: place.version})
   }
   return candidates
 }
 
-function isOutdated(box: BoxServing, key: string, version: number, now: number): boolean {
-  const newest = box.versions.get(key)
-  if (!newest || newest.version <= version) return false
-  return now - newest.since > OLD_VERSION_MS
-}
-
 function costOf(
   box: BoxServing,
   request: BoxRequest,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -1,6 +1,7 @@
 /** The state of a box's requests, and what its decisions are made from. */
 import type {Need, UseChange} from "../types/box-messages.js"
 import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
+import {type AdapterVersions, nameVersion} from "./adapter-versions.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
 import type {EngineView} from "./box-places.js"
 import {PrefixMemory} from "./prefix-memory.js"
@@ -66,12 +67,6 @@
   lastEventId: string | undefined
 }
 
-/** The newest version of an adapter, and when this box learned of it. */
-export interface NewestVersion {
-  readonly version: number
-  readonly since: number
-}
-
 export interface BoxOptions {
   readonly dataCentre: string
   readonly retry: RetryBudgetOptions
@@ -90,7 +85,7 @@
   readonly engines: Map<string, EngineView>
   /** Adapters that each engine held lately, newest last: what a new leader begins with. */
   readonly held: Map<string, Map<string, number>>
-  readonly versions: Map<string, NewestVersion>
+  readonly versions: Map<string, AdapterVersions>
   readonly requests: Map<string, BoxRequest>
   /** Lives of backend servers that are over, and when what still runs there ends. */
   readonly endedLives: Map<string, number>
@@ -223,8 +218,7 @@
   now: number
 ): void {
   for (const [adapter, version] of versions) {
-    const known = box.versions.get(adapter)
-    if (known && known.version >= version) continue
-    box.versions.set(adapter, {version, since: now})
+    const known = box.versions.get(adapter) ?? []
+    box.versions.set(adapter, nameVersion(known, version, now))
   }
 }
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -11,6 +11,7 @@
   takeBackend,
   takeBackends
 } from "./backend-list.js"
+import {newestOf} from "./adapter-versions.js"
 import {tickRequests} from "./box-clock.js"
 import {
   admit,
@@ -231,8 +232,8 @@
 
 function lead(state: RoutedState, now: number): void {
   state.fleet = createFleet(now)
-  for (const [adapter, {version}] of state.serving.versions) {
-    takeFleetVersion(state.fleet, adapter, version)
+  for (const [adapter, named] of state.serving.versions) {
+    takeFleetVersion(state.fleet, adapter, newestOf(named))
   }
   state.fleet.boxes = state.serving.boxes
   listEngines(state, now)
