--- a/src/core/adapter-versions.ts
+++ b/src/core/adapter-versions.ts
@@ -26,8 +26,8 @@
 ): AdapterVersions {
   if (version <= newestOf(named)) return named
   const all = [...named, {version, since: now}]
-  const first = all.findLastIndex(each => hasReplaced(each, now))
-  return all.slice(Math.max(0, first))
+  const replaced = all.filter(each => hasReplaced(each, now)).length
+  return all.slice(Math.max(0, replaced - 1))
 }
 
 /** The newest version; 0: none was named. */
