Soak: servers start again under their names, twice, by clocks set back; other writers' entries

Rounds with `lives` (the default by hand) draw these faults beside the others; seeds kept before draw as they did.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -9,6 +9,7 @@
 cli.option("--minutes <m>", "Start no round after this time", {default: 1})
 cli.option("--seconds <s>", "Length of the faults of a round", {default: 12})
 cli.option("--boxes <n>", "Boxes in each round", {default: 3})
+cli.option("--no-lives", "Servers do not start again under their names")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -20,7 +21,8 @@
   const result = await runSoakRound({
     seed,
     seconds: Number(options["seconds"]),
-    boxes: Number(options["boxes"])
+    boxes: Number(options["boxes"]),
+    lives: options["lives"] !== false
   })
   rounds++
   if (result.violations.length > 0) bad++
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -21,9 +21,14 @@
   readonly seed: number
   readonly seconds: number
   readonly boxes?: number
+  /** Servers start again under their names, too, and other writers leave entries. */
+  readonly lives?: boolean
 }
 
 const ADAPTERS = 30
+
+/** By so much the clock of a server steps back before it starts again, milliseconds. */
+const CLOCK_STEP_MS = 5_000
 const CALL_MS = 25
 const FAULT_MS = 700
 
@@ -146,13 +151,43 @@
       "worker-leaves": () => this.replaceEngine(bed, true),
       "worker-crashes": () => this.replaceEngine(bed, false),
       version: () => this.bump(bed),
-      config: () => bed.configure()
+      config: () => bed.configure(),
+      // Last, and only where asked for: the seeds of rounds without them draw as they did.
+      ...(this.options_.lives ? this.livesFaults(bed) : {})
     }
     const name = this.pick(Object.keys(faults))
     this.faults_.push(name)
     await faults[name]?.()
   }
 
+  private livesFaults(bed: PlatformBed): Readonly<Record<string, () => unknown>> {
+    return {
+      "engine-restarts": () => this.pick(bed.engines).restart(),
+      "engine-restarts-twice": async () => {
+        const engine = this.pick(bed.engines)
+        await engine.restart()
+        await engine.restart()
+      },
+      "plain-restarts": () => this.pick(bed.plain).restart(),
+      "clock-back": () => this.pick(bed.engines).restart({bornBefore: CLOCK_STEP_MS}),
+      "foreign-entry": () => this.writeForeign(bed, `f-${Math.floor(9 * this.draw())}`),
+      "entry-spoilt": () => this.spoilEntry(bed)
+    }
+  }
+
+  private writeForeign(bed: PlatformBed, id: string): void {
+    const values = ["{", '{"state":"ready"}', '{"service":"plain","address":7}', "\u0000"]
+    bed.store.writeBytes(`servers/${id}`, Buffer.from(this.pick(values)))
+  }
+
+  /** Another writer's bytes stand in the entry of a server until that writes it again. */
+  private spoilEntry(bed: PlatformBed): void {
+    const worker = this.pick(this.workers(bed))
+    worker.hold()
+    this.writeForeign(bed, worker.id)
+    setTimeout(() => worker.resume(), 300 + 2_000 * this.draw())
+  }
+
   private workers(bed: PlatformBed): StandInWorker[] {
     return [...bed.engines, ...bed.plain]
   }
