Many boxes share their repeats: who has none left asks the leader for one

Cause: the budget of repeats was divided by the number of boxes, each part rounded down, while callers reach boxes unevenly (some 140 callers, 195 boxes): those with callers refused what they could not repeat, the others used none. Change: above 16 boxes a box uses 0.8 of what its own requests allow and 0.15 of its part of the slack by itself; 0.7 of the slack is the leader's to give, one repeat to each ask (a message of 1.4 ms each way; 150 ms at most, then as before). A new leader fills its pool over one window, since what the last one gave is not known.

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -92,6 +92,11 @@
     this.links_.send(box, {t: "refuse", request, retryAfterMs})
   }
 
+  /** Answers a box whether a request may be sent once more. */
+  answerRetry(box: string, request: string, allowed: boolean): void {
+    this.links_.send(box, {t: "may-retry", request, allowed})
+  }
+
   /** Tells of servers what changed, and from time to time that the leader lives. */
   pingIfDue(now: number): void {
     this.tellBackends()
@@ -238,6 +243,13 @@
         const {engine, adapter, late} = message
         return post({type: "missing", engine, adapter, late})
       }
+      case "ask-retry":
+        return post({
+          type: "ask-retry",
+          box,
+          id: message.request,
+          service: message.service
+        })
       case "ask-config":
         if (news.config) this.links_.send(box, {t: "config", config: news.config})
         return
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -133,6 +133,8 @@
         const {request, retryAfterMs} = message
         return post({type: "refuse", request, retryAfterMs})
       }
+      case "may-retry":
+        return post({type: "may-retry", id: message.request, allowed: message.allowed})
       case "ping":
         return this.takePing(message)
     }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -395,6 +395,19 @@
         else this.session_.send({t: "missing", engine, adapter, late})
         return
       }
+      case "ask-retry": {
+        const {id, service} = effect
+        if (this.leading) {
+          this.loop_.post({type: "ask-retry", box: this.incarnation_, id, service})
+        } else this.session_.send({t: "ask-retry", request: id, service})
+        return
+      }
+      case "retry": {
+        const {box, id, allowed} = effect
+        if (box === this.incarnation_) this.loop_.post({type: "may-retry", id, allowed})
+        else this.hub_?.answerRetry(box, id, allowed)
+        return
+      }
       case "order":
       case "ask":
         return this.driver_.perform(effect)
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -128,6 +128,8 @@
         this.exchanges_.delete(exchange.id)
         exchange.cut()
         return true
+      default:
+        return false
     }
   }
 
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -1,4 +1,5 @@
 /** What time alone brings: requests that can be sent now, have waited too long, or hear nothing. */
+import {endLateAsk} from "./box-asks.js"
 import {chooseBackend} from "./box-choose.js"
 import {SUSPECT_MS, suspect} from "./box-doubts.js"
 import {abortAttempt, giveUp} from "./box-ends.js"
@@ -21,6 +22,8 @@
   for (const request of box.requests.values()) {
     if (now >= request.giveUpAt) {
       timeOut(box, request, now)
+    } else if (endLateAsk(box, request, now)) {
+      continue
     } else if (!request.attempt) {
       advance(box, request, now)
       const waits = !request.attempt && box.requests.has(request.arrival.id)
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,6 +2,7 @@
  * The requests of a box: each is sent to a backend server that can serve it, sent again where that
  * is safe and within the budget, or ended with what is known of it.
  */
+import {askRetry, mayAsk} from "./box-asks.js"
 import {chooseBackend, hasBackends} from "./box-choose.js"
 import {
   type AttemptFailure,
@@ -77,6 +78,8 @@
     avoided: new Map(),
     failedAt: new Set(),
     needed: false,
+    askedAt: undefined,
+    granted: false,
     replied: false,
     lastEventId: arrival.lastEventId
   }
@@ -98,13 +101,13 @@
 
 /** Sends the request if it can be sent now; otherwise it waits. */
 export function advance(box: BoxServing, request: BoxRequest, now: number): void {
-  if (request.attempt || isStale(box, now)) return
+  if (request.attempt || request.askedAt !== undefined || isStale(box, now)) return
   const candidate = chooseBackend(box, request, now)
   if (!candidate) return wait(box, request, now)
   const {arrival} = request
   const {backend, version} = candidate
   if (request.needed) dropNeed(box, request)
-  if (request.attempts > 0) budgetOf(box, arrival.service).spend(now)
+  if (request.attempts > 0) spendRetry(box, request, now)
   request.attempts++
   request.attempt = {
     number: request.attempts,
@@ -142,6 +145,11 @@
   })
 }
 
+function spendRetry(box: BoxServing, request: BoxRequest, now: number): void {
+  if (!request.granted) budgetOf(box, request.arrival.service).spend(now)
+  request.granted = false
+}
+
 function notePrefix(box: BoxServing, {arrival}: BoxRequest, now: number): void {
   const {prefix, weights, route} = arrival
   if (prefix) box.prefixes.note(route.name, weights?.adapter ?? "", prefix.key, now)
@@ -298,21 +306,24 @@
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
-    return giveUp(box, request, "unknown", now)
+    if (!allowsRepeat(request) || !mayAsk(box)) {
+      return giveUp(box, request, "unknown", now)
+    }
+    noteRun(box, request, failure, now)
+    return askRetry(box, request, now)
   }
   request.refusals++
   // Each pause is longer: what is late may be late for a while, and refusals are counted.
   const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
   request.avoided.set(attempt.backend, now + pauseMs)
   const most = late ? MAX_LATE_REFUSALS : MAX_REFUSALS
-  if (
-    request.refusals > most ||
-    budgetOf(box, request.arrival.service).left(now, box.boxes) <= 0
-  ) {
+  const spent = budgetOf(box, request.arrival.service).left(now, box.boxes) <= 0
+  if (request.refusals > most || (spent && !mayAsk(box))) {
     return giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
   }
-  leaveAttempt(box, request)
   note(box, "route-again", {request: request.arrival.name, after: failure})
+  if (spent) return askRetry(box, request, now)
+  leaveAttempt(box, request)
   advance(box, request, now)
 }
 
@@ -357,12 +368,16 @@
   }
 }
 
-/** Whether it may run once more, elsewhere. */
+/** Whether it may run once more, elsewhere, and the box has a repeat for it. */
 export function mayRepeat(box: BoxServing, request: BoxRequest, now: number): boolean {
-  const {route, service} = request.arrival
-  if (!isRepeatable(route) || request.attempts >= route.maxAttempts) return false
-  if (request.replied && route.kind !== "streaming") return false
-  return budgetOf(box, service).left(now, box.boxes) > 0
+  if (!allowsRepeat(request)) return false
+  return budgetOf(box, request.arrival.service).left(now, box.boxes) > 0
+}
+
+/** Whether it may run once more, elsewhere, if there is a repeat for it. */
+function allowsRepeat({arrival: {route}, attempts, replied}: BoxRequest): boolean {
+  if (!isRepeatable(route) || attempts >= route.maxAttempts) return false
+  return !replied || route.kind === "streaming"
 }
 
 /** Sends it once more, after a run that may have begun. */
@@ -372,6 +387,12 @@
   after: string,
   now: number
 ): void {
+  noteRun(box, request, after, now)
+  advance(box, request, now)
+}
+
+/** An attempt that may have run is over, and the request goes on elsewhere. */
+function noteRun(box: BoxServing, request: BoxRequest, after: string, now: number): void {
   const {attempt, arrival} = request
   if (attempt) {
     request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
@@ -385,7 +406,6 @@
   })
   leaveAttempt(box, request)
   request.holdUntil = Math.min(request.giveUpAt, now + arrival.route.targetMs)
-  advance(box, request, now)
 }
 
 function findAttempt(box: BoxServing, id: string, number: number): Attempt | undefined {
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -62,6 +62,10 @@
   readonly failedAt: Set<string>
   /** The leader was told that it waits. */
   needed: boolean
+  /** When the leader was asked whether it may be sent once more; undefined: it need not be. */
+  askedAt: number | undefined
+  /** The leader gave it a repeat, which is not one of this box's own. */
+  granted: boolean
   /** The head of an answer went to the caller. */
   replied: boolean
   lastEventId: string | undefined
@@ -139,6 +143,8 @@
     }
   /** Cuts the caller's connection: what it got must not look whole. */
   | {readonly type: "cut"; readonly id: string}
+  /** Asks the leader whether the request may be sent once more. */
+  | {readonly type: "ask-retry"; readonly id: string; readonly service: string}
   | {readonly type: "need"; readonly need: Need}
   | {readonly type: "drop"; readonly request: string}
   | {readonly type: "use"; readonly change: UseChange}
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -144,6 +144,13 @@
       readonly boxes?: readonly string[]
     }
   | {readonly type: "loads"; readonly loads: EngineLoads}
+  /** Whether a request of a box may be sent once more. */
+  | {
+      readonly type: "retry"
+      readonly box: string
+      readonly id: string
+      readonly allowed: boolean
+    }
   | {
       readonly type: "refuse"
       readonly box: string
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -63,6 +63,8 @@
       readonly versions: readonly (readonly [adapter: string, version: number])[]
     }
   | {readonly type: "refuse"; readonly request: string; readonly retryAfterMs: number}
+  /** The leader's answer whether a request may be sent once more. */
+  | {readonly type: "may-retry"; readonly id: string; readonly allowed: boolean}
   | {readonly type: "leader-new"}
   | {readonly type: "stop"}
   /** In how long loads can be ordered, milliseconds, by the leader or by the next one. */
@@ -84,6 +86,13 @@
       readonly adapter: string
       readonly late: boolean
     }
+  /** A box has no repeat of its own left for a request. */
+  | {
+      readonly type: "ask-retry"
+      readonly box: string
+      readonly id: string
+      readonly service: string
+    }
   | {readonly type: "box-gone"; readonly box: string}
   | {
       readonly type: "report"
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -12,6 +12,7 @@
   takeBackends
 } from "./backend-list.js"
 import {newestOf} from "./adapter-versions.js"
+import {takeRetry} from "./box-asks.js"
 import {tickRequests} from "./box-clock.js"
 import {
   admit,
@@ -47,6 +48,7 @@
   takeUses
 } from "./placement-uses.js"
 import {createFleet, type Fleet} from "./placement-state.js"
+import {RetryPool} from "./rate-windows.js"
 import {buildRouteTable} from "./route-table.js"
 import type {
   FleetEvent,
@@ -60,6 +62,8 @@
   readonly serving: BoxServing
   /** Only while this box leads. */
   fleet: Fleet | undefined
+  /** Repeats that this box gives out to others while it leads. */
+  retries?: RetryPool
 }
 
 /** Between ticks, milliseconds: while news for the leader's plan waits, while requests do, otherwise. */
@@ -120,6 +124,8 @@
       return hangUp(serving, event.id, now)
     case "refuse":
       return refuseNeed(serving, event.request, event.retryAfterMs, now)
+    case "may-retry":
+      return takeRetry(serving, event.id, event.allowed, now)
     case "leader-new":
       return tellLeader(serving)
     case "stop":
@@ -218,6 +224,12 @@
       return event.late
         ? takeLate(fleet, event.engine, event.adapter, now)
         : takeMissing(fleet, event.engine, event.adapter, now)
+    case "ask-retry": {
+      const {box, id, service} = event
+      const allowed = state.retries?.take(service, now) ?? false
+      fleet.effects.push({type: "retry", box, id, allowed})
+      return
+    }
     case "box-gone":
       return forgetBox(fleet, event.box, now)
     case "life-over":
@@ -232,6 +244,7 @@
 
 function lead(state: RoutedState, now: number): void {
   state.fleet = createFleet(now)
+  state.retries = new RetryPool(state.serving.options.retry, now)
   for (const [adapter, named] of state.serving.versions) {
     takeFleetVersion(state.fleet, adapter, newestOf(named))
   }
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -47,6 +47,7 @@
     adapter: z.string(),
     late: z.boolean()
   }),
+  z.object({t: z.literal("ask-retry"), request: z.string(), service: z.string()}),
   z.object({t: z.literal("renewed"), ask: z.number(), known: z.boolean()}),
   z.object({t: z.literal("pong")})
 ])
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -94,6 +94,8 @@
       readonly adapter: string
       readonly late: boolean
     }
+  /** Asks for a repeat of a request out of what all boxes share. */
+  | {readonly t: "ask-retry"; readonly request: string; readonly service: string}
   /** The lease that the leader asked to renew was renewed, or is not known any more. */
   | {readonly t: "renewed"; readonly ask: number; readonly known: boolean}
   | {readonly t: "pong"}
@@ -125,6 +127,8 @@
   /** The key-value service turns the leader away: its lease is to be renewed for it. */
   | {readonly t: "renew"; readonly ask: number; readonly lease: string}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
+  /** The answer to `ask-retry`. */
+  | {readonly t: "may-retry"; readonly request: string; readonly allowed: boolean}
   /**
    * Sent often; `newsAgeMs`: since the leader's news was read in the store; `ordersInMs`: until it
    * can order loads; `medianAgeMs`: since the processes of boxes started; `others`: where some
--- /dev/null
+++ b/test/retry-asks.test.ts
@@ -0,0 +1,147 @@
+/** A box among many whose own repeats are used up asks its leader for one. */
+import t from "tap"
+import {ASK_RETRY_MS} from "../src/core/box-asks.js"
+import type {AttemptFailure} from "../src/core/box-doubts.js"
+import {createBoxServing} from "../src/core/box-state.js"
+import {RetryPool} from "../src/core/rate-windows.js"
+import {type RoutedState, stepRouted} from "../src/core/serving.js"
+import type {RoutedEvent} from "../src/core/serving-events.js"
+import type {BackendRecord, Route} from "../src/types/fleet.js"
+
+const RETRY = {ratio: 0, slack: 100, windowMs: 10_000}
+const MANY = 195
+const FEW = 9
+const NOW = 1_000
+
+const ROUTE: Route = {
+  name: "r",
+  host: "h",
+  pathPrefix: "/",
+  kind: "safe",
+  resumable: false,
+  timeoutMs: 4_000,
+  targetMs: 300,
+  patienceMs: Infinity,
+  gapTargetMs: 0,
+  priority: 1,
+  maxAttempts: 2,
+  services: [{service: "s", weight: 1}]
+}
+
+function recordOf(id: string): BackendRecord {
+  return {
+    id,
+    server: id,
+    revision: 1,
+    service: "s",
+    address: "10.0.0.1:80",
+    dataCentre: "a",
+    leaving: false,
+    models: []
+  }
+}
+
+/** A box with one request on its way, and what it has told, in short. */
+class Subject {
+  readonly state: RoutedState
+
+  constructor(boxes: number, led: boolean, route: Partial<Route> = {}) {
+    const random = (): number => 0
+    const options = {dataCentre: "a", retry: RETRY, handoverMs: 3_200, random}
+    this.state = {serving: createBoxServing(options), fleet: undefined}
+    const records = [recordOf("one"), recordOf("two")]
+    this.step({type: "backends", records, reading: {source: "store", at: 0}})
+    this.step({type: "boxes", boxes})
+    this.step({type: "orders", led, inMs: 0})
+    const arrival = {
+      id: "q",
+      name: "n",
+      route: {...ROUTE, ...route},
+      service: "s",
+      tokens: 0,
+      deadlineMs: 4_000
+    }
+    this.step({type: "arrive", arrival})
+    this.step({type: "started", id: "q", attempt: 1})
+  }
+
+  step(event: RoutedEvent, now = NOW): string[] {
+    return stepRouted(this.state, event, now).effects.flatMap(effect => {
+      if (effect.type === "end") return [`end ${effect.reason}`]
+      return ["send", "ask-retry"].includes(effect.type) ? [effect.type] : []
+    })
+  }
+
+  fail(failure: AttemptFailure): string[] {
+    return this.step({
+      type: "failed",
+      id: "q",
+      attempt: 1,
+      failure,
+      lastEventId: undefined
+    })
+  }
+}
+
+for (const failure of ["refused", "broken"] as const) {
+  t.test(`after a send that was ${failure} it goes on as the leader allows`, async t => {
+    const allowed = new Subject(MANY, true)
+    t.same(allowed.fail(failure), ["ask-retry"])
+    t.same(allowed.step({type: "tick", mayOrder: false}), [], "it waits")
+    t.same(allowed.step({type: "may-retry", id: "q", allowed: true}), ["send"])
+    t.same(allowed.step({type: "may-retry", id: "q", allowed: true}), [], "once")
+    const denied = new Subject(MANY, true)
+    denied.fail(failure)
+    const reason = failure === "broken" ? "unknown" : "not-run"
+    t.same(denied.step({type: "may-retry", id: "q", allowed: false}), [`end ${reason}`])
+  })
+}
+
+t.test("a leader that does not answer is not waited for", async t => {
+  const subject = new Subject(MANY, true)
+  subject.fail("refused")
+  const tick = {type: "tick", mayOrder: false} as const
+  t.same(subject.step(tick, NOW + ASK_RETRY_MS - 1), [])
+  t.same(subject.step(tick, NOW + ASK_RETRY_MS), ["end not-run"])
+  t.same(subject.step({type: "may-retry", id: "q", allowed: true}, NOW + 200), [])
+})
+
+t.test(
+  "nobody is asked without a leader, among few boxes, or for what may not run twice",
+  async t => {
+    t.same(new Subject(MANY, false).fail("refused"), ["end not-run"])
+    t.same(new Subject(FEW, true).fail("refused"), ["send"], "it has repeats of its own")
+    t.same(new Subject(MANY, true, {kind: "unsafe"}).fail("broken"), ["end unknown"])
+    t.same(new Subject(MANY, true, {maxAttempts: 1}).fail("broken"), ["end unknown"])
+    t.same(new Subject(MANY, true, {kind: "unsafe"}).fail("refused"), ["ask-retry"])
+  }
+)
+
+t.test(
+  "a leader gives out its part of the slack in each window, and fills in its first",
+  async t => {
+    const pool = new RetryPool(RETRY, 0)
+    const takeAll = (now: number): number => {
+      let given = 0
+      while (pool.take("s", now)) given++
+      return given
+    }
+    t.equal(takeAll(0), 0)
+    t.equal(takeAll(5_000), 35)
+    t.equal(takeAll(10_000), 35)
+    t.equal(takeAll(12_000), 0, "all is given")
+    t.equal(takeAll(15_001), 35, "and comes back with the window")
+    t.ok(pool.take("other", 15_001), "each service for itself")
+  }
+)
+
+t.test("a box that leads answers", async t => {
+  const {state} = new Subject(MANY, true)
+  stepRouted(state, {type: "lead"}, 0)
+  const ask = {type: "ask-retry", box: "b", id: "x", service: "s"} as const
+  const {effects} = stepRouted(state, ask, 10_000)
+  t.match(
+    effects.find(({type}) => type === "retry"),
+    {box: "b", id: "x", allowed: true}
+  )
+})
