--- a/src/core/timeline.ts
+++ b/src/core/timeline.ts
@@ -43,7 +43,10 @@
   [204, "backend"],
   [205, "backend"],
   [206, ""],
-  [207, ""]
+  [207, ""],
+  [208, "backend"],
+  [209, "key"],
+  [210, "engine"]
 ])
 
 interface OpenEntry {
