--- a/test/timeline.test.ts
+++ b/test/timeline.test.ts
@@ -53,20 +53,23 @@
   )
 })
 
-t.test("servers that started again and keys that cannot be read are told by name", async t => {
-  const entries = tellTimeline([
-    line("a", 100, 208, {backend: "s~1", before: "s~0", source: "store"}),
-    line("a", 200, 209, {key: "k/x", revision: 4, reason: "/: no JSON"}),
-    line("b", 300, 209, {key: "k/x", revision: 4, reason: "/: no JSON"})
-  ])
-  t.same(
-    entries.map(({event, subject, boxes}) => [event, subject, ...boxes]),
-    [
-      [208, "s~1", "a"],
-      [209, "k/x", "a", "b"]
-    ]
-  )
-})
+t.test(
+  "servers that started again and keys that cannot be read are told by name",
+  async t => {
+    const entries = tellTimeline([
+      line("a", 100, 208, {backend: "s~1", before: "s~0", source: "store"}),
+      line("a", 200, 209, {key: "k/x", revision: 4, reason: "/: no JSON"}),
+      line("b", 300, 209, {key: "k/x", revision: 4, reason: "/: no JSON"})
+    ])
+    t.same(
+      entries.map(({event, subject, boxes}) => [event, subject, ...boxes]),
+      [
+        [208, "s~1", "a"],
+        [209, "k/x", "a", "b"]
+      ]
+    )
+  }
+)
 
 t.test("no lines make no entries", async t => t.same(tellTimeline([]), []))
 
