--- a/test/patterns/many-boxes.ts
+++ b/test/patterns/many-boxes.ts
@@ -11,8 +11,8 @@
 import {createBoxServing} from "../../src/core/box-state.js"
 import {nextTickMs, type RoutedState, stepRouted} from "../../src/core/serving.js"
 import type {RoutedEvent} from "../../src/core/serving-events.js"
-import type {BackendRecord, FleetConfig, Route} from "../../src/types/fleet.js"
-import {createRandom, uniformFloat64} from "../../src/utils/random.js"
+import {Agenda} from "./agenda.js"
+import {CONFIG, drawFrom, LINK_MS, MODEL, recordOf, ROUTE, SERVICE} from "./fleet.js"
 
 export interface ManyBoxesOptions {
   readonly seed: number
@@ -38,57 +38,10 @@
 }
 
 const RETRY = {ratio: 0.2, slack: 430, windowMs: 10_000}
-const LINK_MS = 1.4
 const ENGINE_MS = 3
 const RUN_MS = 400
 const HANDOVER_MS = 3_200
 const ADAPTERS = 330
-const SERVICE = "engines"
-
-const ROUTE: Route = {
-  name: "verdicts",
-  host: "h",
-  pathPrefix: "/",
-  kind: "streaming",
-  resumable: true,
-  timeoutMs: 5_000,
-  targetMs: 1_000,
-  patienceMs: 4_000,
-  gapTargetMs: 400,
-  priority: 1,
-  maxAttempts: 6,
-  services: [{service: SERVICE, weight: 1}]
-}
-
-const CONFIG: FleetConfig = {
-  version: 1,
-  routes: [ROUTE],
-  services: [
-    {
-      name: SERVICE,
-      maxConnections: 1_600,
-      engine: {
-        models: [{name: "base", weightsMb: 100, adapterMb: 1}],
-        weightsMb: 200,
-        maxAdapters: 12,
-        loadsPerSecond: 22,
-        batch: 96
-      }
-    }
-  ],
-  limits: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1
-  }
-}
-
-/** Something that happens at a time, in the order of times. */
-interface Due {
-  readonly at: number
-  readonly act: () => void
-}
 
 /** Effects by which boxes and their leader speak, whatever else they hold. */
 interface Spoken {
@@ -105,9 +58,8 @@
 }
 
 class ManyBoxes {
-  private now_ = 0
-  private random_
-  private readonly due_: Due[] = []
+  private readonly agenda_ = new Agenda()
+  private readonly draw_
   private readonly boxes_: RoutedState[] = []
   private served_ = 0
   private refused_ = 0
@@ -116,7 +68,7 @@
   private readonly repeatedAt_: number[] = []
 
   constructor(private readonly options_: ManyBoxesOptions) {
-    this.random_ = createRandom(options_.seed)
+    this.draw_ = drawFrom(options_.seed)
   }
 
   play(): ManyBoxesResult {
@@ -125,7 +77,7 @@
     this.step(0, {type: "lead"})
     for (let i = 0; i < boxes; i++) this.tickLater(i)
     this.arriveLater()
-    while (this.now_ < seconds * 1000) this.next()
+    this.agenda_.runUntil(seconds * 1000)
     return {
       requests: this.arrivedAt_.filter(at => at >= this.options_.countFrom * 1000).length,
       served: this.served_,
@@ -135,13 +87,7 @@
   }
 
   private get counts(): boolean {
-    return this.now_ >= this.options_.countFrom * 1000
-  }
-
-  private draw(): number {
-    const [value, next] = uniformFloat64(this.random_)
-    this.random_ = next
-    return value
+    return this.agenda_.now >= this.options_.countFrom * 1000
   }
 
   private startBox(index: number): RoutedState {
@@ -149,7 +95,7 @@
       dataCentre: `dc-${index % 5}`,
       retry: RETRY,
       handoverMs: HANDOVER_MS,
-      random: () => this.draw()
+      random: this.draw_
     })
     const state: RoutedState = {serving, fleet: undefined}
     const records = Array.from({length: this.options_.engines}, (_, i) => recordOf(i))
@@ -172,58 +118,39 @@
     const held = Array.from({length: ADAPTERS}, (_, i) => i).filter(
       i => i % engines === index || (i + 1) % engines === index
     )
-    const places = held.map(i => ({adapter: `base/a${i}`, version: 1, readyInMs: 0}))
-    return {engine: recordOf(index).id, models: ["base"], places}
-  }
-
-  private later(ms: number, act: () => void): void {
-    this.due_.push({at: this.now_ + ms, act})
-    // A heap kept as a sorted tail would be faster; the pattern is small enough.
-    let i = this.due_.length - 1
-    while (i > 0 && (this.due_[i - 1] as Due).at < (this.due_[i] as Due).at) {
-      const before = this.due_[i - 1] as Due
-      this.due_[i - 1] = this.due_[i] as Due
-      this.due_[i] = before
-      i--
-    }
-  }
-
-  private next(): void {
-    const due = this.due_.pop()
-    if (!due) return
-    this.now_ = due.at
-    due.act()
+    const places = held.map(i => ({adapter: `${MODEL}/a${i}`, version: 1, readyInMs: 0}))
+    return {engine: recordOf(index).id, models: [MODEL], places}
   }
 
   private tickLater(box: number): void {
     const waitMs = nextTickMs(this.boxes_[box] as RoutedState)
-    this.later(waitMs * (0.5 + this.draw()), () => {
+    this.agenda_.later(waitMs * (0.5 + this.draw_()), () => {
       this.step(box, {type: "tick", mayOrder: false})
       this.tickLater(box)
     })
   }
 
   private arriveLater(): void {
-    const gap = (-Math.log(1 - this.draw()) * 1000) / this.options_.perSecond
-    this.later(gap, () => {
+    const gap = (-Math.log(1 - this.draw_()) * 1000) / this.options_.perSecond
+    this.agenda_.later(gap, () => {
       this.arrive()
       this.arriveLater()
     })
   }
 
   private arrive(): void {
-    const caller = Math.floor(this.draw() * this.options_.callers)
+    const caller = Math.floor(this.draw_() * this.options_.callers)
     // A caller's box is drawn once, by its number.
     const box = Math.floor(hashed(caller) * this.options_.boxes)
     const id = `q${this.requests_++}`
-    this.arrivedAt_.push(this.now_)
-    const adapter = `a${Math.floor(this.draw() ** 2 * ADAPTERS)}`
+    this.arrivedAt_.push(this.agenda_.now)
+    const adapter = `a${Math.floor(this.draw_() ** 2 * ADAPTERS)}`
     const arrival = {
       id,
       name: id,
       route: ROUTE,
       service: SERVICE,
-      weights: {model: "base", adapter},
+      weights: {model: MODEL, adapter},
       tokens: 1_000,
       deadlineMs: 5_000
     }
@@ -232,7 +159,7 @@
 
   private step(box: number, event: RoutedEvent): void {
     const state = this.boxes_[box] as RoutedState
-    const {effects} = stepRouted(state, event, this.now_)
+    const {effects} = stepRouted(state, event, this.agenda_.now)
     for (const effect of effects) this.perform(box, effect as Spoken)
   }
 
@@ -248,16 +175,16 @@
 
   /** A message between the leader, which is box 0, and another. */
   private speak(to: number, message: object): void {
-    if (this.now_ >= this.options_.leaderLostAt * 1000) return
-    this.later(LINK_MS, () => this.step(to, message as RoutedEvent))
+    if (this.agenda_.now >= this.options_.leaderLostAt * 1000) return
+    this.agenda_.later(LINK_MS, () => this.step(to, message as RoutedEvent))
   }
 
   private send(box: number, id: string, attempt: number): void {
-    if (attempt > 1) this.repeatedAt_.push(this.now_)
+    if (attempt > 1) this.repeatedAt_.push(this.agenda_.now)
     this.step(box, {type: "started", id, attempt})
-    const turnedAway = this.draw() < this.options_.turnedAway
+    const turnedAway = this.draw_() < this.options_.turnedAway
     if (turnedAway) {
-      return this.later(ENGINE_MS, () =>
+      return this.agenda_.later(ENGINE_MS, () =>
         this.step(box, {
           type: "failed",
           id,
@@ -267,8 +194,8 @@
         })
       )
     }
-    this.later(ENGINE_MS, () => this.step(box, {type: "heard", id, attempt}))
-    this.later(RUN_MS, () => {
+    this.agenda_.later(ENGINE_MS, () => this.step(box, {type: "heard", id, attempt}))
+    this.agenda_.later(RUN_MS, () => {
       if (this.counts) this.served_++
       this.step(box, {type: "done", id, attempt})
     })
@@ -278,7 +205,7 @@
   private judgeBudget(): number {
     const {windowMs, ratio, slack} = RETRY
     let most = 0
-    for (let from = 0; from + windowMs <= this.now_; from += 250) {
+    for (let from = 0; from + windowMs <= this.agenda_.now; from += 250) {
       const within = (times: readonly number[], start: number): number =>
         times.filter(at => at >= start && at < start + windowMs).length
       const starts = [from, from - windowMs, from - windowMs / 2]
@@ -290,21 +217,7 @@
   }
 }
 
-function recordOf(index: number): BackendRecord {
-  return {
-    id: `e${index}`,
-    server: `e${index}`,
-    revision: 1,
-    service: SERVICE,
-    address: "10.0.0.1:80",
-    dataCentre: `dc-${index % 5}`,
-    leaving: false,
-    models: []
-  }
-}
-
 /** A number in [0, 1) that depends on the caller only. */
 function hashed(caller: number): number {
-  const [value] = uniformFloat64(createRandom(caller + 1))
-  return value
+  return drawFrom(caller + 1)()
 }
