--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -28,9 +28,6 @@
 const PING_BOX_MS = 8
 const MAX_PING_MS = 800
 
-/** A box that has just started may fail again: it is not named to lead next, milliseconds. */
-const HEIR_AGE_MS = 2_000
-
 /** Addresses of boxes that a ping tells: after some pings a box knows enough to ask, should it lose its leader. */
 const TOLD_ADDRESSES = 3
 
@@ -90,16 +87,6 @@
     this.links_.broadcast(this.shorten(message))
   }
 
-  /**
-   * Names the box that is to lead next; undefined: there is none. Where boxes are restarted in turn the
-   * one that started last has had its restart.
-   */
-  nameNext(): LeaderRecord | undefined {
-    const leader = this.links_.youngest(HEIR_AGE_MS)
-    if (leader) this.links_.broadcast({t: "next-leader", leader})
-    return leader
-  }
-
   /** Tells a box that its request cannot be served in time. */
   refuse(box: string, request: string, retryAfterMs: number): void {
     this.links_.send(box, {t: "refuse", request, retryAfterMs})
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -6,7 +6,6 @@
   AskNews,
   BoxMessage,
   FromLeader,
-  LeaderRecord,
   StoreNews,
   ToLeader
 } from "../types/box-messages.js"
@@ -93,7 +92,6 @@
   private readonly startedAt_ = new Map<string, number>()
   /** Where each box takes links. */
   private readonly addresses_ = new Map<string, string>()
-  private readonly names_ = new Map<string, string>()
 
   constructor(
     address: string,
@@ -124,21 +122,6 @@
     return median === undefined ? 0 : Math.round(now - median)
   }
 
-  /** The box whose process started last, of those that have run for so long at least, milliseconds. */
-  youngest(leastAgeMs: number): LeaderRecord | undefined {
-    const now = performance.now()
-    let found: string | undefined
-    let latest = -Infinity
-    for (const [incarnation, startedAt] of this.startedAt_) {
-      if (now - startedAt < leastAgeMs || startedAt <= latest) continue
-      latest = startedAt
-      found = incarnation
-    }
-    const address = found === undefined ? undefined : this.addresses_.get(found)
-    if (found === undefined || address === undefined) return undefined
-    return {box: this.names_.get(found) ?? "", incarnation: found, address}
-  }
-
   /** Sends to all; the message is packed once. */
   broadcast(message: FromLeader): void {
     const packed = packr.pack(message)
@@ -198,7 +181,6 @@
       this.followers_.delete(box)
       this.startedAt_.delete(box)
       this.addresses_.delete(box)
-      this.names_.delete(box)
       this.events_.down(box)
     })
   }
@@ -209,7 +191,6 @@
     this.followers_.set(box, follower)
     this.startedAt_.set(box, performance.now() - ageMs)
     this.addresses_.set(box, address)
-    this.names_.set(box, hello.box)
     this.events_.up(box, configVersion, follower)
   }
 
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -23,10 +23,6 @@
  */
 const LOOK_BOX_MS = 8
 
-/** A box that was named to lead next looks so often, for so long, milliseconds. */
-const HEIR_LOOK_MS = 20
-const HEIR_MS = 600
-
 /** Boxes that find no leader claim the lead after a random part of this, milliseconds. */
 const CLAIM_SCATTER_MS = 200
 
@@ -77,8 +73,6 @@
   private settled_ = false
   private busy_ = false
   private helped_ = false
-  /** Until when this box is the one that was named to lead next. */
-  private heirUntil_ = -Infinity
   private readonly startedAt_ = performance.now()
 
   constructor(
@@ -94,17 +88,6 @@
     this.settled_ = settled
   }
 
-  /** The leader, which is about to stop, named this box as the next one: it claims as soon as it may. */
-  claimNext(): void {
-    this.heirUntil_ = performance.now() + HEIR_MS
-    clearTimeout(this.timer_)
-    if (!this.stopped_) this.later(0)
-  }
-
-  private get isHeir(): boolean {
-    return performance.now() < this.heirUntil_
-  }
-
   /** Gives the lead up if it has it, so that another box need not wait for the lease. */
   async stop(): Promise<void> {
     this.stopped_ = true
@@ -123,7 +106,7 @@
     this.busy_ = true
     try {
       if (this.leadership.fence !== undefined) await this.renew()
-      else if (!this.settled_ || this.isHeir) await this.look()
+      else if (!this.settled_) await this.look()
     } catch (cause) {
       if (!(cause instanceof KvUnavailable || cause instanceof KvUnknown)) throw cause
     } finally {
@@ -140,7 +123,6 @@
   }
 
   private lookMs(): number {
-    if (this.isHeir) return HEIR_LOOK_MS
     return Math.max(LOOK_MS, this.events_.boxes() * LOOK_BOX_MS)
   }
 
@@ -184,7 +166,7 @@
   }
 
   private async claimLater(): Promise<void> {
-    if (!this.isHeir) await pause(this.claimDelayMs())
+    await new Promise(resolve => setTimeout(resolve, this.claimDelayMs()))
     if (this.stopped_) return
     const {key, self} = this.options_
     const sentAt = performance.now()
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -11,15 +11,6 @@
 /** A link on which the leader says nothing for so long is given up, milliseconds. */
 const LINK_SILENCE_MS = 1_200
 
-/**
- * A leader that stops names the next one, which leads within some 20 ms of its end. A box that cannot
- * link to it by then looks for a leader as ever, milliseconds.
- */
-const NEXT_MS = 600
-
-/** Between two tries to link to a box that was named and does not lead yet, milliseconds. */
-const NEXT_TRY_MS = 30
-
 /** The same where pings are far between, in pings. */
 const SILENT_PINGS = 3
 
@@ -41,8 +32,6 @@
   readonly lost: () => void
   /** A message of the leader's is about to be taken. */
   readonly hearing: () => void
-  /** The leader, which is about to stop, named this box as the next one. */
-  readonly named: () => void
   /** So long ago the processes of half of the boxes had started, milliseconds. */
   readonly pinged: (medianAgeMs: number) => void
   readonly log: Log
@@ -53,8 +42,6 @@
   private leader_: LeaderRecord | undefined
   private linked_ = false
   private pongAt_ = 0
-  /** Who was named to lead next, and until when it is waited for. */
-  private next_: {readonly leader: LeaderRecord; readonly until: number} | undefined
 
   constructor(private readonly options_: LeaderSessionOptions) {}
 
@@ -68,11 +55,6 @@
     return this.linked_
   }
 
-  /** Whether the box need not look for a leader: it hears one, or knows who leads next. */
-  get settled(): boolean {
-    return this.linked_ || this.next_ !== undefined
-  }
-
   send(message: ToLeader): void {
     this.link_?.send(message)
   }
@@ -83,7 +65,6 @@
 
   /** Gives a silent link up, and says from time to time that this box lives. */
   tick(now: number, leading: boolean): void {
-    this.giveUpNext(now)
     const every = pingMs(this.options_.boxes())
     const silence = Math.max(LINK_SILENCE_MS, SILENT_PINGS * every)
     if (this.link_ && this.link_.silentMs > silence) this.link_.close()
@@ -104,15 +85,14 @@
         if (this.leader_ === leader) this.leader_ = undefined
         const wasLinked = this.linked_
         this.linked_ = false
-        if (wasLinked) log("leader-lost", {leader: leader.box})
-        if (this.next_) this.followNext(wasLinked ? 0 : NEXT_TRY_MS)
-        else if (wasLinked) lost()
+        if (!wasLinked) return
+        log("leader-lost", {leader: leader.box})
+        lost()
       },
       message: message => {
         this.options_.hearing()
         if (!this.linked_) {
           this.linked_ = true
-          this.next_ = undefined
           log("leader-linked", {leader: leader.box})
           post({type: "leader-new"})
         }
@@ -122,30 +102,6 @@
     this.link_ = link
   }
 
-  /** Links to the box that was named, if it is another. */
-  private followNext(waitMs: number): void {
-    setTimeout(() => {
-      const {next_} = this
-      if (next_ && next_.leader.incarnation !== this.options_.self.incarnation) {
-        this.follow(next_.leader)
-      }
-    }, waitMs)
-  }
-
-  /** The box that was named does not lead in time. */
-  private giveUpNext(now: number): void {
-    if (!this.next_ || this.linked_ || now < this.next_.until) return
-    this.next_ = undefined
-    this.options_.lost()
-  }
-
-  private takeNext(leader: LeaderRecord): void {
-    const {self, named, help} = this.options_
-    this.next_ = {leader, until: performance.now() + NEXT_MS}
-    help.learn([leader.address])
-    if (leader.incarnation === self.incarnation) named()
-  }
-
   private hello(): ToLeader {
     const {self, news, startedAt} = this.options_
     return {
@@ -177,8 +133,6 @@
         const {request, retryAfterMs} = message
         return post({type: "refuse", request, retryAfterMs})
       }
-      case "next-leader":
-        return this.takeNext(message.leader)
       case "may-retry":
         return post({type: "may-retry", id: message.request, allowed: message.allowed})
       case "ping":
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -20,7 +20,6 @@
 import type {KvStore} from "../ports/ports.js"
 import type {AskNews, LeaderRecord, StoreNews} from "../types/box-messages.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
-import {pause} from "../utils/promises.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {BoxHub} from "./box-hub.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
@@ -46,9 +45,6 @@
 /** After a stop was asked for, new requests are still taken for this long. */
 const STOP_LISTEN_MS = 2_600
 
-/** Between naming the next leader and ending the lead, milliseconds: a way to each box, and its turn. */
-const NAME_MS = 60
-
 /** How often a box that stops looks whether it is done, milliseconds. */
 const STOP_TURN_MS = 50
 
@@ -175,7 +171,6 @@
       lost: () => {
         if (!this.leading) this.expectTakeover()
       },
-      named: () => this.election_.claimNext(),
       hearing: () => this.noteStandstill(performance.now()),
       pinged: medianAgeMs => (this.medianStartAt_ = performance.now() - medianAgeMs),
       log
@@ -278,8 +273,6 @@
     while (this.leading && performance.now() < listenUntil) {
       await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
-    // What is sent just before links are cut may be lost with them.
-    if (this.leading && this.hub_?.nameNext()) await pause(NAME_MS)
     await this.election_.stop()
     while (performance.now() < deadline) {
       const idle = this.relay_.open === 0 && performance.now() >= listenUntil
@@ -307,7 +300,7 @@
     this.election_.check()
     const leading = this.election_.leadership.fence !== undefined
     this.session_.tick(now, leading)
-    this.election_.settle(this.session_.settled)
+    this.election_.settle(this.session_.linked)
     this.news_.choose(leading, now)
     this.dropPools()
     if (leading) {
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -127,8 +127,6 @@
   /** The key-value service turns the leader away: its lease is to be renewed for it. */
   | {readonly t: "renew"; readonly ask: number; readonly lease: string}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
-  /** The leader is about to stop: that box claims the lead next, and the others follow it. */
-  | {readonly t: "next-leader"; readonly leader: LeaderRecord}
   /** The answer to `ask-retry`. */
   | {readonly t: "may-retry"; readonly request: string; readonly allowed: boolean}
   /**
