A new leader's list of servers is as old as the news that it rests on

A leader that has not read the store yet told its list with an age without end; who takes it drops every server (gone was compared with never), until the leader has read some 30 ms later. Now such a list rests on what the last leader told, and one of unknown age takes nothing away.

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -219,7 +219,8 @@
               records,
               whole: true,
               gone: [],
-              ageMs: this.options_.news.ownAgeMs(now)
+              // A leader that has not read the store yet knows what the last one told it.
+              ageMs: this.options_.news.ageMs(now)
             }
           ]
         : []),
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -104,7 +104,7 @@
       known.set(last.record.id, last)
       continue
     }
-    if (goneAt(gone, record) >= reading.at) continue
+    if (wasGone(gone, record, reading.at)) continue
     forgetGone(gone, record)
     known.set(record.id, toKnown(record, left))
   }
@@ -180,10 +180,15 @@
   if (oldest !== undefined) gone.delete(oldest)
 }
 
-/** When the life, or its server whichever life it was in, was known to be gone last. */
-function goneAt(gone: ReadonlyMap<string, number>, record: BackendRecord): number {
-  const {id, server} = record
-  return Math.max(gone.get(id) ?? -Infinity, gone.get(server) ?? -Infinity)
+/** Whether the life, or its server whichever life it was in, was known to be gone then or later. */
+function wasGone(
+  gone: ReadonlyMap<string, number>,
+  {id, server}: BackendRecord,
+  at: number
+): boolean {
+  return [gone.get(id), gone.get(server)].some(
+    goneAt => goneAt !== undefined && goneAt >= at
+  )
 }
 
 function forgetGone(gone: Map<string, number>, {id, server}: BackendRecord): void {
--- a/test/backend-list.test.ts
+++ b/test/backend-list.test.ts
@@ -67,6 +67,16 @@
   }
 )
 
+// Seen at changes of leader: one that had not read the store yet told a list that was taken for no list.
+t.test(
+  "a list of unknown age takes away no server that was never known to be gone",
+  async t => {
+    const full = takeBackends(createBackendList(), [record("a")], byStore(0), 0)
+    const told = takeBackends(full, [record("a"), record("b")], byBox(-Infinity), 10)
+    t.same(ids(told), ["a", "b"])
+  }
+)
+
 t.test("without the store nothing is given up, however long it is away", async t => {
   const full = takeBackends(createBackendList(), [record("a")], byStore(0), 0)
   const away = takeBackend(
