Log how old a version is when it is heard of, sent on and begun with

Cause of the change: three hypotheses of the incident of versions can't be told apart by the logs, since no line says when a version was named. Change: 211 (versions heard of, with the most that lies between their naming and that), oldForMs in 190, 212 and the histogram sedge_old_version_ms as an answer begins; sedgectl explain and timeline tell them. No decision changes. The subject of the box's unit tests moves to test/support for a second test file.

--- a/src/adapters/routed-metrics.ts
+++ b/src/adapters/routed-metrics.ts
@@ -13,6 +13,10 @@
   const labels: Record<string, string> = {event}
   if (reason !== undefined) labels["reason"] = String(reason)
   metrics.count("sedge_decisions_total", labels)
+  if (event === "old-version-begun") {
+    const route = String(fields["route"])
+    metrics.observe("sedge_old_version_ms", {route}, Number(fields["oldForMs"]))
+  }
   if (event !== "route-ended") return
   const route = String(fields["route"])
   metrics.observe("sedge_load_stall_ms", {route}, Number(fields["sentMs"]))
--- a/src/core/adapter-versions.ts
+++ b/src/core/adapter-versions.ts
@@ -1,9 +1,12 @@
 /** Versions of an adapter that were named, and which one may still be used. */
 
-/** A version that was named, and when this box heard of it. */
+/** A version that was named. Times are of the box's clock, milliseconds. */
 export interface NamedVersion {
   readonly version: number
+  /** When this box heard of it. */
   readonly since: number
+  /** It was not named yet when the store was read last before that; -Infinity: it never was. */
+  readonly namedAfter: number
 }
 
 /**
@@ -18,14 +21,15 @@
  */
 const OLD_VERSION_MS = 2_500
 
-/** Adds a version that is named now; a lower one than the newest is old news. */
+/** Adds a version that is heard of now; a lower one than the newest is old news. */
 export function nameVersion(
   named: AdapterVersions,
   version: number,
+  namedAfter: number,
   now: number
 ): AdapterVersions {
   if (version <= newestOf(named)) return named
-  const all = [...named, {version, since: now}]
+  const all = [...named, {version, since: now, namedAfter}]
   const replaced = all.filter(each => hasReplaced(each, now)).length
   return all.slice(Math.max(0, replaced - 1))
 }
@@ -35,6 +39,16 @@
   return named.at(-1)?.version ?? 0
 }
 
+/** How long ago at most a newer version was named, milliseconds; 0: this one is the newest. */
+export function replacedForMs(
+  named: AdapterVersions,
+  version: number,
+  now: number
+): number {
+  const next = named.find(each => each.version > version)
+  return next ? now - next.namedAfter : 0
+}
+
 /** Whether a newer version was named so long ago that this one may not be used any more. */
 export function isOutdated(
   named: AdapterVersions,
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -29,6 +29,7 @@
   budgetOf,
   note
 } from "./box-state.js"
+import {noteBegun, oldForMs, toLogged} from "./box-versions.js"
 import {isRepeatable} from "./route-table.js"
 
 /** Of a caller's time, the part a request waits for weights before it is refused. */
@@ -113,6 +114,7 @@
     number: request.attempts,
     backend: backend.id,
     sentAt: now,
+    version,
     unread: candidate.unread,
     started: false,
     heardAt: undefined,
@@ -140,6 +142,7 @@
     waitedMs: Math.round(now - request.arrivedAt),
     adapter: arrival.weights?.adapter ?? "",
     version: version ?? 0,
+    oldForMs: toLogged(oldForMs(box, request, version, now)),
     unread: candidate.unread,
     newsMs: Math.round(now - (box.engines.get(backend.id)?.toldAt ?? now))
   })
@@ -250,6 +253,7 @@
   const request = box.requests.get(id)
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
+  if (!attempt.headed) noteBegun(box, request, attempt, now)
   attempt.headed = true
   attempt.heardAt = now
   // What goes on with a stream can only be one: another answer is no part of it.
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -1,7 +1,7 @@
 /** The state of a box's requests, and what its decisions are made from. */
 import type {Need, UseChange} from "../types/box-messages.js"
 import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
-import {type AdapterVersions, nameVersion} from "./adapter-versions.js"
+import type {AdapterVersions} from "./adapter-versions.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
 import type {EngineView} from "./box-places.js"
 import {PrefixMemory} from "./prefix-memory.js"
@@ -31,6 +31,8 @@
   readonly number: number
   readonly backend: string
   readonly sentAt: number
+  /** Version of the adapter that it is to run on; undefined: none is asked for, 0: not known. */
+  readonly version: number | undefined
   /** Prompt tokens that the backend server is believed to have to read. */
   readonly unread: number
   /** Bytes may have left: it may run. */
@@ -168,6 +170,8 @@
   | "backend-usable"
   | "backend-unusable"
   | "backend-reborn"
+  | "versions-named"
+  | "old-version-begun"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
 
@@ -216,15 +220,3 @@
   box.budgets.set(service, budget)
   return budget
 }
-
-/** Takes the newest versions of adapters; none ever goes down. */
-export function takeVersions(
-  box: BoxServing,
-  versions: readonly (readonly [string, number])[],
-  now: number
-): void {
-  for (const [adapter, version] of versions) {
-    const known = box.versions.get(adapter) ?? []
-    box.versions.set(adapter, nameVersion(known, version, now))
-  }
-}
--- /dev/null
+++ b/src/core/box-versions.ts
@@ -0,0 +1,78 @@
+/** What a box knows of the versions of adapters, and which of them its requests run on. */
+import {adapterKey} from "../types/fleet.js"
+import {type AdapterVersions, nameVersion, replacedForMs} from "./adapter-versions.js"
+import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
+
+/** An adapter and a version of it that was named. */
+type Named = readonly [adapter: string, version: number]
+
+/** Versions that one log line names; a box that starts hears of all there are. */
+const MOST_LOGGED = 20
+
+/** Where nothing tells the age of a version, in log lines. */
+const AGE_UNKNOWN = -1
+
+/** Takes the newest versions of adapters; none ever goes down. */
+export function takeVersions(
+  box: BoxServing,
+  versions: readonly Named[],
+  now: number
+): void {
+  const namedAfter = box.newsAt ?? -Infinity
+  const newer: Named[] = []
+  for (const [adapter, version] of versions) {
+    const known = box.versions.get(adapter) ?? []
+    const named = nameVersion(known, version, namedAfter, now)
+    if (named === known) continue
+    box.versions.set(adapter, named)
+    newer.push([adapter, version])
+  }
+  if (newer.length === 0) return
+  const listed = newer.slice(0, MOST_LOGGED).map(named => named.join("@"))
+  note(box, "versions-named", {
+    count: newer.length,
+    versions: listed.join(" "),
+    ageMs: toLogged(now - namedAfter)
+  })
+}
+
+/** How long ago at most the version that the attempt runs on was replaced; 0: it is the newest. */
+export function oldForMs(
+  box: BoxServing,
+  {arrival: {weights}}: BoxRequest,
+  version: number | undefined,
+  now: number
+): number {
+  if (version === undefined || weights?.adapter === undefined) return 0
+  const key = adapterKey(weights.model, weights.adapter)
+  return replacedForMs(versionsOf(box, key), version, now)
+}
+
+/** An answer begins: tells how old the version is that it is made with, if a newer one is known. */
+export function noteBegun(
+  box: BoxServing,
+  request: BoxRequest,
+  {backend, sentAt, version}: Attempt,
+  now: number
+): void {
+  const ageMs = oldForMs(box, request, version, now)
+  if (ageMs <= 0) return
+  note(box, "old-version-begun", {
+    request: request.arrival.name,
+    route: request.arrival.route.name,
+    backend,
+    adapter: request.arrival.weights?.adapter ?? "",
+    version: version ?? 0,
+    queuedMs: Math.round(now - sentAt),
+    oldForMs: toLogged(ageMs)
+  })
+}
+
+/** An age for log lines and metrics, whole milliseconds. */
+export function toLogged(ageMs: number): number {
+  return ageMs === Infinity ? AGE_UNKNOWN : Math.round(ageMs)
+}
+
+function versionsOf({versions}: BoxServing, adapter: string): AdapterVersions {
+  return versions.get(adapter) ?? []
+}
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -42,6 +42,7 @@
   ended: 194,
   suspect: 195,
   left: 196,
+  oldBegun: 212,
   load: 200,
   unload: 201,
   trouble: 202
@@ -78,7 +79,7 @@
     EVENT.sent,
     line =>
       `attempt ${line["attempt"]} sent to ${line["backend"]} after ${line["waitedMs"]} ms` +
-      ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}, places told ${line["newsMs"]} ms before)`
+      ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}${replaced(line)}, places told ${line["newsMs"]} ms before)`
   ],
   [EVENT.again, line => `to be sent once more, since the attempt was ${line["after"]}`],
   [
@@ -93,6 +94,12 @@
       `answered whole by ${line["backend"]}: sent after ${line["sentMs"]} ms, first byte after ` +
       `${line["firstMs"]} ms, end after ${line["totalMs"]} ms`
   ],
+  [
+    EVENT.oldBegun,
+    line =>
+      `the answer begins on version ${line["version"]}${replaced(line)}, ` +
+      `${line["queuedMs"]} ms after it was sent`
+  ],
   [EVENT.left, line => `the caller left after ${line["heldMs"]} ms`],
   [
     EVENT.load,
@@ -104,6 +111,13 @@
   [EVENT.suspect, line => `${line["backend"]} failed or was silent`]
 ])
 
+/** That a version was replaced, and how long before at most. */
+function replaced({oldForMs}: LogLine): string {
+  if (typeof oldForMs !== "number" || oldForMs === 0) return ""
+  const age = oldForMs < 0 ? "nobody knows when" : `at most ${oldForMs} ms before`
+  return `, replaced ${age}`
+}
+
 /** What each end of a request promises its caller. */
 const VERDICTS: Readonly<Record<string, string>> = {
   "not-run":
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -27,7 +27,8 @@
   tellLeader
 } from "./box-requests.js"
 import {endLife} from "./box-lives.js"
-import {type BoxServing, drainEffects, note, takeVersions} from "./box-state.js"
+import {type BoxServing, drainEffects, note} from "./box-state.js"
+import {takeVersions} from "./box-versions.js"
 import {noteNews} from "./box-news.js"
 import {takeChanges, takeLoads, takePicture, viewOf} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
--- a/src/core/timeline.ts
+++ b/src/core/timeline.ts
@@ -46,7 +46,8 @@
   [207, ""],
   [208, "backend"],
   [209, "key"],
-  [210, "engine"]
+  [210, "engine"],
+  [211, "versions"]
 ])
 
 interface OpenEntry {
--- a/src/events.ts
+++ b/src/events.ts
@@ -271,6 +271,16 @@
     level: "warn",
     text: "An entry of the key-value service cannot be read: it names no server, and changes nothing."
   },
+  "versions-named": {
+    number: 211,
+    level: "info",
+    text: "Newer versions of adapters were heard of, named at most the given time before; -1: not known."
+  },
+  "old-version-begun": {
+    number: 212,
+    level: "info",
+    text: "An answer begins on a version that was replaced at most the given time before; -1: not known."
+  },
   "report-unreadable": {
     number: 210,
     level: "warn",
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -1,124 +1,14 @@
 /** A box's requests: what is sent again, what is never, and what an ended one was told. */
 import t from "tap"
-import {tickRequests} from "../src/core/box-clock.js"
-import type {AttemptFailure} from "../src/core/box-doubts.js"
-import {
-  admit,
-  attemptFailed,
-  attemptHead,
-  attemptHeard,
-  attemptStarted,
-  hangUp,
-  stopServing
-} from "../src/core/box-requests.js"
-import {
-  type Arrival,
-  type BoxEffect,
-  type BoxServing,
-  createBoxServing,
-  drainEffects,
-  takeVersions
-} from "../src/core/box-state.js"
+import {attemptHead, attemptHeard, hangUp, stopServing} from "../src/core/box-requests.js"
+import {takeVersions} from "../src/core/box-versions.js"
 import {takeChanges, takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeBackends} from "../src/core/backend-list.js"
 import {noteNews} from "../src/core/box-news.js"
 import {STALE_MS} from "../src/core/news-age.js"
 import {PrefixMemory} from "../src/core/prefix-memory.js"
-import type {BackendRecord, Route} from "../src/types/fleet.js"
-
-const ROUTE: Route = {
-  name: "r",
-  host: "h",
-  pathPrefix: "/",
-  kind: "safe",
-  resumable: false,
-  timeoutMs: 4_000,
-  targetMs: 300,
-  patienceMs: Infinity,
-  gapTargetMs: 0,
-  priority: 1,
-  maxAttempts: 2,
-  services: [{service: "s", weight: 1}]
-}
-const STREAM: Route = {...ROUTE, kind: "streaming", resumable: true}
-const WEIGHTS = {model: "m", adapter: "x"}
-
-function record(id: string): BackendRecord {
-  const address = `10.0.0.1:${id.length}`
-  return {
-    id,
-    server: id,
-    revision: 0,
-    service: "s",
-    address,
-    dataCentre: "a",
-    leaving: false,
-    models: []
-  }
-}
-
-/** A box under test with two backend servers. */
-class Subject {
-  now = 1_000
-  readonly box: BoxServing
-  effects: readonly BoxEffect[] = []
-
-  constructor(slack = 100) {
-    const retry = {ratio: 0, slack, windowMs: 10_000}
-    this.box = createBoxServing({
-      dataCentre: "a",
-      retry,
-      handoverMs: 3_200,
-      random: () => 0
-    })
-    this.box.led = true
-    const records = [record("one"), record("two")]
-    this.box.backends = takeBackends(
-      this.box.backends,
-      records,
-      {source: "store", at: 0},
-      0
-    )
-  }
-
-  arrive(route: Route, more: Partial<Arrival> = {}): this {
-    const arrival = {id: "q", name: "n", route, service: "s", tokens: 10}
-    admit(this.box, {...arrival, deadlineMs: 4_000, ...more}, this.now)
-    return this.drain()
-  }
-
-  start(number = 1): this {
-    attemptStarted(this.box, "q", number)
-    return this
-  }
-
-  fail(failure: AttemptFailure, number = 1, lastEventId?: string): this {
-    attemptFailed(this.box, "q", number, failure, lastEventId, this.now)
-    return this.drain()
-  }
-
-  pass(ms: number): this {
-    this.now += ms
-    tickRequests(this.box, this.now)
-    return this.drain()
-  }
-
-  drain(): this {
-    this.effects = drainEffects(this.box)
-    return this
-  }
-
-  /** The effects of the last call that reach beyond the box, in short. */
-  told(): string[] {
-    return this.effects.flatMap(effect => {
-      if (effect.type === "send") return [`send ${effect.attempt}`]
-      if (effect.type === "end") return [`end ${effect.reason}`]
-      return ["abort", "cut", "need", "pass", "discard"].includes(effect.type)
-        ? [effect.type]
-        : []
-    })
-  }
-}
+import type {Route} from "../src/types/fleet.js"
+import {engines, record, ROUTE, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
 
 t.test("what was never sent, or refused unrun, ends as not run", async t => {
   t.same(new Subject(0).arrive(ROUTE).fail("not-sent").told(), ["abort", "end not-run"])
@@ -400,15 +290,6 @@
   t.same(need?.type === "need" && need.need.failedAt, ["one"])
 })
 
-function engines() {
-  const place = {adapter: "m/x", version: 1, readyInMs: 0}
-  return ["one", "two"].map(engine => ({
-    engine,
-    models: ["m"],
-    places: [place]
-  }))
-}
-
 t.test(
   "what nobody can load in time is refused at once, with when to come back",
   async t => {
--- /dev/null
+++ b/test/box-versions.test.ts
@@ -0,0 +1,48 @@
+/** What a box says of the versions that its requests run on. */
+import t from "tap"
+import {noteNews} from "../src/core/box-news.js"
+import {takePicture} from "../src/core/box-places.js"
+import {attemptHead} from "../src/core/box-requests.js"
+import type {BoxNote, NoteFields} from "../src/core/box-state.js"
+import {takeVersions} from "../src/core/box-versions.js"
+import {engines, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
+
+/** A box whose news was last complete 700 ms ago, and that now hears of a newer version. */
+function hearingLate(): Subject {
+  const subject = new Subject()
+  takePicture(subject.box, engines(), subject.now)
+  noteNews(subject.box, subject.now)
+  subject.now += 700
+  takeVersions(subject.box, [["m/x", 2]], subject.now)
+  return subject.drain()
+}
+
+function noted({effects}: Subject, event: BoxNote): NoteFields[] {
+  return effects.flatMap(effect =>
+    effect.type === "note" && effect.event === event ? [effect.fields] : []
+  )
+}
+
+t.test("the log tells how old a version can be that is heard of", async t => {
+  const named = {count: 1, versions: "m/x@2", ageMs: 700}
+  t.same(noted(hearingLate(), "versions-named"), [named])
+  const started = new Subject()
+  takeVersions(started.box, [["m/x", 2]], started.now)
+  t.match(noted(started.drain(), "versions-named"), [{ageMs: -1}], "nobody knows")
+  takeVersions(started.box, [["m/x", 2]], started.now)
+  t.same(noted(started.drain(), "versions-named"), [], "told once")
+})
+
+t.test(
+  "the log tells how old a version is at the send and as its answer begins",
+  async t => {
+    const subject = hearingLate()
+    subject.now += 400
+    subject.arrive(STREAM, {weights: WEIGHTS})
+    t.match(noted(subject, "route-sent"), [{version: 1, oldForMs: 1_100}])
+    subject.start().now += 300
+    attemptHead(subject.box, "q", 1, {failed: false, streamed: true}, subject.now)
+    const begun = {version: 1, queuedMs: 300, oldForMs: 1_400}
+    t.match(noted(subject.drain(), "old-version-begun"), [begun])
+  }
+)
