--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -272,6 +272,20 @@
   }
 )
 
+// A hot adapter never stood idle, so that its newer version came to no engine whose places were all in use.
+t.test("room is made for the newer version of what is in use", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted")
+  subject.need("y").answer("e0", "accepted").pass(600)
+  const use = {engine: "e0", adapter: "base/x", begun: 1, ended: 0, tokens: 100}
+  takeUses(subject.fleet, "box", [use], subject.now)
+  dropNeed(subject.fleet, "box", "r1")
+  dropNeed(subject.fleet, "box", "r2")
+  subject.pass(600)
+  takeFleetVersion(subject.fleet, "base/x", 2)
+  t.same(subject.plan().orders(), ["e0 unload y"])
+  t.same(subject.answer("e0", "done").orders(), ["e0 load x"])
+})
+
 // Finding LIMIT, Tatrapay scale-1: both versions stand there until the newer one has come.
 t.test(
   "a version that replaces another takes a second place until it is there",
