A version's time counts from before its acknowledgement, and until its requests begin

Cause: the five seconds that operators allow run from the store's acknowledgement until an engine begins. The box counted 2.5 s from whenever it heard, and looked at the version at the send alone. Ruled out: X-Expected-Version left out of a send. It is sent wherever the version is known, and resumed streams go the same way. Change: a version counts as named after the last reading of the store without it, whoever tells it and however late; a box without such a reading uses no replaced version. Sends end 2.5 s after that, also for what waited for a connection, and what has not begun 4.2 s after it is taken back: sent once more where that is safe, else ended as unknown. The engine counts as blameless (failedAt). An assumed news (nobody could read) moves no version's time.

--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -85,7 +85,7 @@
     this.heardLeader_ = true
     if (this.rereads_) return
     this.age_ = noteLeaderReading(this.age_, now - ageMs)
-    this.options_.post({type: "news", at: now - ageMs})
+    this.options_.post({type: "news", at: now - ageMs, read: true})
   }
 
   /** The process stood still: where its news has grown old, neither old asks nor old answers count. */
@@ -174,7 +174,7 @@
   private noteRead(at: number): void {
     this.age_ = noteReading(this.age_, at)
     this.rereads_ = false
-    this.options_.post({type: "news", at})
+    this.options_.post({type: "news", at, read: true})
     this.options_.renewed()
   }
 
@@ -205,7 +205,7 @@
   /** Nothing newer is to be had: requests do not wait for it. */
   private sendOn(now: number): void {
     this.rereads_ = false
-    this.options_.post({type: "news", at: now})
+    this.options_.post({type: "news", at: now, read: false})
   }
 
   private async takeHelp(askedAt: number): Promise<void> {
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -1,8 +1,7 @@
 /** Performs what the core decides for callers' requests: sends, answers, aborts. */
 import {randomUUID} from "node:crypto"
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {isUsable} from "../core/backend-list.js"
-import {isStale} from "../core/box-news.js"
+import {mayStart} from "../core/box-starts.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving-events.js"
@@ -170,8 +169,7 @@
         started: abort => {
           if (!current()) return false
           // It may have left while the request waited for a connection.
-          const now = performance.now()
-          if (!isUsable(serving().backends, backend.id) || isStale(serving(), now)) {
+          if (!mayStart(serving(), id, performance.now())) {
             fail("not-sent")
             return false
           }
--- a/src/core/adapter-versions.ts
+++ b/src/core/adapter-versions.ts
@@ -1,11 +1,12 @@
 /** Versions of an adapter that were named, and which one may still be used. */
 
-/** A version that was named. Times are of the box's clock, milliseconds. */
+/** A version that was named. */
 export interface NamedVersion {
   readonly version: number
-  /** When this box heard of it. */
-  readonly since: number
-  /** It was not named yet when the store was read last before that; -Infinity: it never was. */
+  /**
+   * It was named after this, by the clock of the box, milliseconds: the store was read then, and did not
+   * have it. -Infinity: the box knows of no reading without it.
+   */
   readonly namedAfter: number
 }
 
@@ -16,12 +17,23 @@
 export type AdapterVersions = readonly NamedVersion[]
 
 /**
- * How long an older version may still be used after a newer one was heard of, milliseconds: half of the
- * five seconds that operators allow, for what boxes hear late and for requests on their way.
+ * Operators allow five seconds from the store's acknowledgement of a newer version until no request begins
+ * on an older one. All times here count from before that acknowledgement, so that nothing that a box
+ * hears late makes them longer; they divide the five seconds, milliseconds.
+ *
+ * Until then requests are sent to an older version: loads of the newer one, and a change of leaders
+ * meanwhile, hold up few requests.
  */
-const OLD_VERSION_MS = 2_500
+const SEND_MS = 2_500
 
-/** Adds a version that is heard of now; a lower one than the newest is old news. */
+/**
+ * Until then what was sent may wait at an engine, 1.7 s at least, which is longer than what an engine that
+ * reads without a pause lets wait; the rest is for a box's clock (100 ms), a standstill
+ * that counts as none (400 ms) and the engine, which drops what its caller left.
+ */
+const BEGIN_MS = 4_200
+
+/** Adds a version; a lower one than the newest is old news. */
 export function nameVersion(
   named: AdapterVersions,
   version: number,
@@ -29,8 +41,8 @@
   now: number
 ): AdapterVersions {
   if (version <= newestOf(named)) return named
-  const all = [...named, {version, since: now, namedAfter}]
-  const replaced = all.filter(each => hasReplaced(each, now)).length
+  const all = [...named, {version, namedAfter}]
+  const replaced = all.filter(each => now - each.namedAfter > BEGIN_MS).length
   return all.slice(Math.max(0, replaced - 1))
 }
 
@@ -49,15 +61,16 @@
   return next ? now - next.namedAfter : 0
 }
 
-/** Whether a newer version was named so long ago that this one may not be used any more. */
+/** Whether no request may be sent to this version any more. */
 export function isOutdated(
   named: AdapterVersions,
   version: number,
   now: number
 ): boolean {
-  return named.some(each => each.version > version && hasReplaced(each, now))
+  return replacedForMs(named, version, now) > SEND_MS
 }
 
-function hasReplaced({since}: NamedVersion, now: number): boolean {
-  return now - since > OLD_VERSION_MS
+/** Whether no request may begin on this version any more. */
+export function isOver(named: AdapterVersions, version: number, now: number): boolean {
+  return replacedForMs(named, version, now) > BEGIN_MS
 }
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -1,9 +1,9 @@
 /** Which backend server gets a request, among those that can serve it now. */
 import type {BackendRecord} from "../types/fleet.js"
 import {adapterKey} from "../types/fleet.js"
-import {isOutdated} from "./adapter-versions.js"
 import {viewOf} from "./box-places.js"
 import type {BoxRequest, BoxServing} from "./box-state.js"
+import {mayRunOn} from "./box-versions.js"
 import {rankMembers, weighMember} from "../utils/rendezvous.js"
 import {isSmall} from "./placement-news.js"
 
@@ -164,7 +164,7 @@
     const key = adapterKey(weights.model, weights.adapter)
     const place = view.places.get(key)
     if (!place || place.readyAt > now) continue
-    if (isOutdated(box.versions.get(key) ?? [], place.version, now)) continue
+    if (!mayRunOn(box, request, place.version, now)) continue
     candidates.push({backend: record, version: place.version})
   }
   return candidates
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -6,6 +6,7 @@
 import {endIfOver} from "./box-lives.js"
 import {isStale} from "./box-news.js"
 import {advance, mayRepeat, repeat} from "./box-requests.js"
+import {takeBackIfOutdated} from "./box-take-backs.js"
 import type {Attempt, BoxRequest, BoxServing} from "./box-state.js"
 
 /** A pause in a stream after which it goes on elsewhere, milliseconds. */
@@ -30,12 +31,23 @@
       if (waits && now >= request.holdUntil && !isStale(box, now)) {
         giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
       }
-    } else if (!endIfOver(box, request, request.attempt, now)) {
-      lookForSilence(box, request, request.attempt, now)
+    } else {
+      lookAtAttempt(box, request, request.attempt, now)
     }
   }
 }
 
+function lookAtAttempt(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  now: number
+): void {
+  if (endIfOver(box, request, attempt, now)) return
+  if (takeBackIfOutdated(box, request, attempt, now)) return
+  lookForSilence(box, request, attempt, now)
+}
+
 function timeOut(box: BoxServing, request: BoxRequest, now: number): void {
   const ran = request.runs > 0 || request.attempt?.started === true
   giveUp(box, request, ran ? "timeout" : "not-run", now)
--- a/src/core/box-doubts.ts
+++ b/src/core/box-doubts.ts
@@ -12,6 +12,8 @@
   | "misplaced"
   /** The connection broke or the answer was none. */
   | "broken"
+  /** It had not begun, and its version was replaced: its connection was closed. */
+  | "outdated"
 
 /** How long a backend server that failed is left alone where others can do, milliseconds. */
 export const SUSPECT_MS = 2_500
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -34,7 +34,9 @@
 /** Closes the connection of the attempt that is under way. */
 export function abortAttempt(box: BoxServing, request: BoxRequest): void {
   const {attempt, arrival} = request
-  if (attempt) box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
+  if (!attempt || attempt.aborted) return
+  attempt.aborted = true
+  box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
 }
 
 /** Forgets a request that has ended. */
--- a/src/core/box-news.ts
+++ b/src/core/box-news.ts
@@ -2,9 +2,13 @@
 import type {BoxServing} from "./box-state.js"
 import {STALE_MS} from "./news-age.js"
 
-/** At that time the news was as new as it can be had. */
-export function noteNews(box: BoxServing, at: number): void {
+/**
+ * At that time the news was as new as it can be had; `read`: since the store was read then, and not
+ * since nobody could.
+ */
+export function noteNews(box: BoxServing, at: number, read = true): void {
   box.newsAt = Math.max(box.newsAt ?? -Infinity, at)
+  if (read) box.readAt = Math.max(box.readAt ?? -Infinity, at)
 }
 
 /**
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -119,7 +119,8 @@
     started: false,
     heardAt: undefined,
     firstAt: undefined,
-    headed: false
+    headed: false,
+    aborted: false
   }
   countUse(box, request, 1)
   notePrefix(box, request, now)
@@ -304,9 +305,10 @@
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
-  const ran = attempt.started && failure === "broken"
+  const ran = attempt.started && (failure === "broken" || failure === "outdated")
   const late = isRefusal(failure) && doubtPlace(box, request, attempt, failure, now)
-  if (!late) request.failedAt.add(attempt.backend)
+  // The engine did nothing wrong where only its version was replaced.
+  if (!late && failure !== "outdated") request.failedAt.add(attempt.backend)
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
@@ -400,7 +402,7 @@
   const {attempt, arrival} = request
   if (attempt) {
     request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
-    request.failedAt.add(attempt.backend)
+    if (after !== "outdated") request.failedAt.add(attempt.backend)
   }
   request.runs++
   note(box, "route-again", {
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -42,6 +42,8 @@
   /** When the first bytes of its answer came. */
   firstAt: number | undefined
   headed: boolean
+  /** Its connection was told to close. */
+  aborted: boolean
 }
 
 /** A request in progress. */
@@ -88,6 +90,8 @@
   backends: BackendList
   /** When the news of servers was as new as it can be had; undefined: nobody says. */
   newsAt: number | undefined
+  /** When the store was read for what this box knows, or before; undefined: it never was. */
+  readAt: number | undefined
   readonly engines: Map<string, EngineView>
   /** Adapters that each engine held lately, newest last: what a new leader begins with. */
   readonly held: Map<string, Map<string, number>>
@@ -172,6 +176,7 @@
   | "backend-reborn"
   | "versions-named"
   | "old-version-begun"
+  | "old-version-taken-back"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
 
@@ -182,6 +187,7 @@
     table: undefined,
     backends: createBackendList(),
     newsAt: undefined,
+    readAt: undefined,
     engines: new Map(),
     held: new Map(),
     versions: new Map(),
--- a/src/core/box-versions.ts
+++ b/src/core/box-versions.ts
@@ -1,6 +1,12 @@
 /** What a box knows of the versions of adapters, and which of them its requests run on. */
 import {adapterKey} from "../types/fleet.js"
-import {type AdapterVersions, nameVersion, replacedForMs} from "./adapter-versions.js"
+import {
+  type AdapterVersions,
+  isOutdated,
+  isOver,
+  nameVersion,
+  replacedForMs
+} from "./adapter-versions.js"
 import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
 
 /** An adapter and a version of it that was named. */
@@ -18,7 +24,8 @@
   versions: readonly Named[],
   now: number
 ): void {
-  const namedAfter = box.newsAt ?? -Infinity
+  // Heard late is not named late: counted from the last reading, which did not have it.
+  const namedAfter = box.readAt ?? -Infinity
   const newer: Named[] = []
   for (const [adapter, version] of versions) {
     const known = box.versions.get(adapter) ?? []
@@ -39,13 +46,31 @@
 /** How long ago at most the version that the attempt runs on was replaced; 0: it is the newest. */
 export function oldForMs(
   box: BoxServing,
-  {arrival: {weights}}: BoxRequest,
+  request: BoxRequest,
   version: number | undefined,
   now: number
 ): number {
-  if (version === undefined || weights?.adapter === undefined) return 0
-  const key = adapterKey(weights.model, weights.adapter)
-  return replacedForMs(versionsOf(box, key), version, now)
+  return version === undefined ? 0 : replacedForMs(namedFor(box, request), version, now)
+}
+
+/** Whether the request may be sent to that version of its adapter; undefined: it asks for none. */
+export function mayRunOn(
+  box: BoxServing,
+  request: BoxRequest,
+  version: number | undefined,
+  now: number
+): boolean {
+  return version === undefined || !isOutdated(namedFor(box, request), version, now)
+}
+
+/** Whether the attempt may not begin any more on the version that it was sent to. */
+export function isTooLateToBegin(
+  box: BoxServing,
+  request: BoxRequest,
+  {version}: Attempt,
+  now: number
+): boolean {
+  return version !== undefined && isOver(namedFor(box, request), version, now)
 }
 
 /** An answer begins: tells how old the version is that it is made with, if a newer one is known. */
@@ -73,6 +98,11 @@
   return ageMs === Infinity ? AGE_UNKNOWN : Math.round(ageMs)
 }
 
-function versionsOf({versions}: BoxServing, adapter: string): AdapterVersions {
-  return versions.get(adapter) ?? []
+/** The versions that were named of the adapter that a request asks for. */
+function namedFor(
+  {versions}: BoxServing,
+  {arrival: {weights}}: BoxRequest
+): AdapterVersions {
+  if (weights?.adapter === undefined) return []
+  return versions.get(adapterKey(weights.model, weights.adapter)) ?? []
 }
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -54,7 +54,12 @@
   | {readonly type: "store-served"}
   | {readonly type: "store-back"}
   /** At that time, by the clock of the box, the news of servers was as new as it can be had. */
-  | {readonly type: "news"; readonly at: number}
+  | {
+      readonly type: "news"
+      readonly at: number
+      /** The store was read then; otherwise nobody could, and nothing newer is to be had. */
+      readonly read: boolean
+    }
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
   | {readonly type: "places"; readonly changes: readonly EngineChange[]}
   | {readonly type: "loads"; readonly loads: EngineLoads}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -177,7 +177,7 @@
       serving.backends = noteStoreBack(serving.backends, now)
       return
     case "news":
-      noteNews(serving, event.at)
+      noteNews(serving, event.at, event.read)
       return tickRequests(serving, now)
     case "engines":
       takePicture(serving, event.engines, now)
--- a/src/events.ts
+++ b/src/events.ts
@@ -281,6 +281,11 @@
     level: "info",
     text: "An answer begins on a version that was replaced at most the given time before; -1: not known."
   },
+  "old-version-taken-back": {
+    number: 213,
+    level: "warn",
+    text: "A request had not begun at its engine while its version might be used: its connection is closed."
+  },
   "report-unreadable": {
     number: 210,
     level: "warn",
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -154,13 +154,16 @@
 t.test("an older version serves for a moment after a newer one was named", async t => {
   const subject = new Subject()
   takePicture(subject.box, engines(), subject.now)
+  noteNews(subject.box, subject.now)
   takeVersions(subject.box, [["m/x", 2]], subject.now)
   subject.now += 1_000
   t.same(subject.arrive(STREAM, {weights: WEIGHTS}).told(), ["send 1"])
   const later = new Subject()
   takePicture(later.box, engines(), later.now)
+  noteNews(later.box, later.now)
   takeVersions(later.box, [["m/x", 2]], later.now)
   later.now += 3_000
+  noteNews(later.box, later.now)
   t.same(later.arrive(STREAM, {weights: WEIGHTS}).told(), ["need"])
 })
 
@@ -170,6 +173,7 @@
     const subject = new Subject()
     takePicture(subject.box, engines(), subject.now)
     for (const version of [2, 3, 4]) {
+      noteNews(subject.box, subject.now)
       takeVersions(subject.box, [["m/x", version]], subject.now)
       subject.now += 400
     }
@@ -179,6 +183,7 @@
       "1.2 s after the first"
     )
     subject.now += 1_400
+    noteNews(subject.box, subject.now)
     const late = subject.arrive(STREAM, {id: "q2", weights: WEIGHTS})
     t.same(late.told(), ["need"], "2.6 s after the first, 1.8 s after the last")
   }
