Room is made for the newer version of what is in use

Cause: while every place of an engine was in use and the old version of a hot adapter never idle, no order for the newer one went out, so that nothing turned away what waited there on the old one until boxes took it back. Change: another adapter, the coldest that nothing uses or waits for, makes room. An adapter in use is still not unloaded. Test: placement 13, red before, unchanged.

--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -105,7 +105,7 @@
 }
 
 /** The coldest adapter that nothing uses or waits for. */
-function chooseVictim(
+export function chooseVictim(
   fleet: Fleet,
   engine: FleetEngine,
   now: number
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,7 @@
  * most in time goes first; base models stay within the rate of the weight store.
  */
 import {adapterKey} from "../types/fleet.js"
-import {chooseSpot, type Spot, takesOrders} from "./placement-choose.js"
+import {chooseSpot, chooseVictim, type Spot, takesOrders} from "./placement-choose.js"
 import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {dropStrays} from "./placement-strays.js"
@@ -82,7 +82,7 @@
       }
       // The new version takes a place of its own until the old one is gone.
       if (!hasFreePlace(fleet, engine)) {
-        if (place.running === 0) unload(fleet, engine, adapter, now)
+        makeRoomBeside(fleet, engine, adapter, now)
         continue
       }
       place.replaced = place.version
@@ -95,6 +95,22 @@
   }
 }
 
+/**
+ * Frees a place for the newer version of an adapter: its own, or while that is in use another's. A hot
+ * adapter may be in use until boxes stop sending to the old version; the load that replaces it has the
+ * engine turn away what waits for that, unrun.
+ */
+function makeRoomBeside(
+  fleet: Fleet,
+  engine: FleetEngine,
+  adapter: string,
+  now: number
+): void {
+  const inUse = (engine.places.get(adapter)?.running ?? 0) > 0
+  const victim = inUse ? chooseVictim(fleet, engine, now) : adapter
+  if (victim !== undefined) unload(fleet, engine, victim, now)
+}
+
 function hasFreePlace(fleet: Fleet, engine: FleetEngine): boolean {
   const limits = fleet.services.get(engine.service)?.engine
   return limits !== undefined && countTaken(engine) < limits.maxAdapters
