Let the stand-in engine queue requests before they begin

Cause: the stand-in engine began every request as it came, so no test could show a request that is sent in time and begins late, on a version that was replaced meanwhile.

Change: `faults.queueMs` has requests for a model wait before they begin. What the engine holds at that moment counts; an order that replaces or unloads the adapter turns away what waits for it (503 with x-not-executed), as does a deadline that passes in the queue; a closed connection drops it, but at an engine with `keepsClosed`; a restart loses it. A run tells when it reached the engine (`reached`) besides when it began (`at`). Reports tell the length of the queue. Without the fault nothing waits.

--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo, Socket} from "node:net"
 import {randomUUID} from "node:crypto"
 import type {StandInStore} from "./platform-store.js"
+import {WorkerQueue} from "./worker-queue.js"
 
 /** What goes wrong at a worker, until it is set back. */
 export interface WorkerFaults {
@@ -27,6 +28,8 @@
   failing?: boolean
   /** Plain requests are answered so much later, milliseconds. */
   slowMs?: number
+  /** Requests for a model wait so long in the queue before they begin, milliseconds. */
+  queueMs?: number
 }
 
 export interface WorkerOptions {
@@ -38,6 +41,8 @@
   readonly events?: number
   readonly gapMs?: number
   readonly loadMs?: number
+  /** What waits in its queue begins though its connection has closed. */
+  readonly keepsClosed?: boolean
 }
 
 /** One run of a request, for the judge. */
@@ -47,6 +52,9 @@
   readonly adapter: string
   readonly version: number
   readonly from: string
+  /** When it reached the worker. */
+  readonly reached: number
+  /** When it began: later, where it waited in the queue. */
   readonly at: number
   ended: "whole" | "cut" | undefined
 }
@@ -96,6 +104,7 @@
   private held_ = false
   /** When this life of it began, milliseconds since 1970. */
   private born_ = Date.now()
+  private readonly queue_ = new WorkerQueue()
   private readonly sockets_ = new Set<Socket>()
   private server_: Server
   private readonly timer_: NodeJS.Timeout
@@ -141,6 +150,7 @@
    * port. `bornBefore`: by a clock that stands so much before that of its last life, milliseconds.
    */
   async restart({moved = false, bornBefore = 0} = {}): Promise<void> {
+    this.queue_.clear()
     const {port} = this.server_.address() as AddressInfo
     const closed = new Promise(resolve => this.server_.close(resolve))
     for (const socket of this.sockets_) socket.destroy()
@@ -168,6 +178,7 @@
    */
   stop(): void {
     clearInterval(this.timer_)
+    this.queue_.clear()
     setTimeout(() => this.store_.remove(`servers/${this.id}`), ENTRY_LAPSE_MS).unref()
     this.server_.close()
     for (const socket of this.sockets_) socket.destroy()
@@ -274,23 +285,58 @@
   }
 
   private generate(id: string, req: IncomingMessage, res: ServerResponse): void {
-    const [model, adapter = ""] = String(req.headers["x-model-id"]).split("/")
-    const held = adapter === "" ? 1 : this.adapters.get(adapter)
+    if (this.refuses(id, req, res)) return
+    const reached = performance.now()
+    const {queueMs = 0} = this.faults
+    if (queueMs === 0) return this.run(id, req, res, reached)
+    this.queue_.add({
+      adapter: adapterOf(req),
+      res,
+      waitMs: queueMs,
+      deadlineMs: Number(req.headers["x-request-deadline"] ?? Infinity),
+      keepsClosed: this.options_.keepsClosed === true,
+      // What the worker holds when a request begins is what counts.
+      begin: () => {
+        if (!this.refuses(id, req, res)) this.run(id, req, res, reached)
+      },
+      refuse: () => notRun(res, id)
+    })
+  }
+
+  /** Answers a request that cannot run here now, and says whether it did. */
+  private refuses(id: string, req: IncomingMessage, res: ServerResponse): boolean {
+    const [model] = String(req.headers["x-model-id"]).split("/")
+    const adapter = adapterOf(req)
+    const held = this.versionHeld(adapter)
     const expected = req.headers["x-expected-version"]
-    const headers = {"x-request-id": id}
     if (this.pending_.has(adapter)) {
-      return reply(res, 503, {...headers, "x-not-executed": "1"}, "")
+      notRun(res, id)
+      return true
     }
     const wrong = expected !== undefined && Number(expected) !== held
-    if (model !== this.options_.model || held === undefined || wrong) {
-      return reply(res, 421, headers, "")
-    }
+    if (model === this.options_.model && held !== undefined && !wrong) return false
+    reply(res, 421, {"x-request-id": id}, "")
+    return true
+  }
+
+  private versionHeld(adapter: string): number | undefined {
+    return adapter === "" ? 1 : this.adapters.get(adapter)
+  }
+
+  private run(
+    id: string,
+    req: IncomingMessage,
+    res: ServerResponse,
+    reached: number
+  ): void {
+    const adapter = adapterOf(req)
+    const held = this.versionHeld(adapter) ?? 0
     const from = String(req.headers["last-event-id"] ?? "")
-    const run = this.begin(id, adapter, held, from)
+    const run = this.begin(id, adapter, held, from, reached)
     if (this.loses(res)) return
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
     res.writeHead(200, {
-      ...headers,
+      "x-request-id": id,
       "content-type": "text/event-stream",
       "x-response-signature": sign(this.id, id),
       "x-weights-versions": String(held)
@@ -331,9 +377,16 @@
     res.on("close", () => end("cut"))
   }
 
-  private begin(id: string, adapter: string, version: number, from: string): Run {
+  private begin(
+    id: string,
+    adapter: string,
+    version: number,
+    from: string,
+    reached = performance.now()
+  ): Run {
     const at = performance.now()
-    const run: Run = {id, worker: this.id, adapter, version, from, at, ended: undefined}
+    const worker = this.id
+    const run: Run = {id, worker, adapter, version, from, reached, at, ended: undefined}
     this.judge_.runs.push(run)
     return run
   }
@@ -378,6 +431,7 @@
       return 400
     }
     this.pending_.set(adapter, wanted)
+    this.queue_.turnAway(adapter)
     const time = this.copies_.has(adapter) ? loadMs / 10 : loadMs
     this.copies_.add(adapter)
     const life = this.born_
@@ -393,6 +447,7 @@
   private unload(adapter: string): number {
     const version = this.adapters.get(adapter)
     this.adapters.delete(adapter)
+    this.queue_.turnAway(adapter)
     if (version === undefined || (this.running_.get(adapter) ?? 0) === 0) return 200
     this.judge_.unloadsInUse++
     this.leaving_.set(adapter, version)
@@ -408,7 +463,7 @@
       models: this.models(),
       busy: false,
       sequence: this.sequence_,
-      queued: 0,
+      queued: this.queue_.size,
       active: 0,
       pending,
       born: this.born_
@@ -427,6 +482,14 @@
   readonly fencingToken: number
 }
 
+function adapterOf(req: IncomingMessage): string {
+  return String(req.headers["x-model-id"]).split("/")[1] ?? ""
+}
+
+function notRun(res: ServerResponse, id: string): void {
+  if (!res.destroyed) reply(res, 503, {"x-not-executed": "1", "x-request-id": id}, "")
+}
+
 function sign(worker: string, id: string): string {
   return `${worker}.${id}`
 }
