Soak: versions in series, queues, late orders, connections silent for good

Cause: the soak named versions singly, its engines began every request at once, and its check of versions fell away as soon as the store was unwell at any time after a naming, up to the end of the round.

Change: with `versions` (`--no-versions` leaves them out; on by default by hand) engines queue for a while, versions of one or more adapters come in series, some a fraction of a second apart, orders reach engines late, are answered late or are not answered and come after newer ones, and connections go silent for good through the fault proxy. Every third engine runs what waits though its connection has closed. The new faults stand last and only where asked for: rounds without them draw as they did.

The judge takes every named version from its own acknowledgement. A server that left is judged by when a request reached it, as the rule says, which only differs where engines queue. A violation tells box, server, times and the faults since. Logs of processes that were started again are kept.

platform-soak.ts is split: faults, faults of versions, record, judge; the stand-in's judge has a file of its own.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -10,6 +10,10 @@
 cli.option("--seconds <s>", "Length of the faults of a round", {default: 12})
 cli.option("--boxes <n>", "Boxes in each round", {default: 3})
 cli.option("--no-lives", "Servers do not start again under their names")
+cli.option(
+  "--no-versions",
+  "No series of versions, queues, late orders, silent connections"
+)
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -22,7 +26,8 @@
     seed,
     seconds: Number(options["seconds"]),
     boxes: Number(options["boxes"]),
-    lives: options["lives"] !== false
+    lives: options["lives"] !== false,
+    versions: options["versions"] !== false
   })
   rounds++
   if (result.violations.length > 0) bad++
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -4,7 +4,7 @@
 import {fileURLToPath} from "node:url"
 import t from "tap"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
-import {wholeStream} from "./support/platform-soak.js"
+import {wholeStream} from "./support/whole-stream.js"
 
 const ROOT = fileURLToPath(new URL("../..", import.meta.url))
 const TARGET = `${ROOT}target`
--- a/test/lives.test.ts
+++ b/test/lives.test.ts
@@ -5,7 +5,7 @@
 import t from "tap"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
-import {wholeStream} from "./support/platform-soak.js"
+import {wholeStream} from "./support/whole-stream.js"
 import {until} from "./support/wait.js"
 
 /** In this time a server that started again is used for what it is now, milliseconds. */
--- a/test/platform-path.test.ts
+++ b/test/platform-path.test.ts
@@ -1,7 +1,7 @@
 /** The whole path on the stand-in of the users' platform, with the real program of a box. */
 import t from "tap"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
-import {wholeStream} from "./support/platform-soak.js"
+import {wholeStream} from "./support/whole-stream.js"
 import {until} from "./support/wait.js"
 
 function first(bed: PlatformBed): BedBox {
--- a/test/stand-in-engine.test.ts
+++ b/test/stand-in-engine.test.ts
@@ -1,10 +1,13 @@
-/** The stand-in engine's queue: what waits begins later, on what the engine holds then, or not at all. */
+/**
+ * The stand-in engine's queue and its late orders: what waits begins later, on what the engine holds
+ * then, or not at all.
+ */
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {Agent, request} from "undici"
 import {StandInStore} from "./stand-ins/platform-store.js"
-import {Judge, type Run, StandInWorker} from "./stand-ins/platform-worker.js"
-import type {WorkerOptions} from "./stand-ins/platform-worker.js"
+import {Judge, type Run} from "./stand-ins/platform-judge.js"
+import {StandInWorker, type WorkerOptions} from "./stand-ins/platform-worker.js"
 import {until} from "./support/wait.js"
 
 const MODEL = "base"
@@ -54,7 +57,11 @@
     this.store_.stop()
   }
 
-  async order(operation: "load" | "unload", version?: number): Promise<number> {
+  async order(
+    operation: "load" | "unload",
+    version?: number,
+    expectedRev?: number
+  ): Promise<number> {
     const {statusCode, body} = await request(`http://${this.engine.address}/order`, {
       dispatcher: this.agent_,
       method: "POST",
@@ -63,6 +70,7 @@
         model: MODEL,
         adapter: "a1",
         ...(version === undefined ? {} : {version}),
+        ...(expectedRev === undefined ? {} : {expectedRev}),
         holder: "box-0",
         fencingToken: 1
       })
@@ -235,3 +243,48 @@
   t.match(await sent.answer, {status: 421})
   t.same(bench.runsOf("r-1"), [])
 })
+
+t.test("an order without an answer is carried out later, after newer ones", async t => {
+  const bench = await Bench.start()
+  t.teardown(() => bench.stop())
+  await bench.hold(1)
+  bench.engine.faults = {unansweredOrders: 1, orderDelayMs: QUEUE_MS}
+  await t.rejects(bench.order("load", 2))
+  bench.engine.faults = {}
+  await bench.hold(3)
+  await until("it is carried out", () => bench.engine.adapters.get("a1") === 2)
+})
+
+t.test("the count that a late order expects is looked at as it comes", async t => {
+  const bench = await Bench.start()
+  t.teardown(() => bench.stop())
+  await bench.hold(1)
+  bench.engine.faults = {orderDelayMs: QUEUE_MS}
+  const late = bench.order("load", 2, 1)
+  await sleep(QUEUE_MS / 4)
+  bench.engine.faults = {}
+  await bench.hold(3)
+  t.equal(await late, 409)
+  t.equal(bench.engine.adapters.get("a1"), 3)
+})
+
+t.test("an order that is answered late is carried out in time", async t => {
+  const bench = await Bench.start()
+  t.teardown(() => bench.stop())
+  bench.engine.faults = {orderAnswerMs: QUEUE_MS}
+  let answered = false
+  const order = bench.order("load", 1).finally(() => (answered = true))
+  await until("it is held", () => bench.engine.adapters.get("a1") === 1)
+  t.notOk(answered)
+  t.equal(await order, 202)
+})
+
+t.test("an order on its way is lost when the engine starts again", async t => {
+  const bench = await Bench.start()
+  t.teardown(() => bench.stop())
+  bench.engine.faults = {unansweredOrders: 1, orderDelayMs: QUEUE_MS}
+  await t.rejects(bench.order("load", 1))
+  await bench.engine.restart()
+  await sleep(QUEUE_MS * 2)
+  t.same([...bench.engine.adapters], [])
+})
--- /dev/null
+++ b/test/stand-ins/platform-judge.ts
@@ -0,0 +1,36 @@
+/** What all stand-in workers saw, for what is judged after a test. */
+
+/** One run of a request, for the judge. */
+export interface Run {
+  readonly id: string
+  readonly worker: string
+  readonly adapter: string
+  readonly version: number
+  readonly from: string
+  /** When it reached the worker. */
+  readonly reached: number
+  /** When it began: later, where it waited in the queue. */
+  readonly at: number
+  ended: "whole" | "cut" | undefined
+}
+
+/** Whatever all workers have seen: what is judged after a test. */
+export class Judge {
+  readonly runs: Run[] = []
+  readonly violations: string[] = []
+  /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
+  unloadsInUse = 0
+  private readonly fences_ = new Map<string, {fence: number; holder: string}>()
+
+  order(worker: string, holder: string, fence: number): void {
+    const known = this.fences_.get(worker)
+    if (known && known.fence === fence && known.holder !== holder) {
+      this.violations.push(`${worker}: two holders share fence ${fence}`)
+    }
+    if (!known || fence >= known.fence) this.fences_.set(worker, {fence, holder})
+  }
+
+  runsOf(id: string): Run[] {
+    return this.runs.filter(run => run.id === id)
+  }
+}
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -7,6 +7,7 @@
 } from "node:http"
 import type {AddressInfo, Socket} from "node:net"
 import {randomUUID} from "node:crypto"
+import type {Judge, Run} from "./platform-judge.js"
 import type {StandInStore} from "./platform-store.js"
 import {WorkerQueue} from "./worker-queue.js"
 
@@ -22,6 +23,12 @@
   loseAnswers?: number
   /** Orders are carried out and not answered. */
   loseOrders?: number
+  /** Orders reach it so much later, milliseconds. */
+  orderDelayMs?: number
+  /** The next orders are not answered, and reach it as late as `orderDelayMs` says. */
+  unansweredOrders?: number
+  /** Orders are carried out in time and answered so much later, milliseconds. */
+  orderAnswerMs?: number
   /** Every answer is followed by a second one. */
   surplus?: boolean
   /** Plain requests run and fail. */
@@ -45,43 +52,12 @@
   readonly keepsClosed?: boolean
 }
 
-/** One run of a request, for the judge. */
-export interface Run {
-  readonly id: string
-  readonly worker: string
-  readonly adapter: string
-  readonly version: number
-  readonly from: string
-  /** When it reached the worker. */
-  readonly reached: number
-  /** When it began: later, where it waited in the queue. */
-  readonly at: number
-  ended: "whole" | "cut" | undefined
-}
-
-/** Whatever all workers have seen: what is judged after a test. */
-export class Judge {
-  readonly runs: Run[] = []
-  readonly violations: string[] = []
-  /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
-  unloadsInUse = 0
-  private readonly fences_ = new Map<string, {fence: number; holder: string}>()
-
-  order(worker: string, holder: string, fence: number): void {
-    const known = this.fences_.get(worker)
-    if (known && known.fence === fence && known.holder !== holder) {
-      this.violations.push(`${worker}: two holders share fence ${fence}`)
-    }
-    if (!known || fence >= known.fence) this.fences_.set(worker, {fence, holder})
-  }
-
-  runsOf(id: string): Run[] {
-    return this.runs.filter(run => run.id === id)
-  }
-}
-
 const HEARTBEAT_MS = 300
 
+/** Orders that were not carried out: an older fence, or another count of orders than expected. */
+const STALE_FENCE = 412
+const OTHER_SEQUENCE = 409
+
 /** How long the entry of a worker that ended stays. */
 const ENTRY_LAPSE_MS = 900
 
@@ -104,6 +80,8 @@
   private held_ = false
   /** When this life of it began, milliseconds since 1970. */
   private born_ = Date.now()
+  /** Orders and their answers that are on their way. */
+  private readonly delayed_ = new Set<NodeJS.Timeout>()
   private readonly queue_ = new WorkerQueue()
   private readonly sockets_ = new Set<Socket>()
   private server_: Server
@@ -150,7 +128,7 @@
    * port. `bornBefore`: by a clock that stands so much before that of its last life, milliseconds.
    */
   async restart({moved = false, bornBefore = 0} = {}): Promise<void> {
-    this.queue_.clear()
+    this.forget()
     const {port} = this.server_.address() as AddressInfo
     const closed = new Promise(resolve => this.server_.close(resolve))
     for (const socket of this.sockets_) socket.destroy()
@@ -178,7 +156,7 @@
    */
   stop(): void {
     clearInterval(this.timer_)
-    this.queue_.clear()
+    this.forget()
     setTimeout(() => this.store_.remove(`servers/${this.id}`), ENTRY_LAPSE_MS).unref()
     this.server_.close()
     for (const socket of this.sockets_) socket.destroy()
@@ -399,18 +377,49 @@
   }
 
   private order(order: Order, res: ServerResponse): void {
-    this.judge_.order(this.id, order.holder, order.fencingToken)
-    if (order.fencingToken < this.fence_) return reply(res, 412, {}, "")
-    this.fence_ = order.fencingToken
-    if (order.expectedRev !== undefined && order.expectedRev !== this.sequence_) {
-      return reply(res, 409, {}, "")
+    const {orderDelayMs = 0, unansweredOrders = 0} = this.faults
+    if (unansweredOrders > 0) {
+      this.faults.unansweredOrders = unansweredOrders - 1
+      res.destroy()
     }
-    const status = this.carryOut(order)
-    if (this.faults.loseOrders) {
+    this.later(orderDelayMs, () => this.takeOrder(order, res))
+  }
+
+  private takeOrder(order: Order, res: ServerResponse): void {
+    const status = this.decide(order)
+    if (this.faults.loseOrders && status !== STALE_FENCE && status !== OTHER_SEQUENCE) {
       this.faults.loseOrders--
       return void res.destroy()
     }
-    reply(res, status, {}, "")
+    this.later(this.faults.orderAnswerMs ?? 0, () => {
+      if (!res.destroyed) reply(res, status, {}, "")
+    })
+  }
+
+  private decide(order: Order): number {
+    this.judge_.order(this.id, order.holder, order.fencingToken)
+    if (order.fencingToken < this.fence_) return STALE_FENCE
+    this.fence_ = order.fencingToken
+    if (order.expectedRev !== undefined && order.expectedRev !== this.sequence_)
+      return OTHER_SEQUENCE
+    return this.carryOut(order)
+  }
+
+  /** Does it at once without a delay, and not at all if this life ends before. */
+  private later(delayMs: number, action: () => void): void {
+    if (delayMs === 0) return action()
+    const timer = setTimeout(() => {
+      this.delayed_.delete(timer)
+      action()
+    }, delayMs)
+    this.delayed_.add(timer)
+  }
+
+  /** A life ends: what waits in it or is on its way to it is lost. */
+  private forget(): void {
+    this.queue_.clear()
+    for (const timer of this.delayed_) clearTimeout(timer)
+    this.delayed_.clear()
   }
 
   private carryOut({operation, adapter, version}: Order): number {
--- a/test/support/fault-proxy.ts
+++ b/test/support/fault-proxy.ts
@@ -18,6 +18,8 @@
   /** What came while the way was blocked, as in the buffers of a cut line. */
   readonly held: Buffer[]
   readonly isBlocked: () => boolean
+  /** Nothing passes any more, not even its end; its sender sees no difference. */
+  silent: boolean
 }
 
 export class FaultProxy {
@@ -51,9 +53,18 @@
     for (const way of this.ways_) this.release(way)
   }
 
-  /** Closes every open connection. No resets: node 20 may spin at its exit after one. */
+  /** Open connections go silent for good, without an end or a reset; new ones work. */
+  silence(): void {
+    for (const way of this.ways_) {
+      way.silent = true
+      way.held.length = 0
+      way.from.resume()
+    }
+  }
+
+  /** Closes every open connection but the silent ones. No resets: node 20 may spin at its exit after one. */
   cut(): void {
-    for (const {from} of [...this.ways_]) from.destroy()
+    for (const {from, silent} of [...this.ways_]) if (!silent) from.destroy()
   }
 
   close(): void {
@@ -68,13 +79,15 @@
       from: near,
       to: far,
       held: [],
-      isBlocked: () => this.faults_.blockUp === true
+      isBlocked: () => this.faults_.blockUp === true,
+      silent: false
     })
     this.pass({
       from: far,
       to: near,
       held: [],
-      isBlocked: () => this.faults_.blockDown === true
+      isBlocked: () => this.faults_.blockDown === true,
+      silent: false
     })
   }
 
@@ -82,15 +95,17 @@
     const {from, to, held, isBlocked} = way
     this.ways_.add(way)
     from.on("data", chunk => {
+      if (way.silent) return
       if (!isBlocked()) return this.write(to, chunk)
       held.push(chunk)
       from.pause()
     })
-    from.on("end", () => !isBlocked() && to.end())
-    from.on("error", () => to.destroy())
+    const ends = (): boolean => !isBlocked() && !way.silent
+    from.on("end", () => ends() && to.end())
+    from.on("error", () => !way.silent && to.destroy())
     from.on("close", () => {
       this.ways_.delete(way)
-      if (!isBlocked()) to.destroy()
+      if (ends()) to.destroy()
     })
   }
 
@@ -100,8 +115,8 @@
     else if (to.writable) to.write(chunk)
   }
 
-  private release({from, to, held, isBlocked}: Way): void {
-    if (isBlocked()) return
+  private release({from, to, held, isBlocked, silent}: Way): void {
+    if (isBlocked() || silent) return
     for (const chunk of held.splice(0)) this.write(to, chunk)
     if (from.destroyed) to.destroy()
     else from.resume()
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -3,7 +3,8 @@
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {Agent, request} from "undici"
-import {Judge, StandInWorker, type WorkerOptions} from "../stand-ins/platform-worker.js"
+import {Judge} from "../stand-ins/platform-judge.js"
+import {StandInWorker, type WorkerOptions} from "../stand-ins/platform-worker.js"
 import {StandInStore} from "../stand-ins/platform-store.js"
 import {Child} from "./child.js"
 import {FaultProxy} from "./fault-proxy.js"
@@ -16,6 +17,9 @@
 /** Of the boxes' output, told where a bed does not start. */
 const LOGGED_CHARACTERS = 6_000
 
+/** One engine in so many keeps what waits, where some do. */
+const KEEPER_EACH = 3
+
 /** What a caller got. */
 export interface Outcome {
   readonly id: string
@@ -48,6 +52,8 @@
   readonly bundled?: boolean
   /** Connections that all boxes may have to a plain worker. */
   readonly plainConnections?: number
+  /** Every third engine runs what waits in its queue though the connection has closed. */
+  readonly keepers?: boolean
 }
 
 let requests = 0
@@ -61,6 +67,9 @@
   readonly workerProxies: FaultProxy[] = []
   private readonly agent_ = new Agent({connections: 64, pipelining: 1})
   private version_ = 1
+  private added_ = 0
+  /** What processes wrote whose boxes were started again. */
+  private readonly past_: string[] = []
 
   private constructor(
     readonly store: StandInStore,
@@ -92,6 +101,7 @@
         service: "engines",
         dataCentre: `dc-${index % 2}`,
         model: MODEL,
+        keepsClosed: this.options_.keepers === true && ++this.added_ % KEEPER_EACH === 0,
         ...this.options_.engine
       },
       this.versions
@@ -167,6 +177,7 @@
 
   /** Starts the process of a box that ended again. */
   restartBox(box: BedBox): void {
+    this.past_.push(box.child.output)
     box.child = this.startBox(box.settingsFile)
   }
 
@@ -317,7 +328,7 @@
 
   /** What all boxes wrote. */
   logs(): string {
-    return this.boxes.map(({child}) => child.output).join("")
+    return [...this.past_, ...this.boxes.map(({child}) => child.output)].join("")
   }
 
   async stop(): Promise<void> {
--- /dev/null
+++ b/test/support/soak-record.ts
@@ -0,0 +1,84 @@
+/** What a round of the soak did and when, for its judge; times by `performance.now()`. */
+import {createRandom, uniformFloat64} from "../../src/utils/random.js"
+import type {StandInWorker} from "../stand-ins/platform-worker.js"
+import type {Outcome} from "./platform-bed.js"
+
+export interface SoakCall {
+  readonly kind: "stream" | "once" | "safe" | "unsafe"
+  /** The box that was asked. */
+  readonly box: string
+  readonly outcome: Outcome
+}
+
+/** A version that was named, and when the store acknowledged it. */
+export interface SoakVersion {
+  readonly adapter: string
+  readonly version: number
+  readonly at: number
+}
+
+/** The numbers that a seed gives. */
+export class SoakDraws {
+  private random_
+
+  constructor(seed: number) {
+    this.random_ = createRandom(seed)
+  }
+
+  draw(): number {
+    const [value, next] = uniformFloat64(this.random_)
+    this.random_ = next
+    return value
+  }
+
+  pick<T>(items: readonly T[]): T {
+    return items[Math.floor(this.draw() * items.length)] as T
+  }
+}
+
+/** The times at which the store was unwell. */
+export class StoreTrouble {
+  private readonly stretches_: {readonly from: number; to: number}[] = []
+
+  add(from: number, to: number): void {
+    this.stretches_.push({from, to})
+  }
+
+  begin(): void {
+    this.add(performance.now(), Infinity)
+  }
+
+  end(): void {
+    const now = performance.now()
+    for (const each of this.stretches_) each.to = Math.min(each.to, now)
+  }
+
+  /** When it was last unwell. */
+  get lastEnd(): number {
+    return Math.max(-Infinity, ...this.stretches_.map(({to}) => to))
+  }
+
+  /** Since when the store had been well at a time; undefined: it was not. */
+  wellSince(at: number): number | undefined {
+    const before = this.stretches_.filter(({from}) => from <= at)
+    const since = Math.max(-Infinity, ...before.map(({to}) => to))
+    return since > at ? undefined : since
+  }
+}
+
+export class SoakRecord {
+  readonly calls: SoakCall[] = []
+  readonly trouble = new StoreTrouble()
+  readonly versions: SoakVersion[] = []
+  /** Engines that were replaced. */
+  readonly gone: StandInWorker[] = []
+  readonly faults: {readonly name: string; readonly at: number}[] = []
+
+  /** The faults that began in a time, each with how long after its begin, milliseconds. */
+  faultsBetween(from: number, to: number): string {
+    return this.faults
+      .filter(({at}) => at >= from && at <= to)
+      .map(({name, at}) => `${name}+${Math.round(at - from)}`)
+      .join(" ")
+  }
+}
