--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -7,7 +7,9 @@
 } from "node:http"
 import type {AddressInfo, Socket} from "node:net"
 import {randomUUID} from "node:crypto"
+import type {Judge, Run} from "./platform-judge.js"
 import type {StandInStore} from "./platform-store.js"
+import {WorkerQueue} from "./worker-queue.js"
 
 /** What goes wrong at a worker, until it is set back. */
 export interface WorkerFaults {
@@ -21,12 +23,20 @@
   loseAnswers?: number
   /** Orders are carried out and not answered. */
   loseOrders?: number
+  /** Orders reach it so much later, milliseconds. */
+  orderDelayMs?: number
+  /** The next orders are not answered, and reach it as late as `orderDelayMs` says. */
+  unansweredOrders?: number
+  /** Orders are carried out in time and answered so much later, milliseconds. */
+  orderAnswerMs?: number
   /** Every answer is followed by a second one. */
   surplus?: boolean
   /** Plain requests run and fail. */
   failing?: boolean
   /** Plain requests are answered so much later, milliseconds. */
   slowMs?: number
+  /** Requests for a model wait so long in the queue before they begin, milliseconds. */
+  queueMs?: number
 }
 
 export interface WorkerOptions {
@@ -38,42 +48,16 @@
   readonly events?: number
   readonly gapMs?: number
   readonly loadMs?: number
-}
-
-/** One run of a request, for the judge. */
-export interface Run {
-  readonly id: string
-  readonly worker: string
-  readonly adapter: string
-  readonly version: number
-  readonly from: string
-  readonly at: number
-  ended: "whole" | "cut" | undefined
-}
-
-/** Whatever all workers have seen: what is judged after a test. */
-export class Judge {
-  readonly runs: Run[] = []
-  readonly violations: string[] = []
-  /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
-  unloadsInUse = 0
-  private readonly fences_ = new Map<string, {fence: number; holder: string}>()
-
-  order(worker: string, holder: string, fence: number): void {
-    const known = this.fences_.get(worker)
-    if (known && known.fence === fence && known.holder !== holder) {
-      this.violations.push(`${worker}: two holders share fence ${fence}`)
-    }
-    if (!known || fence >= known.fence) this.fences_.set(worker, {fence, holder})
-  }
-
-  runsOf(id: string): Run[] {
-    return this.runs.filter(run => run.id === id)
-  }
+  /** What waits in its queue begins though its connection has closed. */
+  readonly keepsClosed?: boolean
 }
 
 const HEARTBEAT_MS = 300
 
+/** Orders that were not carried out: an older fence, or another count of orders than expected. */
+const STALE_FENCE = 412
+const OTHER_SEQUENCE = 409
+
 /** How long the entry of a worker that ended stays. */
 const ENTRY_LAPSE_MS = 900
 
@@ -96,6 +80,9 @@
   private held_ = false
   /** When this life of it began, milliseconds since 1970. */
   private born_ = Date.now()
+  /** Orders and their answers that are on their way. */
+  private readonly delayed_ = new Set<NodeJS.Timeout>()
+  private readonly queue_ = new WorkerQueue()
   private readonly sockets_ = new Set<Socket>()
   private server_: Server
   private readonly timer_: NodeJS.Timeout
@@ -141,6 +128,7 @@
    * port. `bornBefore`: by a clock that stands so much before that of its last life, milliseconds.
    */
   async restart({moved = false, bornBefore = 0} = {}): Promise<void> {
+    this.forget()
     const {port} = this.server_.address() as AddressInfo
     const closed = new Promise(resolve => this.server_.close(resolve))
     for (const socket of this.sockets_) socket.destroy()
@@ -168,6 +156,7 @@
    */
   stop(): void {
     clearInterval(this.timer_)
+    this.forget()
     setTimeout(() => this.store_.remove(`servers/${this.id}`), ENTRY_LAPSE_MS).unref()
     this.server_.close()
     for (const socket of this.sockets_) socket.destroy()
@@ -274,23 +263,58 @@
   }
 
   private generate(id: string, req: IncomingMessage, res: ServerResponse): void {
-    const [model, adapter = ""] = String(req.headers["x-model-id"]).split("/")
-    const held = adapter === "" ? 1 : this.adapters.get(adapter)
+    if (this.refuses(id, req, res)) return
+    const reached = performance.now()
+    const {queueMs = 0} = this.faults
+    if (queueMs === 0) return this.run(id, req, res, reached)
+    this.queue_.add({
+      adapter: adapterOf(req),
+      res,
+      waitMs: queueMs,
+      deadlineMs: Number(req.headers["x-request-deadline"] ?? Infinity),
+      keepsClosed: this.options_.keepsClosed === true,
+      // What the worker holds when a request begins is what counts.
+      begin: () => {
+        if (!this.refuses(id, req, res)) this.run(id, req, res, reached)
+      },
+      refuse: () => notRun(res, id)
+    })
+  }
+
+  /** Answers a request that cannot run here now, and says whether it did. */
+  private refuses(id: string, req: IncomingMessage, res: ServerResponse): boolean {
+    const [model] = String(req.headers["x-model-id"]).split("/")
+    const adapter = adapterOf(req)
+    const held = this.versionHeld(adapter)
     const expected = req.headers["x-expected-version"]
-    const headers = {"x-request-id": id}
     if (this.pending_.has(adapter)) {
-      return reply(res, 503, {...headers, "x-not-executed": "1"}, "")
+      notRun(res, id)
+      return true
     }
     const wrong = expected !== undefined && Number(expected) !== held
-    if (model !== this.options_.model || held === undefined || wrong) {
-      return reply(res, 421, headers, "")
-    }
+    if (model === this.options_.model && held !== undefined && !wrong) return false
+    reply(res, 421, {"x-request-id": id}, "")
+    return true
+  }
+
+  private versionHeld(adapter: string): number | undefined {
+    return adapter === "" ? 1 : this.adapters.get(adapter)
+  }
+
+  private run(
+    id: string,
+    req: IncomingMessage,
+    res: ServerResponse,
+    reached: number
+  ): void {
+    const adapter = adapterOf(req)
+    const held = this.versionHeld(adapter) ?? 0
     const from = String(req.headers["last-event-id"] ?? "")
-    const run = this.begin(id, adapter, held, from)
+    const run = this.begin(id, adapter, held, from, reached)
     if (this.loses(res)) return
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
     res.writeHead(200, {
-      ...headers,
+      "x-request-id": id,
       "content-type": "text/event-stream",
       "x-response-signature": sign(this.id, id),
       "x-weights-versions": String(held)
@@ -331,9 +355,16 @@
     res.on("close", () => end("cut"))
   }
 
-  private begin(id: string, adapter: string, version: number, from: string): Run {
+  private begin(
+    id: string,
+    adapter: string,
+    version: number,
+    from: string,
+    reached = performance.now()
+  ): Run {
     const at = performance.now()
-    const run: Run = {id, worker: this.id, adapter, version, from, at, ended: undefined}
+    const worker = this.id
+    const run: Run = {id, worker, adapter, version, from, reached, at, ended: undefined}
     this.judge_.runs.push(run)
     return run
   }
@@ -346,18 +377,49 @@
   }
 
   private order(order: Order, res: ServerResponse): void {
-    this.judge_.order(this.id, order.holder, order.fencingToken)
-    if (order.fencingToken < this.fence_) return reply(res, 412, {}, "")
-    this.fence_ = order.fencingToken
-    if (order.expectedRev !== undefined && order.expectedRev !== this.sequence_) {
-      return reply(res, 409, {}, "")
+    const {orderDelayMs = 0, unansweredOrders = 0} = this.faults
+    if (unansweredOrders > 0) {
+      this.faults.unansweredOrders = unansweredOrders - 1
+      res.destroy()
     }
-    const status = this.carryOut(order)
-    if (this.faults.loseOrders) {
+    this.later(orderDelayMs, () => this.takeOrder(order, res))
+  }
+
+  private takeOrder(order: Order, res: ServerResponse): void {
+    const status = this.decide(order)
+    if (this.faults.loseOrders && status !== STALE_FENCE && status !== OTHER_SEQUENCE) {
       this.faults.loseOrders--
       return void res.destroy()
     }
-    reply(res, status, {}, "")
+    this.later(this.faults.orderAnswerMs ?? 0, () => {
+      if (!res.destroyed) reply(res, status, {}, "")
+    })
+  }
+
+  private decide(order: Order): number {
+    this.judge_.order(this.id, order.holder, order.fencingToken)
+    if (order.fencingToken < this.fence_) return STALE_FENCE
+    this.fence_ = order.fencingToken
+    if (order.expectedRev !== undefined && order.expectedRev !== this.sequence_)
+      return OTHER_SEQUENCE
+    return this.carryOut(order)
+  }
+
+  /** Does it at once without a delay, and not at all if this life ends before. */
+  private later(delayMs: number, action: () => void): void {
+    if (delayMs === 0) return action()
+    const timer = setTimeout(() => {
+      this.delayed_.delete(timer)
+      action()
+    }, delayMs)
+    this.delayed_.add(timer)
+  }
+
+  /** A life ends: what waits in it or is on its way to it is lost. */
+  private forget(): void {
+    this.queue_.clear()
+    for (const timer of this.delayed_) clearTimeout(timer)
+    this.delayed_.clear()
   }
 
   private carryOut({operation, adapter, version}: Order): number {
@@ -378,6 +440,7 @@
       return 400
     }
     this.pending_.set(adapter, wanted)
+    this.queue_.turnAway(adapter)
     const time = this.copies_.has(adapter) ? loadMs / 10 : loadMs
     this.copies_.add(adapter)
     const life = this.born_
@@ -393,6 +456,7 @@
   private unload(adapter: string): number {
     const version = this.adapters.get(adapter)
     this.adapters.delete(adapter)
+    this.queue_.turnAway(adapter)
     if (version === undefined || (this.running_.get(adapter) ?? 0) === 0) return 200
     this.judge_.unloadsInUse++
     this.leaving_.set(adapter, version)
@@ -408,7 +472,7 @@
       models: this.models(),
       busy: false,
       sequence: this.sequence_,
-      queued: 0,
+      queued: this.queue_.size,
       active: 0,
       pending,
       born: this.born_
@@ -427,6 +491,14 @@
   readonly fencingToken: number
 }
 
+function adapterOf(req: IncomingMessage): string {
+  return String(req.headers["x-model-id"]).split("/")[1] ?? ""
+}
+
+function notRun(res: ServerResponse, id: string): void {
+  if (!res.destroyed) reply(res, 503, {"x-not-executed": "1", "x-request-id": id}, "")
+}
+
 function sign(worker: string, id: string): string {
   return `${worker}.${id}`
 }
