Test: what waits at an engine does not begin on a version that is over

The incident by real processes: an engine whose only place is in use gets no newer version; a request sent 1.5 s after the naming waits there for 3.7 s. Now: its caller is told in time that it may have run, and nothing begins late.

--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -8,12 +8,16 @@
  * time was counted from whatever a box heard last, and up to the send, whereas the promise runs from the
  * acknowledgement until an engine begins. The tests here take each end of that span.
  */
+import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {noteNews} from "../src/core/box-news.js"
 import {takePicture} from "../src/core/box-places.js"
 import {takeVersions} from "../src/core/box-versions.js"
 import type {Route} from "../src/types/fleet.js"
+import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {engines, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
+import {type BedBox, PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
 
 /** An older version may be sent to for so long after the newer one was acknowledged, milliseconds. */
 const SEND_MS = 2_500
@@ -78,3 +82,29 @@
     t.same(subject.pass(TAKE_BACK_MS - SEND_MS - 900).told(), told)
   }
 })
+
+/** What operators allow from a newer version's acknowledgement until no request begins on an older one. */
+const VERSION_MS = 5_000
+
+// An engine whose only place is in use gets no newer version, so that no order turns away what waits there.
+t.test("what waits at an engine does not begin on a version that is over", async t => {
+  const engine = {maxAdapters: 1, events: 800, gapMs: 10}
+  const bed = await PlatformBed.start({boxes: 1, engines: 1, plain: 0, engine})
+  t.teardown(() => bed.stop())
+  const [box] = bed.boxes as [BedBox]
+  const [worker] = bed.engines as [StandInWorker]
+  const running = bed.call(box, "/stream/x", {adapter: "a1", body: "{}"})
+  await until("it runs", () => bed.judge.runs.length === 1)
+  bed.bump("a1", 2)
+  const namedAt = performance.now()
+  await sleep(1_500)
+  worker.faults = {queueMs: 3_700}
+  const waiting = bed.call(box, "/once/x", {adapter: "a1", body: "{}"})
+  const {status} = await waiting
+  t.ok(performance.now() - namedAt < VERSION_MS, "its caller is told in time")
+  t.equal(status, 502, "it may have begun, as far as the box can know")
+  await sleep(Math.max(0, namedAt + 6_000 - performance.now()))
+  const late = bed.judge.runs.filter(run => run.at - namedAt > VERSION_MS)
+  t.same(late, [], "nothing begins on it after five seconds")
+  await running
+})
