Nothing is sent to an old version behind a queue that outlasts it

Hypothesis: requests that are taken back were sent to engines whose queue the leader knew to be long; where an engine goes on with what its caller left, a take-back doesn't help at all. Change: the leader tells with the loads how fast engines read; a box sends to an old version only where the queue ends before the version does. Optional on the wire. Test: versions 4, run red on the code before (its first assertion).

--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -164,7 +164,8 @@
     const key = adapterKey(weights.model, weights.adapter)
     const place = view.places.get(key)
     if (!place || place.readyAt > now) continue
-    if (!mayRunOn(box, request, place.version, now)) continue
+    const waitMs = workAt(box, record.id) / box.tokensPerMs
+    if (!mayRunOn(box, request, place.version, now, waitMs)) continue
     candidates.push({backend: record, version: place.version})
   }
   return candidates
--- a/src/core/box-places.ts
+++ b/src/core/box-places.ts
@@ -88,8 +88,12 @@
 }
 
 /** Takes the work that waits at each engine. */
-export function takeLoads(box: BoxServing, {order, hundreds}: EngineLoads): void {
+export function takeLoads(
+  box: BoxServing,
+  {order, hundreds, tokensPerMs}: EngineLoads
+): void {
   if (order) box.loadOrder = order
+  if (tokensPerMs !== undefined) box.tokensPerMs = tokensPerMs
   for (const [i, engine] of box.loadOrder.entries()) {
     const view = box.engines.get(engine)
     if (view) view.load = toTokens(hundreds[i] ?? 0)
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -5,6 +5,7 @@
 import {createBackendList, type BackendList} from "./backend-list.js"
 import type {EngineView} from "./box-places.js"
 import {PrefixMemory} from "./prefix-memory.js"
+import {FIRST_RATE} from "./reading-rate.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
 import type {RouteTable} from "./route-table.js"
 
@@ -93,6 +94,8 @@
   /** When the store was read for what this box knows, or before; undefined: it never was. */
   readAt: number | undefined
   readonly engines: Map<string, EngineView>
+  /** What an engine reads in a millisecond, as the leader told last. */
+  tokensPerMs: number
   /** Adapters that each engine held lately, newest last: what a new leader begins with. */
   readonly held: Map<string, Map<string, number>>
   readonly versions: Map<string, AdapterVersions>
@@ -189,6 +192,7 @@
     newsAt: undefined,
     readAt: undefined,
     engines: new Map(),
+    tokensPerMs: FIRST_RATE,
     held: new Map(),
     versions: new Map(),
     requests: new Map(),
--- a/src/core/box-versions.ts
+++ b/src/core/box-versions.ts
@@ -53,14 +53,20 @@
   return version === undefined ? 0 : replacedForMs(namedFor(box, request), version, now)
 }
 
-/** Whether the request may be sent to that version of its adapter; undefined: it asks for none. */
+/**
+ * Whether the request may be sent to that version of its adapter, where it is to wait so long before it
+ * begins; undefined: it asks for none.
+ */
 export function mayRunOn(
   box: BoxServing,
   request: BoxRequest,
   version: number | undefined,
-  now: number
+  now: number,
+  waitMs = 0
 ): boolean {
-  return version === undefined || !isOutdated(namedFor(box, request), version, now)
+  if (version === undefined) return true
+  const named = namedFor(box, request)
+  return !isOutdated(named, version, now) && !isOver(named, version, now + waitMs)
 }
 
 /** Whether the attempt may not begin any more on the version that it was sent to. */
--- a/src/core/placement-news.ts
+++ b/src/core/placement-news.ts
@@ -4,7 +4,12 @@
  * others hear of changes gathered over a time that grows with their number: the messages that a
  * leader sends in a second then have a bound, whatever the number of boxes.
  */
-import type {EngineChange, EngineNews, PlaceNews} from "../types/box-messages.js"
+import type {
+  EngineChange,
+  EngineLoads,
+  EngineNews,
+  PlaceNews
+} from "../types/box-messages.js"
 import {adapterKey} from "../types/fleet.js"
 import type {Fleet, FleetEngine, Place, ToldEngine} from "./placement-state.js"
 
@@ -103,21 +108,21 @@
   if (sameOrder && ![...fleet.engines.values()].some(engine => engine.loadChanged)) return
   fleet.loadsToldAt = now
   fleet.toldOrder = order
-  const {hundreds} = describeLoads(fleet)
+  const {hundreds, tokensPerMs} = describeLoads(fleet)
   for (const engine of fleet.engines.values()) engine.loadChanged = false
   fleet.effects.push({
     type: "loads",
-    loads: sameOrder ? {hundreds} : {order, hundreds}
+    loads: {...(sameOrder ? {} : {order}), hundreds, tokensPerMs}
   })
 }
 
-/** The work at all engines, with their order. */
-export function describeLoads(fleet: Fleet): {order: string[]; hundreds: number[]} {
+/** The work at all engines, with their order, and how fast they do it. */
+export function describeLoads(fleet: Fleet): EngineLoads & {order: readonly string[]} {
   const order = [...fleet.engines.keys()]
   const hundreds = [...fleet.engines.values()].map(({load}) =>
     Math.round(load / LOAD_UNIT_TOKENS)
   )
-  return {order, hundreds}
+  return {order, hundreds, tokensPerMs: Number(fleet.reading.tokensPerMs.toFixed(1))}
 }
 
 /** Prompt tokens of a load as it was told. */
--- a/src/core/reading-rate.ts
+++ b/src/core/reading-rate.ts
@@ -6,7 +6,7 @@
 import type {Fleet, FleetEngine} from "./placement-state.js"
 
 /** Before any engine was busy for a whole span: a middling engine of today, tokens a millisecond. */
-const FIRST_RATE = 20
+export const FIRST_RATE = 20
 
 /** What is read is counted over this time: several turns in which boxes tell of it, milliseconds. */
 const SPAN_MS = 1_000
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -34,6 +34,8 @@
   readonly order?: readonly string[]
   /** Prompt tokens that wait to be read at each, from all boxes, in hundreds. */
   readonly hundreds: readonly number[]
+  /** What an engine reads in a millisecond, as the leader has learned it; undefined: it does not tell. */
+  readonly tokensPerMs?: number
 }
 
 /** A request that waits for an adapter. */
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -11,7 +11,7 @@
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {noteNews} from "../src/core/box-news.js"
-import {takePicture} from "../src/core/box-places.js"
+import {takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeVersions} from "../src/core/box-versions.js"
 import type {Route} from "../src/types/fleet.js"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
@@ -83,6 +83,17 @@
   }
 })
 
+t.test("nothing is sent to wait at an engine until its version is over", async t => {
+  const subject = hear(informed(), 0)
+  const order = ["one", "two"]
+  subject.now += 1_500
+  noteNews(subject.box, subject.now)
+  takeLoads(subject.box, {order, hundreds: [600, 600], tokensPerMs: 20})
+  t.same(arrive(subject, STREAM), ["need"], "a queue of 3 s")
+  takeLoads(subject.box, {hundreds: [400, 400], tokensPerMs: 20})
+  t.same(subject.pass(1).told(), ["send 1"], "one of 2 s")
+})
+
 /** What operators allow from a newer version's acknowledgement until no request begins on an older one. */
 const VERSION_MS = 5_000
 
