--- a/src/core/box-lives.ts
+++ b/src/core/box-lives.ts
@@ -1,6 +1,6 @@
 /** What becomes of a box's beliefs and requests when a backend server is known to have started again. */
 import {abortAttempt} from "./box-ends.js"
-import {attemptFailed} from "./box-requests.js"
+import {attemptFailed} from "./box-attempts.js"
 import type {Attempt, BoxRequest, BoxServing} from "./box-state.js"
 
 /**
--- a/src/core/box-take-backs.ts
+++ b/src/core/box-take-backs.ts
@@ -3,7 +3,7 @@
  * version turns it away unrun; where no such order comes through, it would begin seconds later.
  */
 import {abortAttempt} from "./box-ends.js"
-import {attemptFailed} from "./box-requests.js"
+import {attemptFailed} from "./box-attempts.js"
 import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
 import {isTooLateToBegin} from "./box-versions.js"
 
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -15,20 +15,17 @@
 import {takeRetry} from "./box-asks.js"
 import {tickRequests} from "./box-clock.js"
 import {
-  admit,
   attemptDone,
   attemptFailed,
   attemptHead,
   attemptHeard,
-  attemptStarted,
-  hangUp,
-  refuseNeed,
-  stopServing,
-  tellLeader
-} from "./box-requests.js"
+  attemptStarted
+} from "./box-attempts.js"
+import {admit, hangUp, stopServing, tellLeader} from "./box-requests.js"
 import {endLife} from "./box-lives.js"
 import {type BoxServing, drainEffects, note} from "./box-state.js"
 import {takeVersions} from "./box-versions.js"
+import {refuseNeed} from "./box-waits.js"
 import {noteNews} from "./box-news.js"
 import {takeChanges, takeLoads, takePicture, viewOf} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
--- a/test/box-requests.test.ts
+++ b/test/box-requests.test.ts
@@ -1,6 +1,7 @@
 /** A box's requests: what is sent again, what is never, and what an ended one was told. */
 import t from "tap"
-import {attemptHead, attemptHeard, hangUp, stopServing} from "../src/core/box-requests.js"
+import {attemptHead, attemptHeard} from "../src/core/box-attempts.js"
+import {hangUp, stopServing} from "../src/core/box-requests.js"
 import {takeVersions} from "../src/core/box-versions.js"
 import {takeChanges, takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeBackends} from "../src/core/backend-list.js"
--- a/test/box-versions.test.ts
+++ b/test/box-versions.test.ts
@@ -2,7 +2,7 @@
 import t from "tap"
 import {noteNews} from "../src/core/box-news.js"
 import {takePicture} from "../src/core/box-places.js"
-import {attemptHead} from "../src/core/box-requests.js"
+import {attemptHead} from "../src/core/box-attempts.js"
 import type {BoxNote, NoteFields} from "../src/core/box-state.js"
 import {takeVersions} from "../src/core/box-versions.js"
 import {engines, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
--- a/test/support/box-subject.ts
+++ b/test/support/box-subject.ts
@@ -2,7 +2,8 @@
 import {tickRequests} from "../../src/core/box-clock.js"
 import {takeBackends} from "../../src/core/backend-list.js"
 import type {AttemptFailure} from "../../src/core/box-doubts.js"
-import {admit, attemptFailed, attemptStarted} from "../../src/core/box-requests.js"
+import {attemptFailed, attemptStarted} from "../../src/core/box-attempts.js"
+import {admit} from "../../src/core/box-requests.js"
 import {
   type Arrival,
   type BoxEffect,
