Review, red: an engine is suspected where only the version was replaced

Found by a review. What waited for a connection until its version was out of date is stopped as its bytes would leave, and told as "not-sent": the engine is suspected for 2.5 s by all requests of the box and is in failedAt, which the leader reads as "failed every request that waits for it". A take-back later on (outdated) is kept free of that; this way is not.

--- /dev/null
+++ b/test/versions-sends.test.ts
@@ -0,0 +1,88 @@
+/**
+ * What a send that is stopped as its bytes would leave says of the engine it was meant for.
+ *
+ * The incident of versions: a request that waited for a connection is looked at once more. Where only its
+ * version was replaced meanwhile its engine did nothing wrong. Found by a review.
+ */
+import {createServer} from "node:http"
+import type {AddressInfo} from "node:net"
+import t from "tap"
+import {request} from "undici"
+import {platformDialect} from "../platform/dialect.js"
+import type {SendHandler} from "../src/adapters/backend-pools.js"
+import {startLoop} from "../src/adapters/loop.js"
+import {RoutedRelay} from "../src/adapters/routed-relay.js"
+import {type RoutedState, stepRouted} from "../src/core/serving.js"
+import type {RoutedEffect, RoutedEvent} from "../src/core/serving-events.js"
+import {engines, STREAM, Subject} from "./support/box-subject.js"
+import {until} from "./support/wait.js"
+
+/** So long before the test the store was read last without the second version, milliseconds. */
+const READ_BEFORE_MS = 1_600
+
+/** Longer than that and this together an older version is not sent to, milliseconds. */
+const WAIT_MS = 1_100
+
+const CONFIG = {
+  version: 1,
+  routes: [{...STREAM, targetMs: 5_000, timeoutMs: 20_000}],
+  services: [{name: "s", maxConnections: 2}],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 16_384,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000
+  }
+}
+
+t.test("an engine is not suspected where only the version was replaced", async t => {
+  const serving = new Subject().box
+  const sends: SendHandler[] = []
+  const loop = startLoop<RoutedState, RoutedEvent, RoutedEffect>({
+    initial: {serving, fleet: undefined},
+    step: stepRouted,
+    perform: effect => void relay.perform(effect as never),
+    makeTick: () => ({type: "tick", mayOrder: false}),
+    // Nothing here waits for a tick.
+    tickMs: () => Infinity,
+    now: () => performance.now()
+  })
+  const relay: RoutedRelay = new RoutedRelay({
+    dialect: platformDialect,
+    post: loop.post,
+    serving: () => serving,
+    random: () => 0,
+    log: () => undefined,
+    closing: () => false
+  })
+  relay.pools.send = (_id, _address, _connections, _options, handler) => {
+    sends.push(handler)
+  }
+  const server = createServer((req, res) => void relay.take(req, res))
+  await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()))
+  t.teardown(() => server.closeAllConnections())
+  t.teardown(() => server.close())
+  const start = performance.now()
+  loop.post({type: "config", config: CONFIG})
+  loop.post({type: "engines", engines: engines()})
+  loop.post({type: "news", at: start - READ_BEFORE_MS, read: true})
+  loop.post({type: "versions", versions: [["m/x", 2]]})
+  loop.post({type: "news", at: start, read: true})
+  const {port} = server.address() as AddressInfo
+  const caller = new AbortController()
+  t.teardown(() => caller.abort())
+  request(`http://127.0.0.1:${port}/`, {
+    headers: {host: "h", "x-request-id": "n", "x-model-id": "m/x"},
+    signal: caller.signal
+  }).catch(() => undefined)
+  await until("it is to be sent", () => sends.length === 1)
+  await new Promise(resolve => setTimeout(resolve, WAIT_MS))
+  loop.post({type: "news", at: performance.now(), read: true})
+  t.equal(
+    sends[0]?.started(() => undefined),
+    false,
+    "its version was replaced"
+  )
+  t.same([...serving.suspects.keys()], [])
+  t.same([...(serving.requests.values().next().value?.failedAt ?? [])], [])
+})
