--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -19,7 +19,7 @@
 } from "../src/core/placement-state.js"
 import {tokensIn} from "../src/core/reading-rate.js"
 import type {Need} from "../src/types/box-messages.js"
-import type {FleetService} from "../src/types/fleet.js"
+import type {EngineLimits, FleetService} from "../src/types/fleet.js"
 
 const SERVICE: FleetService = {
   name: "engines",
@@ -286,6 +286,53 @@
   t.same(subject.answer("e0", "done").orders(), ["e0 load x"])
 })
 
+/** A leader of one engine with room for so many adapters, which holds these, the first ones in use. */
+function holding(names: readonly string[], inUse: number, limits: object): Subject {
+  const subject = new Subject(1)
+  const engine = {...(SERVICE.engine as EngineLimits), ...limits}
+  subject.fleet.services = new Map([["engines", {...SERVICE, engine}]])
+  const held = names.map(name => [name, 1] as const)
+  // It is asked again soon after what it held was new.
+  for (let report = 0; report < 2; report++) {
+    subject.now += 500
+    subject.plan()
+    subject.reportHeld("e0", held, 0)
+  }
+  const begun = {engine: "e0", begun: 1, ended: 0, tokens: 100}
+  const uses = names.slice(0, inUse).map(name => ({...begun, adapter: `base/${name}`}))
+  takeUses(subject.fleet, "box", uses, subject.now)
+  subject.plan()
+  return subject
+}
+
+// Found by a review: until an unload that was accepted was reported, each plan unloaded one more.
+t.test("room for a newer version is made once", async t => {
+  const subject = holding(["x", "y", "z"], 1, {maxAdapters: 3})
+  takeFleetVersion(subject.fleet, "base/x", 2)
+  t.same(subject.plan().orders(), ["e0 unload y"])
+  t.same(subject.answer("e0", "accepted").orders(), [], "its place is about to be free")
+})
+
+// Found by a review: engines take four at once, whichever way the leader came to order them.
+t.test("newer versions on their way to an engine are no more than it takes", async t => {
+  const names = ["a", "b", "c", "d", "e"]
+  const subject = holding(names, 5, {maxAdapters: 12, weightsMb: 200})
+  for (const name of names) takeFleetVersion(subject.fleet, `base/${name}`, 2)
+  const ordered: string[] = []
+  for (subject.plan(); subject.orders().length > 0; subject.answer("e0", "accepted")) {
+    ordered.push(...subject.orders())
+  }
+  t.equal(ordered.length, 4, ordered.join(", "))
+})
+
+// Found by a review: only places were counted, so that an engine short of memory was ordered past it.
+t.test("a newer version stands beside the old one only within the memory", async t => {
+  const models = [{name: "base", weightsMb: 100, adapterMb: 5}]
+  const subject = holding(["x", "y"], 1, {maxAdapters: 4, weightsMb: 110, models})
+  takeFleetVersion(subject.fleet, "base/x", 2)
+  t.same(subject.plan().orders(), ["e0 unload y"])
+})
+
 // Finding LIMIT, Tatrapay scale-1: both versions stand there until the newer one has come.
 t.test(
   "a version that replaces another takes a second place until it is there",
