Review, red: an answer that is not streamed is taken back though it began

Found by a review. The head of an answer that is not streamed comes with its end, so that takeBackIfOutdated takes every one that still runs 4.2 s after the naming for one that has not begun: its caller gets 502 where it may not run twice. The box cannot tell the two apart, so the test states a choice: should the promise go before such answers, it has to be replaced, with the reason.

--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -78,3 +78,22 @@
     t.same(subject.pass(TAKE_BACK_MS - SEND_MS - 900).told(), told)
   }
 })
+
+// Found by a review. The head of such an answer comes with its end, which says nothing of when it began.
+t.test(
+  "what began in time is not taken back where its answer is not streamed",
+  async t => {
+    const subject = hear(informed(), 0)
+    subject.now += SEND_MS - 500
+    noteNews(subject.box, subject.now)
+    const whole: Route = {...PATIENT, kind: "safe", resumable: false}
+    t.same(arrive(subject, whole), ["send 1"])
+    subject.start()
+    noteNews(subject.box, subject.now + TAKE_BACK_MS)
+    t.same(
+      subject.pass(TAKE_BACK_MS - SEND_MS + 500).told(),
+      [],
+      "its engine works on it"
+    )
+  }
+)
