Review, red: a version that is no number passes every look at versions

Found by a review. NAME@abc in a server's entry or report is read as NaN, which compares with no named version: such a place is never outdated nor taken back, and X-Expected-Version is left out of its sends. Entries may come from other writers. Whether the entry or only its adapter is to be left out is open: the test asks for the first, as for other numbers as text.

--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -9,9 +9,11 @@
  * acknowledgement until an engine begins. The tests here take each end of that span.
  */
 import t from "tap"
+import {platformRecords} from "../platform/records.js"
 import {noteNews} from "../src/core/box-news.js"
 import {takePicture} from "../src/core/box-places.js"
 import {takeVersions} from "../src/core/box-versions.js"
+import {UnreadableEntry} from "../src/errors.js"
 import type {Route} from "../src/types/fleet.js"
 import {engines, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
 
@@ -97,3 +99,23 @@
     )
   }
 )
+
+// Found by a review. An entry of another writer may tell a version that is no number: it compares with none.
+t.test("a version that cannot be read is none to send to", async t => {
+  for (const told of ["x@", "x@abc", "x@-3", "x@1.5"]) {
+    const value = JSON.stringify({
+      service: "s",
+      address: "10.0.0.1:80",
+      zone: "a",
+      version: "v1",
+      slots: 1,
+      state: "ready",
+      coldRemainingMs: 0,
+      sequence: 0,
+      models: [{name: "m", adapters: [told]}]
+    })
+    const read = (): unknown =>
+      platformRecords.readBackend({key: "servers/one", value, revision: 1})
+    t.throws(read, UnreadableEntry, told)
+  }
+})
