--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -10,9 +10,11 @@
  */
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
+import {platformRecords} from "../platform/records.js"
 import {noteNews} from "../src/core/box-news.js"
 import {takeLoads, takePicture} from "../src/core/box-places.js"
 import {takeVersions} from "../src/core/box-versions.js"
+import {UnreadableEntry} from "../src/errors.js"
 import type {Route} from "../src/types/fleet.js"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {engines, STREAM, Subject, WEIGHTS} from "./support/box-subject.js"
@@ -119,3 +121,42 @@
   t.same(late, [], "nothing begins on it after five seconds")
   await running
 })
+
+// Found by a review. The head of such an answer comes with its end, which says nothing of when it began.
+t.test(
+  "what began in time is not taken back where its answer is not streamed",
+  async t => {
+    const subject = hear(informed(), 0)
+    subject.now += SEND_MS - 500
+    noteNews(subject.box, subject.now)
+    const whole: Route = {...PATIENT, kind: "safe", resumable: false}
+    t.same(arrive(subject, whole), ["send 1"])
+    subject.start()
+    noteNews(subject.box, subject.now + TAKE_BACK_MS)
+    t.same(
+      subject.pass(TAKE_BACK_MS - SEND_MS + 500).told(),
+      [],
+      "its engine works on it"
+    )
+  }
+)
+
+// Found by a review. An entry of another writer may tell a version that is no number: it compares with none.
+t.test("a version that cannot be read is none to send to", async t => {
+  for (const told of ["x@", "x@abc", "x@-3", "x@1.5"]) {
+    const value = JSON.stringify({
+      service: "s",
+      address: "10.0.0.1:80",
+      zone: "a",
+      version: "v1",
+      slots: 1,
+      state: "ready",
+      coldRemainingMs: 0,
+      sequence: 0,
+      models: [{name: "m", adapters: [told]}]
+    })
+    const read = (): unknown =>
+      platformRecords.readBackend({key: "servers/one", value, revision: 1})
+    t.throws(read, UnreadableEntry, told)
+  }
+})
