What a leader's message spent on its way counts for the age of its news

Cause: a ping says how old the leader's reading was as it was sent; the box took that off the time of hearing. What the ping spent in buffers, on a slow link or in front of a box that stood still for less than 1.3 s, passed for newer knowledge: versions (and departures, which have the same clock) were judged by so much later. Ruled out: an echo of the box's own clock. It needs a ping of its own for each box, where one packed message now goes to all. Change: pings and lists tell the sender's time; the receiver keeps the least difference of a link and counts what a message has beyond it as its way.

--- a/src/adapters/backend-news.ts
+++ b/src/adapters/backend-news.ts
@@ -26,7 +26,8 @@
     const gone = [...this.told_.keys()].filter(id => !known.has(id))
     for (const id of gone) this.told_.delete(id)
     if (records.length === 0 && gone.length === 0) return
-    this.send_({t: "backends", records, whole: false, gone, ageMs: 0})
+    const sentAt = performance.now()
+    this.send_({t: "backends", records, whole: false, gone, ageMs: 0, sentAt})
   }
 }
 
--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -166,6 +166,7 @@
     return {
       t: "ping",
       newsAgeMs: news.ownAgeMs(now),
+      sentAt: now,
       boxes: this.boxes,
       ordersInMs: Math.max(0, Math.round(leadership.orderFrom - now)),
       medianAgeMs,
@@ -220,7 +221,8 @@
               whole: true,
               gone: [],
               // A leader that has not read the store yet knows what the last one told it.
-              ageMs: this.options_.news.ageMs(now)
+              ageMs: this.options_.news.ageMs(now),
+              sentAt: now
             }
           ]
         : []),
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -245,6 +245,8 @@
 
 /** A box's end of the link to its leader. */
 export class LeaderLink {
+  /** When the leader was first written to; Infinity: the connection is not up yet. */
+  greetedAt = Infinity
   private readonly link_: BoxLink<ToLeader, FromLeader>
   private readonly timer_: NodeJS.Timeout
 
@@ -263,7 +265,8 @@
       if (socket.readyState !== WebSocket.OPEN) this.link_.close()
     }, CONNECT_MS)
     socket.once("open", () => {
-      this.link_.heardAt = performance.now()
+      this.greetedAt = performance.now()
+      this.link_.heardAt = this.greetedAt
       this.link_.send(hello)
     })
   }
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -1,4 +1,10 @@
 /** A box's session with its leader: the link, and what the leader tells over it. */
+import {
+  createLinkDelay,
+  type LinkDelay,
+  noteMessage,
+  onWayMs
+} from "../core/link-delay.js"
 import type {RoutedEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {FromLeader, LeaderRecord, ToLeader} from "../types/box-messages.js"
@@ -41,6 +47,8 @@
   private link_: LeaderLink | undefined
   private leader_: LeaderRecord | undefined
   private linked_ = false
+  /** Of the link; undefined: no message that tells its time has come. */
+  private delay_: LinkDelay | undefined
   private pongAt_ = 0
 
   constructor(private readonly options_: LeaderSessionOptions) {}
@@ -96,10 +104,11 @@
           log("leader-linked", {leader: leader.box})
           post({type: "leader-new"})
         }
-        this.take(message)
+        this.take(this.addWay(message, link.greetedAt))
       }
     })
     this.link_ = link
+    this.delay_ = undefined
   }
 
   private hello(): ToLeader {
@@ -114,6 +123,19 @@
     }
   }
 
+  /** The message, with ages as they are now: what it spent on its way is added. */
+  private addWay(message: FromLeader, greetedAt: number): FromLeader {
+    if (!("sentAt" in message) || message.sentAt === undefined) return message
+    const {sentAt} = message
+    const now = performance.now()
+    const delay = this.delay_ ?? createLinkDelay(greetedAt, sentAt)
+    this.delay_ = noteMessage(delay, sentAt, now)
+    const wayMs = onWayMs(this.delay_, sentAt, now)
+    return message.t === "ping"
+      ? {...message, newsAgeMs: message.newsAgeMs + wayMs}
+      : {...message, ageMs: message.ageMs + wayMs}
+  }
+
   private take(message: FromLeader): void {
     const {news, post, configured} = this.options_
     if (news.takeNews(message)) {
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -295,7 +295,7 @@
       const reading: Reading = {source: "box", at: now - ageMs}
       return post({type: "backends", records, reading})
     }
-    const reading: Reading = {source: "box", at: now}
+    const reading: Reading = {source: "box", at: now - ageMs}
     for (const record of records) post({type: "backend", id: record.id, record, reading})
     for (const id of gone) post({type: "backend", id, record: undefined, reading})
   }
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -102,20 +102,25 @@
   | {readonly t: "renewed"; readonly ask: number; readonly known: boolean}
   | {readonly t: "pong"}
 
+/** When a message was sent, by the sender's clock, which other boxes don't share; undefined: it does not tell. */
+export interface Sent {
+  readonly sentAt?: number
+}
+
 /** From the leader to a box. */
 export type FromLeader =
   | {readonly t: "config"; readonly config: FleetConfig}
   /** A newer configuration is in the store: told in its place where there are many boxes. */
   | {readonly t: "config-named"; readonly version: number}
-  | {
+  | ({
       readonly t: "backends"
       readonly records: readonly BackendRecord[]
       /** All there are; otherwise only those that changed. */
       readonly whole: boolean
       readonly gone: readonly string[]
-      /** Since the reading of the store that it rests on, milliseconds. */
+      /** Since the reading of the store that it rests on, milliseconds, as it was sent. */
       readonly ageMs: number
-    }
+    } & Sent)
   | StoreNews
   | {
       readonly t: "versions"
@@ -132,18 +137,18 @@
   /** The answer to `ask-retry`. */
   | {readonly t: "may-retry"; readonly request: string; readonly allowed: boolean}
   /**
-   * Sent often; `newsAgeMs`: since the leader's news was read in the store; `ordersInMs`: until it
+   * Sent often; `newsAgeMs`: since the leader's news was read in the store, as it was sent; `ordersInMs`: until it
    * can order loads; `medianAgeMs`: since the processes of boxes started; `others`: where some
    * boxes take links.
    */
-  | {
+  | ({
       readonly t: "ping"
       readonly newsAgeMs: number
       readonly boxes: number
       readonly ordersInMs: number
       readonly medianAgeMs: number
       readonly others: readonly string[]
-    }
+    } & Sent)
 
 /** The leader as its key names it. */
 export interface LeaderRecord {
