--- a/src/core/placement-choose.ts
+++ b/src/core/placement-choose.ts
@@ -83,23 +83,35 @@
 ): Spot | undefined {
   const {model} = splitAdapterKey(adapter)
   if (!engine.models.has(model)) return undefined
-  let onWay = 0
-  for (const {phase} of engine.places.values()) if (phase === "loading") onWay++
-  if (onWay >= MAX_ON_WAY) return undefined
-  if (countTaken(engine) < limits.maxAdapters && fits(engine, limits, adapter)) {
-    return {engine, victim: undefined, near}
-  }
+  if (!takesLoads(engine)) return undefined
+  if (hasRoom(engine, limits, adapter)) return {engine, victim: undefined, near}
   const victim = chooseVictim(fleet, engine, now)
   return victim === undefined ? undefined : {engine, victim, near}
 }
 
-/** Whether one more adapter stays within the engine's memory for weights. */
+/** Whether fewer adapters are on their way to the engine than it takes at once. */
+export function takesLoads({places}: FleetEngine): boolean {
+  let onWay = 0
+  for (const {phase} of places.values()) if (phase === "loading") onWay++
+  return onWay < MAX_ON_WAY
+}
+
+/** Whether one more adapter, or one more version of it, stays within the engine's places and memory. */
+export function hasRoom(
+  engine: FleetEngine,
+  limits: EngineLimits,
+  adapter: string
+): boolean {
+  return countTaken(engine) < limits.maxAdapters && fits(engine, limits, adapter)
+}
+
 function fits(engine: FleetEngine, limits: EngineLimits, adapter: string): boolean {
   const sizes = new Map(limits.models.map(model => [model.name, model]))
   let total = sizes.get(splitAdapterKey(adapter).model)?.adapterMb ?? 0
   for (const model of engine.models) total += sizes.get(model)?.weightsMb ?? 0
-  for (const key of engine.places.keys()) {
-    total += sizes.get(splitAdapterKey(key).model)?.adapterMb ?? 0
+  for (const [key, {replaced}] of engine.places) {
+    const size = sizes.get(splitAdapterKey(key).model)?.adapterMb ?? 0
+    total += replaced === undefined ? size : 2 * size
   }
   return total <= limits.weightsMb
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,19 +3,14 @@
  * most in time goes first; base models stay within the rate of the weight store.
  */
 import {adapterKey} from "../types/fleet.js"
-import {chooseSpot, chooseVictim, type Spot, takesOrders} from "./placement-choose.js"
+import {chooseSpot, type Spot, takesOrders} from "./placement-choose.js"
 import {countHolders, indexFleet, noteHolder} from "./placement-index.js"
 import {give, giveLoad, QUIET_MS, unload} from "./placement-orders.js"
 import {dropStrays} from "./placement-strays.js"
+import {renewVersions} from "./placement-versions.js"
 import {tokensIn} from "./reading-rate.js"
 import {tellNews} from "./placement-news.js"
-import {
-  countTaken,
-  createPlace,
-  type Fleet,
-  type FleetEngine,
-  heatOf
-} from "./placement-state.js"
+import {createPlace, type Fleet, type FleetEngine, heatOf} from "./placement-state.js"
 
 /** Loads of base models that may be saved up. */
 const MAX_LOAD_TOKENS = 2
@@ -69,53 +64,6 @@
   give(fleet, engine, {operation: "load", model: model.name})
 }
 
-/** Adapters in use whose newer version is named are replaced where they stand. */
-function renewVersions(fleet: Fleet, now: number): void {
-  for (const [adapter, version] of fleet.versions) {
-    for (const engine of fleet.engines.values()) {
-      const place = engine.places.get(adapter)
-      if (!place || place.version >= version || !takesOrders(engine, now)) continue
-      if (place.phase !== "ready") continue
-      if (heatOf(fleet, adapter, now) < 0.5 && !fleet.index.awaited.has(adapter)) {
-        if (place.running === 0) unload(fleet, engine, adapter, now)
-        continue
-      }
-      // The new version takes a place of its own until the old one is gone.
-      if (!hasFreePlace(fleet, engine)) {
-        makeRoomBeside(fleet, engine, adapter, now)
-        continue
-      }
-      place.replaced = place.version
-      place.version = version
-      place.phase = "loading"
-      place.orderedAt = now
-      place.readyAt = now + fleet.storeLoadMs
-      giveLoad(fleet, engine, adapter, version)
-    }
-  }
-}
-
-/**
- * Frees a place for the newer version of an adapter: its own, or while that is in use another's. A hot
- * adapter may be in use until boxes stop sending to the old version; the load that replaces it has the
- * engine turn away what waits for that, unrun.
- */
-function makeRoomBeside(
-  fleet: Fleet,
-  engine: FleetEngine,
-  adapter: string,
-  now: number
-): void {
-  const inUse = (engine.places.get(adapter)?.running ?? 0) > 0
-  const victim = inUse ? chooseVictim(fleet, engine, now) : adapter
-  if (victim !== undefined) unload(fleet, engine, victim, now)
-}
-
-function hasFreePlace(fleet: Fleet, engine: FleetEngine): boolean {
-  const limits = fleet.services.get(engine.service)?.engine
-  return limits !== undefined && countTaken(engine) < limits.maxAdapters
-}
-
 /** An adapter that requests wait for, and what its load is worth. */
 interface Wanted {
   readonly adapter: string
