A send that was only overtaken blames no engine

Cause, found by review: a request that waited for a connection until its version was over, or the news too old, ended as not-sent: its engine was suspected by all requests for 2.5 s and named to the leader as one that failed it. Change: the failure 'overtaken' (before: 'outdated') for both, and for take-backs.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -1,7 +1,8 @@
 /** Performs what the core decides for callers' requests: sends, answers, aborts. */
 import {randomUUID} from "node:crypto"
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {mayStart} from "../core/box-starts.js"
+import type {AttemptFailure} from "../core/box-doubts.js"
+import {findObstacle} from "../core/box-starts.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving-events.js"
@@ -152,7 +153,7 @@
     const connections = Math.max(2, Math.floor((most * 0.8) / Math.max(1, boxes)))
     const {method = "GET", url = "/"} = exchange.req
     let heardAt = 0
-    const fail = (failure: "not-sent" | "refused" | "misplaced" | "broken"): void => {
+    const fail = (failure: AttemptFailure): void => {
       if (!current()) return
       // The rest of this attempt's answer is nobody's.
       exchange.attempt = -1
@@ -169,8 +170,9 @@
         started: abort => {
           if (!current()) return false
           // It may have left while the request waited for a connection.
-          if (!mayStart(serving(), id, performance.now())) {
-            fail("not-sent")
+          const obstacle = findObstacle(serving(), id, performance.now())
+          if (obstacle) {
+            fail(obstacle)
             return false
           }
           started = true
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -106,10 +106,10 @@
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
-  const ran = attempt.started && (failure === "broken" || failure === "outdated")
+  const ran = attempt.started && (failure === "broken" || failure === "overtaken")
   const late = isRefusal(failure) && doubtPlace(box, request, attempt, failure, now)
   // The engine did nothing wrong where only its version was replaced.
-  if (!late && failure !== "outdated") request.failedAt.add(attempt.backend)
+  if (!late && failure !== "overtaken") request.failedAt.add(attempt.backend)
   if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
--- a/src/core/box-doubts.ts
+++ b/src/core/box-doubts.ts
@@ -12,8 +12,11 @@
   | "misplaced"
   /** The connection broke or the answer was none. */
   | "broken"
-  /** It had not begun, and its version was replaced: its connection was closed. */
-  | "outdated"
+  /**
+   * What it was sent by holds no longer, and the engine did nothing wrong: its version was replaced, or the
+   * news is too old. Its connection was closed before it began, or nothing was sent.
+   */
+  | "overtaken"
 
 /** How long a backend server that failed is left alone where others can do, milliseconds. */
 export const SUSPECT_MS = 2_500
--- a/src/core/box-repeats.ts
+++ b/src/core/box-repeats.ts
@@ -40,7 +40,7 @@
   const {attempt, arrival} = request
   if (attempt) {
     request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
-    if (after !== "outdated") request.failedAt.add(attempt.backend)
+    if (after !== "overtaken") request.failedAt.add(attempt.backend)
   }
   request.runs++
   note(box, "route-again", {
--- a/src/core/box-starts.ts
+++ b/src/core/box-starts.ts
@@ -1,14 +1,20 @@
 /** Whether what was decided at a send still holds as its bytes leave: it may have waited for a connection. */
 import {isUsable} from "./backend-list.js"
+import type {AttemptFailure} from "./box-doubts.js"
 import {isStale} from "./box-news.js"
 import type {BoxServing} from "./box-state.js"
 import {mayRunOn} from "./box-versions.js"
 
-/** Whether bytes of the request's attempt may leave now. */
-export function mayStart(box: BoxServing, id: string, now: number): boolean {
+/** Why no bytes of the request's attempt may leave now; undefined: they may. */
+export function findObstacle(
+  box: BoxServing,
+  id: string,
+  now: number
+): AttemptFailure | undefined {
   const request = box.requests.get(id)
   const attempt = request?.attempt
-  if (!request || !attempt) return false
-  if (!isUsable(box.backends, attempt.backend) || isStale(box, now)) return false
-  return mayRunOn(box, request, attempt.version, now)
+  if (!request || !attempt) return "overtaken"
+  if (!isUsable(box.backends, attempt.backend)) return "not-sent"
+  const holds = !isStale(box, now) && mayRunOn(box, request, attempt.version, now)
+  return holds ? undefined : "overtaken"
 }
--- a/src/core/box-take-backs.ts
+++ b/src/core/box-take-backs.ts
@@ -28,6 +28,6 @@
     queuedMs: Math.round(now - attempt.sentAt)
   })
   abortAttempt(box, request)
-  attemptFailed(box, id, attempt.number, "outdated", request.lastEventId, now)
+  attemptFailed(box, id, attempt.number, "overtaken", request.lastEventId, now)
   return true
 }
