What is not streamed goes to no replaced version, and is not taken back

Cause, found by review: an answer that is not streamed comes whole at its end, so that a request that had begun was taken back, and one that may not run twice was lost. Weighed: leaving the sends as they are and taking nothing back (the review's test) lets such a request begin at any time; not sending it to an old version from the hearing on bounds it but for what was sent before.

--- a/src/core/box-versions.ts
+++ b/src/core/box-versions.ts
@@ -5,6 +5,7 @@
   isOutdated,
   isOver,
   nameVersion,
+  newestOf,
   replacedForMs
 } from "./adapter-versions.js"
 import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
@@ -66,6 +67,7 @@
 ): boolean {
   if (version === undefined) return true
   const named = namedFor(box, request)
+  if (!tellsBegin(request)) return version >= newestOf(named)
   return !isOutdated(named, version, now) && !isOver(named, version, now + waitMs)
 }
 
@@ -76,7 +78,16 @@
   {version}: Attempt,
   now: number
 ): boolean {
-  return version !== undefined && isOver(namedFor(box, request), version, now)
+  if (version === undefined || !tellsBegin(request)) return false
+  return isOver(namedFor(box, request), version, now)
+}
+
+/**
+ * Whether the answer's head tells that the request has begun. An answer that is not streamed comes whole at
+ * its end: such a request is never sent to a replaced version, since nothing tells what to take back.
+ */
+function tellsBegin({arrival: {route}}: BoxRequest): boolean {
+  return route.kind === "streaming"
 }
 
 /** An answer begins: tells how old the version is that it is made with, if a newer one is known. */
