Requests wait for news before they are routed, too

Cause, found by review: a box that stood still answered 404 for a route that had been in force for seconds, by the table it had; sends wait for news, routing did not. Change: a request waits, 500 ms at most, while the news is too old; news that cannot be had is given up after 150.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -3,10 +3,12 @@
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {AttemptFailure} from "../core/box-doubts.js"
 import {findObstacle} from "../core/box-starts.js"
+import {isStale} from "../core/box-news.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
+import {pause} from "../utils/promises.js"
 import {BackendPools} from "./backend-pools.js"
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, stripHop} from "./relay-exchange.js"
@@ -20,6 +22,13 @@
 /** Between two notes to the core that an answer goes on, milliseconds. */
 const HEARD_MS = 200
 
+/**
+ * A request waits so long at most for news to route it by, milliseconds: news that cannot be had is given up
+ * after 150; and how often it looks.
+ */
+const MAX_NEWS_WAIT_MS = 500
+const NEWS_TURN_MS = 10
+
 /** Before there is a configuration, callers may come back after this, seconds. */
 const NO_CONFIG_RETRY_S = 0.5
 
@@ -52,6 +61,8 @@
     const limit = table?.config.limits.maxBodyBytes ?? Infinity
     const body = await readBody(req, limit)
     if (body === "gone") return
+    await this.awaitNews()
+    if (res.destroyed) return
     const {dialect} = this.options_
     const own = dialect.ownAnswer(facts.name)
     const answer = new RelayExchange(randomUUID(), facts, false, req, res, null)
@@ -99,6 +110,18 @@
     })
   }
 
+  /**
+   * A process that stood still takes requests that came meanwhile before it has read the store: their routes
+   * wait for that as sends do, so that no caller is told that a route is missing which is only new.
+   */
+  private async awaitNews(): Promise<void> {
+    const until = performance.now() + MAX_NEWS_WAIT_MS
+    while (isStale(this.options_.serving(), performance.now())) {
+      if (performance.now() > until) return
+      await pause(NEWS_TURN_MS)
+    }
+  }
+
   /** Performs an effect; false: it is not the relay's. */
   perform(effect: BoxEffect): boolean {
     if (!("id" in effect)) return false
