--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -3,10 +3,10 @@
  * acknowledged.
  *
  * Seen: a request began on a version some five seconds after the next one was acknowledged, on a deployment
- * of 86 boxes. It came about where a third version was named within 2.5 s of the second: the first one's time
- * was then counted from the third. Plays with and without that mend proved it. The class of it is wider:
- * time was counted from whatever a box heard last, and up to the send, whereas the promise runs from the
- * acknowledgement until an engine begins. The tests here take each end of that span.
+ * of 86 boxes. Most likely a third version had been named within 2.5 s of the second, and the first one's time
+ * was counted from the third: days that name versions so break it without that mend and not with it. The class
+ * of it is wider: time was counted from whatever a box heard last, and up to the send, whereas the promise runs
+ * from the acknowledgement until an engine begins. The tests here take each end of that span.
  */
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
