Count calls to the store by caller, reason and outcome

Change: every part of a routed box names itself where it calls the key-value service (`callAs`), and a counted service passes the call on as it is. Callers, reasons and outcomes are closed lists (src/types/store-calls.ts), so that metric and line stay bounded. `sedge_store_calls_total{caller,reason,outcome}`; event 214 `store-calls` every five seconds in which calls were made and at the end of the process, with sums since its start, so that a line left out under load takes nothing with it. A refusal is told from a connection that was never made by `KvRefused`, a kind of `KvUnavailable`, which all callers treat as before. `watchUntil` says whether the watch was cut, for the reason of the next list. When calls are made is unchanged.

Ruled out: counting in `StoreCalls`, which knows neither caller nor reason; an argument at every method, which all fakes would carry; lines of differences, which are lost where a box leaves lines out under load.

Not in the counts: calls in progress, what a killed process did after its last line, the processes on etcd (entry, keeper, admin).

--- a/src/adapters/kv-etcd.ts
+++ b/src/adapters/kv-etcd.ts
@@ -1,6 +1,6 @@
 /** The key-value service by the JSON gateway of the etcd v3 API, as published. */
 import {request, type Dispatcher, Agent} from "undici"
-import {KvUnavailable, KvUnknown} from "../errors.js"
+import {KvRefused, KvUnavailable, KvUnknown} from "../errors.js"
 import type {
   KvChange,
   KvEntry,
@@ -152,7 +152,7 @@
     const answer = await this.post("/v3/watch", body, signal)
     if (answer.statusCode !== 200) {
       await answer.body.dump()
-      throw new KvUnavailable(`watch refused with ${answer.statusCode}`)
+      throw new KvRefused(`watch refused with ${answer.statusCode}`)
     }
     let rest = ""
     for await (const chunk of answer.body.setEncoding("utf8")) {
@@ -173,7 +173,7 @@
       const text = await answer.body.text()
       // 429 and 503 are answered before the service acts.
       if (answer.statusCode === 429 || answer.statusCode === 503) {
-        throw new KvUnavailable(`refused with ${answer.statusCode}`)
+        throw new KvRefused(`refused with ${answer.statusCode}`)
       }
       if (answer.statusCode !== 200) throw new KvUnknown(`answered ${answer.statusCode}`)
       return JSON.parse(text) as T
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -10,7 +10,9 @@
 } from "../core/leadership.js"
 import type {KvStore} from "../ports/ports.js"
 import type {LeaderRecord} from "../types/box-messages.js"
+import type {StoreCaller} from "../types/store-calls.js"
 import {firstOf, pause} from "../utils/promises.js"
+import {callAs} from "./store-counter.js"
 
 const RENEW_MS = 300
 
@@ -94,7 +96,14 @@
     clearTimeout(this.timer_)
     const {lease} = this.leadership
     this.end("stopping")
-    if (lease !== undefined) await this.kv_.revokeLease(lease).catch(() => undefined)
+    if (lease !== undefined)
+      await this.as("lease-end")
+        .revokeLease(lease)
+        .catch(() => undefined)
+  }
+
+  private as(caller: StoreCaller): KvStore {
+    return callAs(this.kv_, {caller})
   }
 
   private later(ms: number): void {
@@ -138,7 +147,9 @@
     const {lease} = this.leadership
     if (lease === undefined) return
     const sentAt = performance.now()
-    const own = this.kv_.keepAlive(lease).then(known => ({known, sentAt, helped: false}))
+    const own = this.as("lease-renew")
+      .keepAlive(lease)
+      .then(known => ({known, sentAt, helped: false}))
     const renewal = await firstOf([own, this.askHelp(own, lease)])
     if (this.leadership.lease !== lease) return
     if (renewal.helped !== this.helped_) this.events_.helped(renewal.helped)
@@ -158,7 +169,7 @@
   }
 
   private async look(): Promise<void> {
-    const entry = await this.kv_.get(this.options_.key)
+    const entry = await this.as("leader-look").get(this.options_.key)
     if (this.stopped_) return
     if (!entry) return this.claimLater()
     const leader = JSON.parse(entry.value) as LeaderRecord
@@ -170,14 +181,19 @@
     if (this.stopped_) return
     const {key, self} = this.options_
     const sentAt = performance.now()
-    const lease = await this.kv_.grantLease(this.options_.ttlMs)
+    const lease = await this.as("leader-claim").grantLease(this.options_.ttlMs)
     const fence = await this.claim(key, JSON.stringify(self), lease)
     if (fence === undefined) {
-      void this.kv_.revokeLease(lease).catch(() => undefined)
+      void this.as("lease-end")
+        .revokeLease(lease)
+        .catch(() => undefined)
       return
     }
     const now = performance.now()
-    if (this.stopped_) return void this.kv_.revokeLease(lease).catch(() => undefined)
+    if (this.stopped_)
+      return void this.as("lease-end")
+        .revokeLease(lease)
+        .catch(() => undefined)
     takeLead(this.leadership, {fence, lease, sentAt}, now, this.options_)
     if (leads(this.leadership, now)) this.events_.won(fence)
     else this.end("claim took too long")
@@ -198,12 +214,15 @@
     lease: string
   ): Promise<number | undefined> {
     try {
-      const result = await this.kv_.put(key, value, {expectRevision: 0, lease})
+      const result = await this.as("leader-claim").put(key, value, {
+        expectRevision: 0,
+        lease
+      })
       return result.ok ? result.revision : undefined
     } catch (cause) {
       if (!(cause instanceof KvUnknown)) throw cause
       // The claim may have been taken though its answer was lost.
-      const entry = await this.kv_.get(key)
+      const entry = await this.as("leader-claim").get(key)
       return entry?.value === value ? entry.revision : undefined
     }
   }
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -7,6 +7,7 @@
 import type {Log} from "./log.js"
 import type {NewsHelp} from "./news-help.js"
 import type {NewsSource} from "./news-source.js"
+import {callAs} from "./store-counter.js"
 
 /** A link on which the leader says nothing for so long is given up, milliseconds. */
 const LINK_SILENCE_MS = 1_200
@@ -153,7 +154,7 @@
   private async renew(ask: number, lease: string): Promise<void> {
     const {kv, log} = this.options_
     try {
-      const known = await kv.keepAlive(lease)
+      const known = await callAs(kv, {caller: "lease-help"}).keepAlive(lease)
       this.send({t: "renewed", ask, known})
     } catch (cause) {
       log("lease-not-helped", {reason: (cause as Error).message})
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -22,7 +22,7 @@
 import type {AskNews, FromLeader, StoreNews} from "../types/box-messages.js"
 import {EntryReader} from "./entry-reader.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
-import {listAll, type Listing, StoreFollower} from "./store-follower.js"
+import {listForOthers, type Listing, StoreFollower} from "./store-follower.js"
 
 /** A box that starts gives itself so long to find a leader that tells it the news, milliseconds. */
 const START_MS = 600
@@ -246,7 +246,7 @@
   private async readOnce(): Promise<void> {
     const {kv, records} = this.options_
     const prefixes = [records.operatorPrefix, records.backendPrefix]
-    const listings = await Promise.all(prefixes.map(prefix => listAll(kv, prefix, true)))
+    const listings = await listForOthers(kv, prefixes)
     listings.forEach((listing, i) => this.takeListing(prefixes[i] ?? "", listing))
   }
 
--- a/src/adapters/operator-news.ts
+++ b/src/adapters/operator-news.ts
@@ -7,6 +7,7 @@
 import {pause} from "../utils/promises.js"
 import type {AdapterVersion, EntryReader} from "./entry-reader.js"
 import type {Log} from "./log.js"
+import {callAs} from "./store-counter.js"
 
 /** A configuration that was named is read within this time, by each box at another moment. */
 const READ_SCATTER_MS = 250
@@ -77,7 +78,7 @@
     await pause(Math.random() * READ_SCATTER_MS)
     const {kv, records, log, askLeader} = this.options_
     try {
-      const entry = await kv.get(records.configKey)
+      const entry = await callAs(kv, {caller: "config-read"}).get(records.configKey)
       if (entry) this.takeEntries([entry])
     } catch (cause) {
       log("kv-trouble", {prefix: records.configKey, reason: (cause as Error).message})
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -33,6 +33,7 @@
 import type {RunningProcess} from "./process.js"
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
+import {countStoreCalls} from "./store-counter.js"
 import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
@@ -59,9 +60,10 @@
 
 /** Starts a routed box. */
 export async function startRoutedBox(context: RoutedContext): Promise<RunningProcess> {
-  const box = new RoutedBox(context)
+  const calls = countStoreCalls(context)
+  const box = new RoutedBox({...context, kv: calls.kv})
   await box.listen()
-  return {stop: () => void box.stop(), ended: box.ended}
+  return {stop: () => void box.stop(), ended: box.ended.finally(calls.stop)}
 }
 
 class RoutedBox {
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -1,9 +1,11 @@
 /** Follows prefixes of the key-value service: lists in a fixed rhythm, watches between them. */
 import {LATE_MS, LIST_MS} from "../core/news-age.js"
 import type {KvChange, KvEntry, KvStore} from "../ports/ports.js"
+import type {CallPurpose, StoreCaller, StoreReason} from "../types/store-calls.js"
 import {backoffMs} from "../utils/backoff.js"
 import {askAgainAfter, pause} from "../utils/promises.js"
 import {limitTime} from "../utils/time-limit.js"
+import {callAs} from "./store-counter.js"
 
 const FIRST_PAUSE_MS = 60
 const LONGEST_PAUSE_MS = 500
@@ -68,27 +70,35 @@
   private async follow(prefix: string): Promise<void> {
     const {signal} = this.abort_
     let failures = 0
+    let reason: StoreReason = "first"
     while (!signal.aborted) {
       const end = performance.now() + LIST_MS
       try {
-        const revision = await this.list(prefix, failures === 0)
+        const revision = await this.list(prefix, failures === 0, reason)
         failures = 0
-        if (this.watches_) await this.watchUntil(prefix, revision, end)
-        else await pause(end - performance.now())
+        reason = "regular"
+        if (!this.watches_) await pause(end - performance.now())
+        else if (!(await this.watchUntil(prefix, revision, end))) reason = "after-cut"
       } catch (cause) {
         if (signal.aborted) return
         this.failed_.add(prefix)
         this.events_.trouble(prefix, (cause as Error).message)
         failures++
+        reason = "after-failure"
         await pause(backoffMs(failures, FIRST_PAUSE_MS, LONGEST_PAUSE_MS))
       }
     }
   }
 
-  private async list(prefix: string, again: boolean): Promise<number> {
+  private async list(
+    prefix: string,
+    again: boolean,
+    reason: StoreReason
+  ): Promise<number> {
+    const caller: StoreCaller = this.watches_ ? "leader-list" : "box-list"
     this.asking_.set(prefix, performance.now())
     try {
-      const listing = await listAll(this.kv_, prefix, again)
+      const listing = await listAll(this.kv_, prefix, again, {caller, reason})
       this.failed_.delete(prefix)
       if (!this.abort_.signal.aborted) this.events_.list(prefix, listing)
       return listing.revision
@@ -97,29 +107,39 @@
     }
   }
 
-  /** Watches until the next list is due; a watch that is cut may have missed something: it is due then. */
-  private async watchUntil(prefix: string, from: number, end: number): Promise<void> {
+  /**
+   * Watches until the next list is due; a watch that is cut may have missed something: it is due
+   * then, and the answer is false.
+   */
+  private async watchUntil(prefix: string, from: number, end: number): Promise<boolean> {
     const {signal} = this.abort_
     let revision = from
+    let reason: StoreReason = "regular"
     const take = (change: KvChange): void => {
       if (!signal.aborted) this.events_.change(prefix, change)
     }
     for (;;) {
       const waitMs = Math.round(end - performance.now())
-      if (signal.aborted) return
-      if (waitMs < SHORTEST_WATCH_MS) return void (await pause(waitMs))
+      if (signal.aborted) return true
+      if (waitMs < SHORTEST_WATCH_MS) {
+        await pause(waitMs)
+        return true
+      }
       const seen = revision
       // A watch that does not end in time has gone silent: the list that follows tells what it missed.
       const limit = limitTime(waitMs + LATE_MS, signal)
       try {
-        revision = await this.kv_.watch(prefix, revision, take, limit.signal, waitMs)
+        const kv = callAs(this.kv_, {caller: "leader-watch", reason})
+        revision = await kv.watch(prefix, revision, take, limit.signal, waitMs)
       } catch (cause) {
-        if (signal.aborted) return
+        if (signal.aborted) return true
         this.events_.cut(prefix, (cause as Error).message)
-        return void (await pause(Math.min(CUT_PAUSE_MS, end - performance.now())))
+        await pause(Math.min(CUT_PAUSE_MS, end - performance.now()))
+        return false
       } finally {
         limit.clear()
       }
+      reason = revision > seen ? "after-changes" : "regular"
       if (revision > seen) await pause(Math.min(GATHER_MS, end - performance.now()))
     }
   }
@@ -132,7 +152,8 @@
 export async function listAll(
   kv: KvStore,
   prefix: string,
-  again: boolean
+  again: boolean,
+  purpose: CallPurpose
 ): Promise<Listing> {
   const askedAt = performance.now()
   const entries: KvEntry[] = []
@@ -140,7 +161,12 @@
   let after: string | undefined
   for (let page = 0; page < PAGE_LIMIT; page++) {
     const from = after
-    const ask = (): ReturnType<KvStore["list"]> => kv.list(prefix, from)
+    let named: CallPurpose = page === 0 ? purpose : {...purpose, reason: "next-page"}
+    const ask = (): ReturnType<KvStore["list"]> => {
+      const store = callAs(kv, named)
+      named = {...purpose, reason: "repeated"}
+      return store.list(prefix, from)
+    }
     const answer = await (again ? askAgainAfter(LATE_MS, ask) : ask())
     // Pages are no snapshot: what changed since the first is told by the watch once more.
     first ??= answer.revision
@@ -150,3 +176,12 @@
   }
   return {entries, revision: first ?? 0, askedAt}
 }
+
+/** Lists prefixes for boxes that asked: one whose answer is late is asked for once more. */
+export function listForOthers(
+  kv: KvStore,
+  prefixes: readonly string[]
+): Promise<Listing[]> {
+  const purpose: CallPurpose = {caller: "help-list"}
+  return Promise.all(prefixes.map(prefix => listAll(kv, prefix, true, purpose)))
+}
--- a/src/bin/sedgectl-tables.ts
+++ b/src/bin/sedgectl-tables.ts
@@ -1,6 +1,7 @@
 /** The tables that sedgectl prints. */
 import type {ExplainedStep, Explanation} from "../core/explain.js"
 import {type LossRow, OUTCOMES} from "../core/losses.js"
+import type {StoreCallRow} from "../core/store-calls.js"
 import type {TimelineEntry} from "../core/timeline.js"
 import {EVENTS} from "../events.js"
 
@@ -67,6 +68,16 @@
   return [["FROM S", "ROUTE", "TOTAL", ...met].join("\t"), ...lines].join("\n")
 }
 
+/** Who called the key-value service: a row for each caller, reason and outcome of a span, then the sum. */
+export function formatStoreCalls(rows: readonly StoreCallRow[]): string {
+  const lines = rows.map(({fromS, caller, reason, outcome, calls, processes}) =>
+    [fromS, caller, reason, outcome, calls, processes].join("\t")
+  )
+  const sum = rows.reduce((total, {calls}) => total + calls, 0)
+  const head = ["FROM S", "CALLER", "REASON", "OUTCOME", "CALLS", "PROCESSES"].join("\t")
+  return [head, ...lines, `all\t\t\t\t${sum}`].join("\n")
+}
+
 /** What the boxes went through: when the first and the last wrote of it, what it was, and who they are. */
 export function formatTimeline(entries: readonly TimelineEntry[]): string {
   const names = new Map<number, string>(
--- a/src/bin/sedgectl.ts
+++ b/src/bin/sedgectl.ts
@@ -7,6 +7,7 @@
 import {readLogs} from "../adapters/log-reader.js"
 import {explainRequest} from "../core/explain.js"
 import {tellLosses} from "../core/losses.js"
+import {tellStoreCalls} from "../core/store-calls.js"
 import {tellTimeline} from "../core/timeline.js"
 import {
   formatDifference,
@@ -14,6 +15,7 @@
   formatLosses,
   formatRows,
   formatStatus,
+  formatStoreCalls,
   formatTimeline
 } from "./sedgectl-tables.js"
 
@@ -232,6 +234,21 @@
     const rows = tellLosses(readLogs(flags.logs), flags.span)
     print(flags, {rows}, () => formatLosses(rows))
   })
+cli
+  .command(
+    "calls",
+    "Sum from logs who called the key-value service, why, and how it ended"
+  )
+  .option("--logs <place>", "A file, a folder of files, or - for standard input", {
+    default: "-"
+  })
+  .option("--span <seconds>", "Part the table by spans of time; 0: one span", {
+    default: 0
+  })
+  .action((flags: Flags & {readonly logs: string; readonly span: number}) => {
+    const rows = tellStoreCalls(readLogs(flags.logs), flags.span)
+    print(flags, {rows}, () => formatStoreCalls(rows))
+  })
 cli
   .command("timeline", "Tell from logs what the boxes went through, in order")
   .option("--logs <place>", "A file, a folder of files, or - for standard input", {
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -216,6 +216,9 @@
   override readonly name = "KvUnavailable"
 }
 
+/** The key-value service answered that it did nothing; no connection failed. */
+export class KvRefused extends KvUnavailable {}
+
 /** The key-value service may or may not have acted: the answer was lost. */
 export class KvUnknown extends Error {
   override readonly name = "KvUnknown"
--- a/src/events.ts
+++ b/src/events.ts
@@ -286,6 +286,11 @@
     level: "info",
     text: "Another box asked for news, but the key-value service does not answer this one either."
   },
+  "store-calls": {
+    number: 214,
+    level: "info",
+    text: "Calls to the key-value service since the process started, by caller, reason and outcome."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/src/ports/ports.ts
+++ b/src/ports/ports.ts
@@ -1,4 +1,6 @@
 /** The few interfaces between the core and the world. Adapters implement them; fakes can too. */
+import type {CallPurpose} from "../types/store-calls.js"
+
 /** A key of the key-value service. Revisions grow with every change of any key. */
 export interface KvEntry {
   readonly key: string
@@ -61,6 +63,8 @@
     signal: AbortSignal,
     waitMs?: number
   ): Promise<number>
+  /** The same service for calls of one caller and reason, where they are counted. */
+  as?(purpose: CallPurpose): KvStore
 }
 
 /** The platform's list of boxes and backend servers, as it last said. It lags. */
