A box that was just told all by its leader does not ask for it again

Cause: a box that has no leader reads the store; as it links to the next one it is told all (servers, engines, loads), and a tick later, as it stops reading, it asked for all once more.

Ruled out: that nothing can have been undone is known only where the box has taken no news of servers of its own since, by list, change or another box's help, and had no trouble with the store; in all other cases it asks as before. Versions and configurations never go back.

Red before: news-source 10. Green: news-source, departures, store-counter, backend-list, lives, foreign-entries.

--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -21,6 +21,7 @@
 import type {KvChange} from "../ports/ports.js"
 import type {AskNews, FromLeader, StoreNews} from "../types/box-messages.js"
 import {EntryReader} from "./entry-reader.js"
+import {type LeaderBackends, toBackendEvents} from "./leader-backends.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
 import {listForOthers, type Listing, StoreFollower} from "./store-follower.js"
 
@@ -53,6 +54,8 @@
   /** What it hears may have waited while the process stood still: it reads for itself first. */
   private rereads_ = false
   private reading_: Promise<void> | undefined
+  /** It has taken news of servers that is not its leader's since that told all of them. */
+  private strays_ = true
   private readonly operator_: OperatorNews
   private readonly reader_: EntryReader
 
@@ -122,9 +125,10 @@
     this.stopFollowing()
     // The leader reads the store, whatever this box had of it.
     if (this.trouble_ === "store") this.options_.post({type: "store-served"})
+    // The leader tells differences to what it told before, of which this box may have undone some. Not
+    // where it has just told all: a new leader that tells all boxes all of it twice loses its lease.
+    if (this.strays_ || this.trouble_ !== "none") this.options_.askAll()
     this.trouble_ = "none"
-    // The leader tells differences to what it told before, of which this box may have undone some.
-    this.options_.askAll()
   }
 
   /** A leader watches, since all boxes hear of the world through it; any other box lists. */
@@ -156,6 +160,7 @@
     const {records, post, log} = this.options_
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
     if (prefix === records.backendPrefix) {
+      this.strays_ = true
       const listed = this.reader_.readBackends(entries)
       post({type: "backends", ...listed, reading: {source: "store", at: askedAt}})
     } else this.operator_.takeEntries(entries)
@@ -225,6 +230,7 @@
       post({type: "store-served"})
       this.trouble_ = "own"
     }
+    this.strays_ = true
     post({type: "backends", records, reading: {source: "box", at}})
     if (config) this.operator_.takeConfig(config, "box")
     this.operator_.takeVersions(versions)
@@ -256,6 +262,7 @@
       if (entry) this.operator_.takeEntries([entry])
       return
     }
+    this.strays_ = true
     const record = entry && (this.reader_.readBackend(entry) ?? "unreadable")
     const reading: Reading = {source: "store", at: performance.now()}
     this.options_.post({type: "backend", id: this.reader_.serverOf(key), record, reading})
@@ -281,22 +288,10 @@
     }
   }
 
-  private takeLeaderBackends({
-    records,
-    whole,
-    gone,
-    ageMs
-  }: Extract<FromLeader, {t: "backends"}>): void {
+  private takeLeaderBackends(message: LeaderBackends): void {
     if (this.rereads_) return
-    const {post} = this.options_
+    if (message.whole) this.strays_ = false
     const now = performance.now()
-    // A list of the leader's is whole: what it holds in doubt is among it.
-    if (whole) {
-      const reading: Reading = {source: "box", at: now - ageMs}
-      return post({type: "backends", records, reading})
-    }
-    const reading: Reading = {source: "box", at: now}
-    for (const record of records) post({type: "backend", id: record.id, record, reading})
-    for (const id of gone) post({type: "backend", id, record: undefined, reading})
+    for (const event of toBackendEvents(message, now)) this.options_.post(event)
   }
 }
