--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -6,7 +6,7 @@
 import type {BoxServing} from "../core/box-state.js"
 import type {Leadership} from "../core/leadership.js"
 import {describeFleet, describeLoads, isSmall} from "../core/placement-news.js"
-import type {RoutedState} from "../core/serving.js"
+import type {RoutedState} from "../core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
 import type {
   AskNews,
--- /dev/null
+++ b/src/adapters/leader-way.ts
@@ -0,0 +1,102 @@
+/**
+ * What passes between the requests of a box and its leader: over the link, or within the process where this
+ * box leads itself.
+ */
+import {gatherMs} from "../core/placement-news.js"
+import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
+import type {ToLeader} from "../types/box-messages.js"
+import type {BoxHub} from "./box-hub.js"
+import {UseCounts} from "./use-counts.js"
+
+export interface LeaderWayOptions {
+  /** This box, as leaders know it. */
+  readonly box: string
+  readonly post: (event: RoutedEvent) => void
+  /** Sends to the leader that this box follows, if there is one. */
+  readonly send: (message: ToLeader) => void
+  /** The links of the boxes that follow this one. */
+  readonly hub: () => BoxHub | undefined
+  readonly leading: () => boolean
+  readonly boxes: () => number
+}
+
+export class LeaderWay {
+  private readonly uses_ = new UseCounts()
+
+  constructor(private readonly options_: LeaderWayOptions) {}
+
+  /** Performs an effect; false: it does not concern the leader. */
+  perform(effect: RoutedEffect): boolean {
+    return this.toLeader(effect) || this.fromLeader(effect)
+  }
+
+  private toLeader(effect: RoutedEffect): boolean {
+    const {box} = this.options_
+    switch (effect.type) {
+      case "need":
+        this.tell({t: "need", need: effect.need}, {...effect, box})
+        return true
+      case "drop":
+        this.tell({t: "drop", request: effect.request}, {...effect, box})
+        return true
+      case "use":
+        if (this.uses_.add(effect.change)) this.flushLater()
+        return true
+      case "missing": {
+        const {engine, adapter, late} = effect
+        this.tell({t: "missing", engine, adapter, late}, effect)
+        return true
+      }
+      case "ask-retry": {
+        const {id, service} = effect
+        this.tell({t: "ask-retry", request: id, service}, {...effect, box})
+        return true
+      }
+      default:
+        return false
+    }
+  }
+
+  private fromLeader(effect: RoutedEffect): boolean {
+    const {box, post, hub} = this.options_
+    switch (effect.type) {
+      case "retry": {
+        const {id, allowed} = effect
+        if (effect.box === box) post({type: "may-retry", id, allowed})
+        else hub()?.answerRetry(effect.box, id, allowed)
+        return true
+      }
+      case "refuse": {
+        const {request, retryAfterMs} = effect
+        if (effect.box === box) post({type: "refuse", request, retryAfterMs})
+        else hub()?.refuse(effect.box, request, retryAfterMs)
+        return true
+      }
+      case "places":
+      case "loads":
+        hub()?.tell(effect)
+        post(effect)
+        return true
+      default:
+        return false
+    }
+  }
+
+  private tell(message: ToLeader, event: RoutedEvent): void {
+    if (this.options_.leading()) this.options_.post(event)
+    else this.options_.send(message)
+  }
+
+  /** Few boxes tell those of one turn: a place is free as soon as the leader knows. */
+  private flushLater(): void {
+    const waitMs = gatherMs(this.options_.boxes())
+    if (waitMs === 0) setImmediate(() => this.flush())
+    else setTimeout(() => this.flush(), waitMs)
+  }
+
+  private flush(): void {
+    const changes = this.uses_.drain()
+    if (changes.length === 0) return
+    this.tell({t: "use", changes}, {type: "uses", box: this.options_.box, changes})
+  }
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -10,9 +10,9 @@
   mayOrder,
   takeoverMs
 } from "../core/leadership.js"
-import {gatherMs} from "../core/placement-news.js"
-import {createBoxServing} from "../core/box-state.js"
-import {nextTickMs, type RoutedState, stepRouted} from "../core/serving.js"
+import {type BoxEffect, createBoxServing} from "../core/box-state.js"
+import {nextTickMs, stepRouted} from "../core/serving.js"
+import type {RoutedState} from "../core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
 import {STOOD_STILL_MS} from "../core/news-age.js"
 import {KvUnavailable} from "../errors.js"
@@ -25,6 +25,7 @@
 import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection} from "./leader-election.js"
 import {LeaderSession} from "./leader-session.js"
+import {LeaderWay} from "./leader-way.js"
 import type {Log} from "./log.js"
 import {startLoop} from "./loop.js"
 import type {Metrics} from "./metrics.js"
@@ -34,7 +35,6 @@
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
 import {countStoreCalls} from "./store-counter.js"
-import {UseCounts} from "./use-counts.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 /** A turn of the clock that comes later by so much means that the process stood still, milliseconds. */
@@ -77,11 +77,11 @@
   private readonly leadershipOptions_: LeadershipOptions
   private readonly self_: LeaderRecord
   private readonly session_: LeaderSession
+  private readonly leaderWay_: LeaderWay
   private readonly help_: NewsHelp
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
-  private readonly uses_ = new UseCounts()
   private readonly startedAt_ = performance.now()
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
@@ -177,6 +177,14 @@
       pinged: medianAgeMs => (this.medianStartAt_ = performance.now() - medianAgeMs),
       log
     })
+    this.leaderWay_ = new LeaderWay({
+      box: this.incarnation_,
+      post,
+      send: message => this.session_.send(message),
+      hub: () => this.hub_,
+      leading: () => this.leading,
+      boxes: () => serving.boxes
+    })
     this.driver_ = new EngineDriver({
       dialect,
       pools: this.relay_.pools,
@@ -378,54 +386,11 @@
       case "note":
         measureNote(this.context_.metrics, effect.event, effect.fields)
         return this.context_.log(effect.event, effect.fields)
-      case "need":
-        if (this.leading) {
-          this.loop_.post({type: "need", box: this.incarnation_, need: effect.need})
-        } else this.session_.send({t: "need", need: effect.need})
-        return
-      case "drop":
-        if (this.leading) {
-          this.loop_.post({type: "drop", box: this.incarnation_, request: effect.request})
-        } else this.session_.send({t: "drop", request: effect.request})
-        return
-      case "use":
-        if (this.uses_.add(effect.change)) this.flushUsesLater()
-        return
-      case "missing": {
-        const {engine, adapter, late} = effect
-        if (this.leading) this.loop_.post({type: "missing", engine, adapter, late})
-        else this.session_.send({t: "missing", engine, adapter, late})
-        return
-      }
-      case "ask-retry": {
-        const {id, service} = effect
-        if (this.leading) {
-          this.loop_.post({type: "ask-retry", box: this.incarnation_, id, service})
-        } else this.session_.send({t: "ask-retry", request: id, service})
-        return
-      }
-      case "retry": {
-        const {box, id, allowed} = effect
-        if (box === this.incarnation_) this.loop_.post({type: "may-retry", id, allowed})
-        else this.hub_?.answerRetry(box, id, allowed)
-        return
-      }
       case "order":
       case "ask":
         return this.driver_.perform(effect)
-      case "places":
-      case "loads":
-        this.hub_?.tell(effect)
-        return this.loop_.post(effect)
-      case "refuse": {
-        const {request, retryAfterMs} = effect
-        if (effect.box === this.incarnation_) {
-          this.loop_.post({type: "refuse", request, retryAfterMs})
-        } else this.hub_?.refuse(effect.box, request, retryAfterMs)
-        return
-      }
       default:
-        this.relay_.perform(effect)
+        if (!this.leaderWay_.perform(effect)) this.relay_.perform(effect as BoxEffect)
     }
   }
 
@@ -433,20 +398,6 @@
     return this.loop_.state().fleet !== undefined
   }
 
-  /** Few boxes tell those of one turn: a place is free as soon as the leader knows. */
-  private flushUsesLater(): void {
-    const waitMs = gatherMs(this.loop_.state().serving.boxes)
-    if (waitMs === 0) setImmediate(() => this.flushUses())
-    else setTimeout(() => this.flushUses(), waitMs)
-  }
-
-  private flushUses(): void {
-    const changes = this.uses_.drain()
-    if (changes.length === 0) return
-    if (this.leading) this.loop_.post({type: "uses", box: this.incarnation_, changes})
-    else this.session_.send({t: "use", changes})
-  }
-
   /** Applies the callers' limits of the configuration. */
   private applyLimits(): void {
     const {config} = this.news_
--- /dev/null
+++ b/src/core/serving-fleet.ts
@@ -0,0 +1,98 @@
+/** What happens to the fleet of engines that a box leads. */
+import {newestOf} from "./adapter-versions.js"
+import {viewOf} from "./box-places.js"
+import type {BoxServing} from "./box-state.js"
+import {takeOrderResult} from "./placement-orders.js"
+import {
+  adoptView,
+  takeLate,
+  takeLifeOver,
+  takeMissing,
+  takeReport
+} from "./placement-reports.js"
+import {createFleet, type Fleet} from "./placement-state.js"
+import {
+  dropNeed,
+  forgetBox,
+  takeEngines,
+  takeFleetVersion,
+  takeNeed,
+  takeUses
+} from "./placement-uses.js"
+import {RetryPool} from "./rate-windows.js"
+import type {FleetEvent} from "./serving-events.js"
+
+/** What a box leads or only serves with. */
+export interface RoutedState {
+  readonly serving: BoxServing
+  /** Only while this box leads. */
+  fleet: Fleet | undefined
+  /** Repeats that this box gives out to others while it leads. */
+  retries?: RetryPool
+}
+
+/** Takes an event of the fleet that this box leads, or that it begins or ends to lead. */
+export function takeFleet(state: RoutedState, event: FleetEvent, now: number): void {
+  if (event.type === "lead") return lead(state, now)
+  if (event.type === "lead-over") {
+    state.fleet = undefined
+    return
+  }
+  const {fleet} = state
+  if (!fleet) return
+  switch (event.type) {
+    case "need":
+      fleet.unplanned = true
+      return takeNeed(fleet, event.box, event.need, now)
+    case "drop":
+      return dropNeed(fleet, event.box, event.request)
+    case "uses":
+      fleet.unplanned = true
+      return takeUses(fleet, event.box, event.changes, now)
+    case "missing":
+      return event.late
+        ? takeLate(fleet, event.engine, event.adapter, now)
+        : takeMissing(fleet, event.engine, event.adapter, now)
+    case "ask-retry": {
+      const {box, id, service} = event
+      const allowed = state.retries?.take(service, now) ?? false
+      fleet.effects.push({type: "retry", box, id, allowed})
+      return
+    }
+    case "box-gone":
+      return forgetBox(fleet, event.box, now)
+    case "life-over":
+      return takeLifeOver(fleet, event.engine, now)
+    case "report":
+      return takeReport(fleet, event.engine, event.report, now)
+    case "order-result":
+      fleet.unplanned = true
+      return takeOrderResult(fleet, event.engine, event.result, now)
+  }
+}
+
+function lead(state: RoutedState, now: number): void {
+  state.fleet = createFleet(now)
+  state.retries = new RetryPool(state.serving.options.retry, now)
+  for (const [adapter, named] of state.serving.versions) {
+    takeFleetVersion(state.fleet, adapter, newestOf(named))
+  }
+  state.fleet.boxes = state.serving.boxes
+  listEngines(state, now)
+  for (const [id, held] of state.serving.held) {
+    const engine = state.fleet.engines.get(id)
+    for (const [adapter, at] of held) engine?.copies.set(adapter, at)
+  }
+  for (const engine of state.fleet.engines.values()) {
+    const known = state.serving.backends.known.get(engine.id)
+    if (known) adoptView(engine, viewOf(state.serving, known.record), now)
+  }
+}
+
+/** Tells the fleet which engines there are. */
+export function listEngines({fleet, serving}: RoutedState, now: number): void {
+  const services = serving.table?.services
+  if (!fleet || !services) return
+  const listed = [...serving.backends.known.values()].map(({record}) => record)
+  takeEngines(fleet, services, listed, now)
+}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -11,7 +11,6 @@
   takeBackend,
   takeBackends
 } from "./backend-list.js"
-import {newestOf} from "./adapter-versions.js"
 import {takeRetry} from "./box-asks.js"
 import {tickRequests} from "./box-clock.js"
 import {
@@ -27,27 +26,11 @@
 import {takeVersions} from "./box-versions.js"
 import {refuseNeed} from "./box-waits.js"
 import {noteNews} from "./box-news.js"
-import {takeChanges, takeLoads, takePicture, viewOf} from "./box-places.js"
+import {takeChanges, takeLoads, takePicture} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
-import {takeOrderResult} from "./placement-orders.js"
-import {
-  adoptView,
-  takeLate,
-  takeLifeOver,
-  takeMissing,
-  takeReport
-} from "./placement-reports.js"
-import {
-  dropNeed,
-  forgetBox,
-  takeEngines,
-  takeFleetVersion,
-  takeNeed,
-  takeUses
-} from "./placement-uses.js"
-import {createFleet, type Fleet} from "./placement-state.js"
-import {RetryPool} from "./rate-windows.js"
+import {takeFleetVersion} from "./placement-uses.js"
 import {buildRouteTable} from "./route-table.js"
+import {listEngines, type RoutedState, takeFleet} from "./serving-fleet.js"
 import type {
   FleetEvent,
   RoutedEffect,
@@ -55,15 +38,6 @@
   ServingEvent
 } from "./serving-events.js"
 
-/** What a box leads or only serves with. */
-export interface RoutedState {
-  readonly serving: BoxServing
-  /** Only while this box leads. */
-  fleet: Fleet | undefined
-  /** Repeats that this box gives out to others while it leads. */
-  retries?: RetryPool
-}
-
 /** Between ticks, milliseconds: while news for the leader's plan waits, while requests do, otherwise. */
 const PLAN_TICK_MS = 3
 const WAITING_TICK_MS = 20
@@ -201,63 +175,6 @@
   }
 }
 
-function takeFleet(state: RoutedState, event: FleetEvent, now: number): void {
-  if (event.type === "lead") return lead(state, now)
-  if (event.type === "lead-over") {
-    state.fleet = undefined
-    return
-  }
-  const {fleet} = state
-  if (!fleet) return
-  switch (event.type) {
-    case "need":
-      fleet.unplanned = true
-      return takeNeed(fleet, event.box, event.need, now)
-    case "drop":
-      return dropNeed(fleet, event.box, event.request)
-    case "uses":
-      fleet.unplanned = true
-      return takeUses(fleet, event.box, event.changes, now)
-    case "missing":
-      return event.late
-        ? takeLate(fleet, event.engine, event.adapter, now)
-        : takeMissing(fleet, event.engine, event.adapter, now)
-    case "ask-retry": {
-      const {box, id, service} = event
-      const allowed = state.retries?.take(service, now) ?? false
-      fleet.effects.push({type: "retry", box, id, allowed})
-      return
-    }
-    case "box-gone":
-      return forgetBox(fleet, event.box, now)
-    case "life-over":
-      return takeLifeOver(fleet, event.engine, now)
-    case "report":
-      return takeReport(fleet, event.engine, event.report, now)
-    case "order-result":
-      fleet.unplanned = true
-      return takeOrderResult(fleet, event.engine, event.result, now)
-  }
-}
-
-function lead(state: RoutedState, now: number): void {
-  state.fleet = createFleet(now)
-  state.retries = new RetryPool(state.serving.options.retry, now)
-  for (const [adapter, named] of state.serving.versions) {
-    takeFleetVersion(state.fleet, adapter, newestOf(named))
-  }
-  state.fleet.boxes = state.serving.boxes
-  listEngines(state, now)
-  for (const [id, held] of state.serving.held) {
-    const engine = state.fleet.engines.get(id)
-    for (const [adapter, at] of held) engine?.copies.set(adapter, at)
-  }
-  for (const engine of state.fleet.engines.values()) {
-    const known = state.serving.backends.known.get(engine.id)
-    if (known) adoptView(engine, viewOf(state.serving, known.record), now)
-  }
-}
-
 /** Takes a new list of backend servers, and tells in the log what changed for requests. */
 function believe(
   state: RoutedState,
@@ -278,13 +195,6 @@
   listEngines(state, now)
 }
 
-function listEngines({fleet, serving}: RoutedState, now: number): void {
-  const services = serving.table?.services
-  if (!fleet || !services) return
-  const listed = [...serving.backends.known.values()].map(({record}) => record)
-  takeEngines(fleet, services, listed, now)
-}
-
 function tick(state: RoutedState, mayOrder: boolean, now: number): void {
   const {serving, fleet} = state
   const before = serving.backends
--- a/test/patterns/many-boxes.ts
+++ b/test/patterns/many-boxes.ts
@@ -9,7 +9,8 @@
  * in any 10 s, over all boxes. A message between two boxes takes 1.4 ms one way.
  */
 import {createBoxServing} from "../../src/core/box-state.js"
-import {nextTickMs, type RoutedState, stepRouted} from "../../src/core/serving.js"
+import {nextTickMs, stepRouted} from "../../src/core/serving.js"
+import type {RoutedState} from "../../src/core/serving-fleet.js"
 import type {RoutedEvent} from "../../src/core/serving-events.js"
 import {Agenda} from "./agenda.js"
 import {CONFIG, drawFrom, LINK_MS, MODEL, recordOf, ROUTE, SERVICE} from "./fleet.js"
--- a/test/patterns/stale-loads.ts
+++ b/test/patterns/stale-loads.ts
@@ -10,7 +10,8 @@
  */
 import {createBoxServing} from "../../src/core/box-state.js"
 import {gatherMs} from "../../src/core/placement-news.js"
-import {nextTickMs, type RoutedState, stepRouted} from "../../src/core/serving.js"
+import {nextTickMs, stepRouted} from "../../src/core/serving.js"
+import type {RoutedState} from "../../src/core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../../src/core/serving-events.js"
 import {UseCounts} from "../../src/adapters/use-counts.js"
 import {Agenda} from "./agenda.js"
--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -18,7 +18,8 @@
 import {createFleet, type Fleet, type FleetEngine} from "../src/core/placement-state.js"
 import {takeEngines, takeNeed} from "../src/core/placement-uses.js"
 import {nameLife} from "../src/core/server-lives.js"
-import {type RoutedState, stepRouted} from "../src/core/serving.js"
+import {stepRouted} from "../src/core/serving.js"
+import type {RoutedState} from "../src/core/serving-fleet.js"
 import type {BackendRecord, FleetService, Route} from "../src/types/fleet.js"
 
 function recordOf(startedAt: number | undefined, revision: number): BackendRecord {
