--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -157,3 +157,13 @@
     t.throws(read, UnreadableEntry, told)
   }
 })
+
+t.test("news that nobody could read moves no version's time", async t => {
+  const subject = informed()
+  subject.now += 2_000
+  noteNews(subject.box, subject.now, false)
+  takeVersions(subject.box, [["m/x", 2]], subject.now)
+  subject.now += SEND_MS - 1_900
+  noteNews(subject.box, subject.now)
+  t.same(arrive(subject, STREAM), ["need"], "2.6 s after the last reading")
+})
