Soak: engines out of the leader's reach that queue; versions drawn more often

An old version must stand at an engine for five seconds after the naming and be sent to before its queue: orders came at most 4.5 s late, and of 41 faults each was drawn once in some 40.

Change: `versions-held-back` leaves all orders unanswered for 5 to 7 s, names versions, and has all engines queue for 2.5 to 3.5 s. Late orders come up to 8 s late. In rounds with `versions`, two of five faults are drawn from those of versions; rounds without draw as before.

--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -8,6 +8,9 @@
 /** By so much the clock of a server steps back before it starts again, milliseconds. */
 const CLOCK_STEP_MS = 5_000
 
+/** Of the faults, this share concerns versions, where asked for: they show only together. */
+const VERSION_SHARE = 0.4
+
 /** A fault comes about so often, milliseconds. */
 export const FAULT_MS = 700
 
@@ -76,12 +79,13 @@
       version: () => this.bump(),
       config: () => this.bed_.configure(),
       // Last, and only where asked for: the seeds of rounds without them draw as they did.
-      ...(this.options_.lives ? this.livesFaults() : {}),
-      ...(this.options_.versions ? this.versionFaults_.all() : {})
+      ...(this.options_.lives ? this.livesFaults() : {})
     }
-    const name = this.draws_.pick(Object.keys(faults))
+    const ofVersions = this.options_.versions && this.draws_.draw() < VERSION_SHARE
+    const drawn = ofVersions ? this.versionFaults_.all() : faults
+    const name = this.draws_.pick(Object.keys(drawn))
     this.record_.faults.push({name, at: performance.now()})
-    await faults[name]?.()
+    await drawn[name]?.()
   }
 
   private livesFaults(): Readonly<Record<string, () => unknown>> {
--- a/test/support/soak-version-faults.ts
+++ b/test/support/soak-version-faults.ts
@@ -10,10 +10,10 @@
 const QUEUE_MS = {least: 1_000, most: 3_500}
 
 /** So long an engine queues or is late with orders, milliseconds. */
-const ENGINE_FAULT_MS = {least: 1_500, most: 5_000}
+const ENGINE_FAULT_MS = {least: 1_500, most: 6_000}
 
 /** So late orders reach an engine or are answered, milliseconds. */
-const ORDER_MS = {least: 300, most: 4_500}
+const ORDER_MS = {least: 300, most: 8_000}
 
 /** Versions follow each other so closely, or so far apart, milliseconds. */
 const CLOSE_MS = {least: 50, most: 600}
@@ -22,8 +22,10 @@
 /** After the naming of versions engines begin to queue, milliseconds. */
 const BEFORE_QUEUE_MS = {least: 300, most: 3_500}
 
-/** Orders in a row that get no answer. */
-const UNANSWERED = 3
+/** Engines are out of the leader's reach and queue for longer than an old version may run, milliseconds. */
+const HELD_BACK_MS = {least: 5_000, most: 7_000}
+const HELD_BACK_QUEUE_MS = {least: 2_500, most: 3_500}
+const HELD_BACK_BEFORE_MS = {least: 0, most: 2_200}
 
 interface Span {
   readonly least: number
@@ -45,10 +47,7 @@
       "versions-close": () => this.nameSeries(2 + this.below(3), CLOSE_MS),
       "versions-apart": () => this.nameSeries(2 + this.below(2), APART_MS),
       "versions-then-queue": () => this.nameThenQueue(),
-      "versions-orders-late": () => {
-        this.disturbAll(this.lateOrders())
-        this.nameThenQueue()
-      },
+      "versions-held-back": () => this.holdBack(),
       "orders-late": () => this.disturbOne({orderDelayMs: this.span(ORDER_MS)}),
       "orders-answered-late": () => this.disturbOne({orderAnswerMs: this.span(ORDER_MS)}),
       "orders-unanswered": () => this.disturbOne(this.lateOrders()),
@@ -60,7 +59,7 @@
 
   /** They are carried out all the same, later than ones that come after. */
   private lateOrders(): WorkerFaults {
-    return {unansweredOrders: UNANSWERED, orderDelayMs: this.span(ORDER_MS)}
+    return {unansweredOrders: Infinity, orderDelayMs: this.span(ORDER_MS)}
   }
 
   private nameThenQueue(): void {
@@ -68,8 +67,17 @@
     this.later(this.span(BEFORE_QUEUE_MS), () => this.queueAll())
   }
 
+  /** No engine replaces what it holds for a while, and all queue what came for the old versions. */
+  private holdBack(): void {
+    const forMs = this.span(HELD_BACK_MS)
+    this.disturbAll({unansweredOrders: Infinity, orderDelayMs: forMs}, forMs)
+    this.nameSeries(1 + this.below(2), CLOSE_MS)
+    const queue = {queueMs: this.span(HELD_BACK_QUEUE_MS)}
+    this.later(this.span(HELD_BACK_BEFORE_MS), () => this.disturbAll(queue, forMs))
+  }
+
   private queueAll(): void {
-    this.disturbAll({queueMs: this.span(QUEUE_MS)})
+    this.disturbAll({queueMs: this.span(QUEUE_MS)}, this.span(ENGINE_FAULT_MS))
   }
 
   /** Names so many versions of each of one or more adapters. */
@@ -90,10 +98,8 @@
     this.disturb(this.draws_.pick(this.bed_.engines), faults, this.span(ENGINE_FAULT_MS))
   }
 
-  private disturbAll(faults: WorkerFaults): void {
-    const forMs = this.span(ENGINE_FAULT_MS)
-    // Each counts its own unanswered orders.
-    for (const engine of this.bed_.engines) this.disturb(engine, {...faults}, forMs)
+  private disturbAll(faults: WorkerFaults, forMs: number): void {
+    for (const engine of this.bed_.engines) this.disturb(engine, faults, forMs)
   }
 
   private disturb(
