Soak: judge departures from the time a server left, not by chance

Cause: the check that a server that left gets no new work was turned round. It was left out unless the store was unwell later than 2.5 s after the server's word (`drainedAt + DRAIN_MS > unwellAt_` returned, and `unwellAt_` is -Infinity in a round without trouble), so in most rounds nothing was judged.

Change: a request that reaches a server that left is late if the store was well for 2.5 s on end at any time in between. Stricter in all rounds without later trouble; not judged any more is only a request before any such 2.5 s, which the old check took in by chance (trouble in the window and more of it after), and which the rule allows: nobody had the time to hear of it. A violation tells the time and the faults since.

--- a/test/soak-judge.test.ts
+++ b/test/soak-judge.test.ts
@@ -1,4 +1,4 @@
-/** The soak's judge of versions: each that was named counts from its own acknowledgement. */
+/** The soak's judge: each version counts from its own acknowledgement, and so does each departure. */
 import t from "tap"
 import {Judge} from "./stand-ins/platform-judge.js"
 import {judgeRound} from "./support/soak-judge.js"
@@ -60,3 +60,27 @@
   t.same(found(record, judgeOf(1, 6_001)), [2])
   t.same(found(record, judgeOf(1, 7_001)), [])
 })
+
+/** Whether a request that reached an engine at a time, and waited there, came after the engine had left. */
+function cameLate(record: SoakRecord, reached: number): boolean {
+  const judge = judgeOf(1, reached + 900)
+  record.gone.push({id: "i-1", drainedAt: 1_000})
+  return judgeRound(judge, record).length > 0
+}
+
+t.test("a server that left is reached no more, however the round goes on", async t => {
+  t.notOk(cameLate(recordOf({}), 3_499))
+  t.ok(cameLate(recordOf({}), 3_501))
+  const later = recordOf({})
+  later.trouble.add(3_600, 9_000)
+  t.ok(cameLate(later, 3_550))
+  t.ok(cameLate(later, 5_000))
+})
+
+t.test("after trouble of the store a departure is heard anew", async t => {
+  const record = recordOf({})
+  record.trouble.add(500, 2_000)
+  record.trouble.add(3_000, 4_000)
+  t.notOk(cameLate(record, 6_499))
+  t.ok(cameLate(record, 6_501))
+})
--- a/test/support/soak-judge.ts
+++ b/test/support/soak-judge.ts
@@ -1,8 +1,7 @@
 /** What must hold in a round of the soak, judged from what callers and workers saw. */
 import type {Judge, Run} from "../stand-ins/platform-judge.js"
-import type {StandInWorker} from "../stand-ins/platform-worker.js"
 import {wholeStream} from "./whole-stream.js"
-import type {SoakCall, SoakRecord, SoakVersion} from "./soak-record.js"
+import type {LeftEngine, SoakCall, SoakRecord, SoakVersion} from "./soak-record.js"
 
 /** A server that leaves gets no new work after this, while the store is well; with a margin. */
 const DRAIN_MS = 2_500
@@ -39,15 +38,23 @@
   return found
 }
 
-function judgeLeaving(judge: Judge, record: SoakRecord, worker: StandInWorker): string[] {
+function judgeLeaving(judge: Judge, record: SoakRecord, worker: LeftEngine): string[] {
   const {drainedAt} = worker
-  const {lastEnd} = record.trouble
-  if (drainedAt === undefined || drainedAt + DRAIN_MS > lastEnd) return []
-  // What counts is when a request reaches the server, not how long it waits there.
+  if (drainedAt === undefined) return []
   const late = judge.runs.find(
-    run => run.worker === worker.id && run.reached > drainedAt + DRAIN_MS
+    run => run.worker === worker.id && isLate(record, run.reached, drainedAt)
   )
-  return late ? [`${late.id} ran at ${worker.id}, which had left`] : []
+  if (!late) return []
+  const after = Math.round(late.reached - drainedAt)
+  const faults = record.faultsBetween(drainedAt, late.reached)
+  return [
+    `${late.id} reached ${worker.id} ${after} ms after it had left; faults since: ${faults}`
+  ]
+}
+
+/** What counts is when a request reaches the server, not how long it waits there. */
+function isLate({trouble}: SoakRecord, reached: number, drainedAt: number): boolean {
+  return trouble.longestWell(drainedAt, reached) > DRAIN_MS
 }
 
 /** Every version that was named is judged for itself: a newer one does not put off its time. */
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -17,6 +17,9 @@
   readonly at: number
 }
 
+/** An engine that was replaced, and when it said that it leaves; undefined: it crashed. */
+export type LeftEngine = Pick<StandInWorker, "id" | "drainedAt">
+
 /** The numbers that a seed gives. */
 export class SoakDraws {
   private random_
@@ -53,9 +56,15 @@
     for (const each of this.stretches_) each.to = Math.min(each.to, now)
   }
 
-  /** When it was last unwell. */
-  get lastEnd(): number {
-    return Math.max(-Infinity, ...this.stretches_.map(({to}) => to))
+  /** The longest time without trouble between two times, milliseconds. */
+  longestWell(from: number, to: number): number {
+    let longest = 0
+    let well = from
+    for (const each of [...this.stretches_].sort((a, b) => a.from - b.from)) {
+      longest = Math.max(longest, Math.min(each.from, to) - well)
+      well = Math.max(well, each.to)
+    }
+    return Math.max(longest, to - well)
   }
 
   /** Since when the store had been well at a time; undefined: it was not. */
@@ -71,7 +80,7 @@
   readonly trouble = new StoreTrouble()
   readonly versions: SoakVersion[] = []
   /** Engines that were replaced. */
-  readonly gone: StandInWorker[] = []
+  readonly gone: LeftEngine[] = []
   readonly faults: {readonly name: string; readonly at: number}[] = []
 
   /** The faults that began in a time, each with how long after its begin, milliseconds. */
