Test: a box whose own reading agrees with its leader's word asks for all (red)

The second half of test 10 ("it has read the store since, which may have undone some") goes over into 11, stricter: it asks where the reading differs (a server more, a server less, one that leaves), and only there.

--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -9,6 +9,7 @@
 import type {FleetRecords} from "../src/ports/fleet-ports.js"
 import type {KvStore} from "../src/ports/ports.js"
 import type {FromLeader} from "../src/types/box-messages.js"
+import type {BackendRecord} from "../src/types/fleet.js"
 
 const RECORDS: FleetRecords = {
   configKey: "op/config",
@@ -250,15 +251,53 @@
   t.equal(news.at(-1), now + 200)
 })
 
-/** A store of which each list is answered at once. */
-const ANSWERING = {list: () => Promise.resolve({entries: [], revision: 1, more: false})}
+const SERVER: BackendRecord = {
+  id: "s1",
+  server: "s1",
+  revision: 1,
+  service: "s",
+  address: "127.0.0.1:1",
+  dataCentre: "d",
+  leaving: false,
+  models: []
+}
+
+function tellWhole(records: readonly BackendRecord[]): FromLeader {
+  return {t: "backends", records, whole: true, gone: [], ageMs: 0}
+}
+
+/** A source that lists these servers from its store at once, and how often it asked for all. */
+function createListing(servers: () => readonly BackendRecord[]) {
+  let asked = 0
+  const list = (prefix: string) => {
+    const listed = prefix === RECORDS.backendPrefix ? servers() : []
+    const entries = listed.map((record, i) => ({
+      key: prefix + record.server,
+      value: "",
+      revision: record.revision + i
+    }))
+    return Promise.resolve({entries, revision: 1, more: false})
+  }
+  const readBackend: FleetRecords["readBackend"] = ({key}) => {
+    const found = servers().find(each => RECORDS.backendPrefix + each.server === key)
+    return found ?? RECORDS.readBackend({key, value: "", revision: 0})
+  }
+  const records = {...RECORDS, readBackend}
+  const news = createSource({list}, {records, startedAt: 0, askAll: () => asked++})
+  return {news, asked: () => asked}
+}
 
-const WHOLE: FromLeader = {
-  t: "backends",
-  records: [],
-  whole: true,
-  gone: [],
-  ageMs: 0
+/** Lists for itself, then hears its leader again. */
+async function leaveAndReturn(
+  news: NewsSource,
+  at: number,
+  between: () => void = () => undefined
+): Promise<void> {
+  news.choose(false, at)
+  await sleep(20)
+  between()
+  news.heardLeader(100, at + 100)
+  news.choose(false, at + 110)
 }
 
 // All boxes go over to a new leader within half a second. Each had all told twice, as it linked and as
@@ -266,19 +305,38 @@
 t.test(
   "a box that was just told all by its leader does not ask for it again",
   async t => {
-    let asked = 0
-    const news = createSource(ANSWERING, {startedAt: 0, askAll: () => asked++})
-    news.choose(false, 1_000)
-    await sleep(20)
-    news.takeNews(WHOLE)
-    news.heardLeader(100, 2_000)
-    news.choose(false, 2_010)
-    t.equal(asked, 0, "it has read nothing since")
-    news.choose(false, 9_000)
-    await sleep(20)
-    news.heardLeader(100, 9_100)
-    news.choose(false, 9_110)
-    t.equal(asked, 1, "it has read the store since, which may have undone some")
+    const {news, asked} = createListing(() => [SERVER])
+    await leaveAndReturn(news, 2_000, () => news.takeNews(tellWhole([SERVER])))
+    t.equal(asked(), 0, "it has read nothing since")
+  }
+)
+
+// Boxes that hear a narrow link's leader late list for themselves, and came back to ask for all at once.
+t.test(
+  "a box asks for all where its own reading differs from what it was told",
+  async t => {
+    let servers = [SERVER]
+    const {news, asked} = createListing(() => servers)
+    news.takeNews(tellWhole(servers))
+    await leaveAndReturn(news, 3_000)
+    t.equal(asked(), 0, "it read what its leader had told")
+    const other = {...SERVER, id: "s2", server: "s2"}
+    servers = [SERVER, other]
+    await leaveAndReturn(news, 6_000)
+    t.equal(asked(), 1, "it read a server that it was not told of")
+    news.takeNews(tellWhole(servers))
+    await leaveAndReturn(news, 9_000)
+    t.equal(asked(), 1)
+    servers = [SERVER]
+    await leaveAndReturn(news, 12_000)
+    t.equal(asked(), 2, "a server that it was told of was not in its list")
+    news.takeNews(tellWhole([SERVER, other]))
+    news.takeNews({t: "backends", records: [], whole: false, gone: ["s2"], ageMs: 0})
+    await leaveAndReturn(news, 15_000)
+    t.equal(asked(), 2, "its leader had told that it is gone")
+    servers = [{...SERVER, leaving: true, revision: 2}]
+    await leaveAndReturn(news, 18_000)
+    t.equal(asked(), 3, "it leaves, of which it was not told")
   }
 )
 
@@ -288,7 +346,7 @@
   const news = createSource(failing, {startedAt: 0, askAll: () => asked++})
   news.choose(false, 1_000)
   await sleep(20)
-  news.takeNews(WHOLE)
+  news.takeNews(tellWhole([]))
   news.heardLeader(100, 2_000)
   news.choose(false, 2_010)
   t.equal(asked, 1, "what was in doubt may be gone for it alone")
