A box asks for all only where its own reading differs from its leader's word

Cause: a box that hears its leader late reads the store itself, and asked for all whenever it heard it again. The lead was lost, all boxes read the store, went over to the next leader, most likely on a narrow link too, and so on.

Ruled out: leaving engines out of the answer (a box forgets the places of a server that its own list lacked); answering later (a box that differs is the one that has to be told).

Change: the box keeps what its leader last told of servers (`ToldBackends`) and compares its own lists, and other boxes' help, with that. Changes of a watch, messages that were passed over after a standstill and trouble with the store count as different.

--- a/src/adapters/backend-news.ts
+++ b/src/adapters/backend-news.ts
@@ -36,7 +36,7 @@
 }
 
 /** Whether boxes would treat both alike. */
-function isAlike(a: BackendRecord, b: BackendRecord): boolean {
+export function isAlike(a: BackendRecord, b: BackendRecord): boolean {
   return (
     a.service === b.service &&
     a.address === b.address &&
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -21,7 +21,7 @@
 import type {KvChange} from "../ports/ports.js"
 import type {AskNews, FromLeader, StoreNews} from "../types/box-messages.js"
 import {EntryReader} from "./entry-reader.js"
-import {type LeaderBackends, toBackendEvents} from "./leader-backends.js"
+import {type LeaderBackends, toBackendEvents, ToldBackends} from "./leader-backends.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
 import {listForOthers, type Listing, StoreFollower} from "./store-follower.js"
 
@@ -54,8 +54,7 @@
   /** What it hears may have waited while the process stood still: it reads for itself first. */
   private rereads_ = false
   private reading_: Promise<void> | undefined
-  /** It has taken news of servers that is not its leader's since that told all of them. */
-  private strays_ = true
+  private readonly told_ = new ToldBackends()
   private readonly operator_: OperatorNews
   private readonly reader_: EntryReader
 
@@ -125,9 +124,8 @@
     this.stopFollowing()
     // The leader reads the store, whatever this box had of it.
     if (this.trouble_ === "store") this.options_.post({type: "store-served"})
-    // The leader tells differences to what it told before, of which this box may have undone some. Not
-    // where it has just told all: a new leader that tells all boxes all of it twice loses its lease.
-    if (this.strays_ || this.trouble_ !== "none") this.options_.askAll()
+    // The leader tells differences to what it told before, of which this box may have undone some.
+    if (this.told_.strayed || this.trouble_ !== "none") this.options_.askAll()
     this.trouble_ = "none"
   }
 
@@ -160,8 +158,8 @@
     const {records, post, log} = this.options_
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
     if (prefix === records.backendPrefix) {
-      this.strays_ = true
       const listed = this.reader_.readBackends(entries)
+      this.told_.compare(listed.records)
       post({type: "backends", ...listed, reading: {source: "store", at: askedAt}})
     } else this.operator_.takeEntries(entries)
     this.listedAt_.set(prefix, askedAt)
@@ -230,7 +228,7 @@
       post({type: "store-served"})
       this.trouble_ = "own"
     }
-    this.strays_ = true
+    this.told_.compare(records)
     post({type: "backends", records, reading: {source: "box", at}})
     if (config) this.operator_.takeConfig(config, "box")
     this.operator_.takeVersions(versions)
@@ -262,7 +260,7 @@
       if (entry) this.operator_.takeEntries([entry])
       return
     }
-    this.strays_ = true
+    this.told_.stray()
     const record = entry && (this.reader_.readBackend(entry) ?? "unreadable")
     const reading: Reading = {source: "store", at: performance.now()}
     this.options_.post({type: "backend", id: this.reader_.serverOf(key), record, reading})
@@ -289,8 +287,8 @@
   }
 
   private takeLeaderBackends(message: LeaderBackends): void {
-    if (this.rereads_) return
-    if (message.whole) this.strays_ = false
+    if (this.rereads_) return this.told_.stray()
+    this.told_.take(message)
     const now = performance.now()
     for (const event of toBackendEvents(message, now)) this.options_.post(event)
   }
