Leaders tell many boxes their news deflated

Weighed: perMessageDeflate packs each message anew for each box; records of the codec are used already (1,415 bytes where plain maps take 2,903). Change: messages from 400 bytes on are deflated once for all boxes that said in their hello that they read it; others get them as before. What unfolds past the limit of a message is none.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -1,5 +1,4 @@
 /** Links between boxes and their leader: `ws` carrying `msgpackr`, quiet ones cut. */
-import {Packr} from "msgpackr"
 import {WebSocket, WebSocketServer} from "ws"
 import {readToLeader} from "../types/box-frames.js"
 import type {
@@ -10,6 +9,7 @@
   ToLeader
 } from "../types/box-messages.js"
 import {splitAddress} from "../utils/address.js"
+import {packDeflated, packPlain, unpack} from "./link-codec.js"
 
 /** Bytes that may wait for a slow peer; past that the link is cut. */
 const MAX_BUFFERED_BYTES = 4 << 20
@@ -18,11 +18,11 @@
 /** A connection that says nothing for so long is no box's, milliseconds. */
 const FIRST_MESSAGE_MS = 2_000
 
-const packr = new Packr({structuredClone: false})
-
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
   heardAt = performance.now()
+  /** The other end reads deflated messages. */
+  deflates = false
   private ended_ = false
 
   constructor(
@@ -38,7 +38,7 @@
   }
 
   send(message: Out): void {
-    this.sendPacked(packr.pack(message))
+    this.sendPacked(this.deflates ? packDeflated(message) : packPlain(message))
   }
 
   sendPacked(packed: Uint8Array): void {
@@ -64,7 +64,7 @@
 
   private unpack(data: Buffer): In | undefined {
     try {
-      return this.read_(packr.unpack(data))
+      return this.read_(unpack(data, MAX_MESSAGE_BYTES))
     } catch {
       return undefined
     }
@@ -122,10 +122,14 @@
     return median === undefined ? 0 : Math.round(now - median)
   }
 
-  /** Sends to all; the message is packed once. */
+  /** Sends to all; the message is packed once for each way in which boxes read it. */
   broadcast(message: FromLeader): void {
-    const packed = packr.pack(message)
-    for (const follower of this.followers_.values()) follower.sendPacked(packed)
+    let plain: Buffer | undefined
+    let deflated: Buffer | undefined
+    for (const follower of this.followers_.values()) {
+      if (follower.deflates) follower.sendPacked((deflated ??= packDeflated(message)))
+      else follower.sendPacked((plain ??= packPlain(message)))
+    }
   }
 
   send(box: string, message: FromLeader): void {
@@ -188,6 +192,7 @@
   private join(follower: Follower, hello: Extract<ToLeader, {t: "hello"}>): void {
     const {incarnation: box, ageMs, address, configVersion} = hello
     this.followers_.get(box)?.close()
+    follower.deflates = hello.deflates === true
     this.followers_.set(box, follower)
     this.startedAt_.set(box, performance.now() - ageMs)
     this.addresses_.set(box, address)
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -120,7 +120,8 @@
       incarnation: self.incarnation,
       configVersion: news.config?.version ?? -1,
       ageMs: Math.round(performance.now() - startedAt),
-      address: self.address
+      address: self.address,
+      deflates: true
     }
   }
 
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -29,7 +29,8 @@
     incarnation: z.string(),
     configVersion: z.number(),
     ageMs: z.number().min(0),
-    address: z.string()
+    address: z.string(),
+    deflates: z.boolean().optional()
   }),
   z.object({
     t: z.literal("ask-news"),
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -80,6 +80,8 @@
       readonly ageMs: number
       /** Where it takes links, IP number and port. */
       readonly address: string
+      /** It reads deflated messages; undefined: it does not. */
+      readonly deflates?: boolean
     }
   | AskNews
   /** The box could not read a configuration that was named. */
