--- a/bench/places-boxes.ts
+++ b/bench/places-boxes.ts
@@ -1,5 +1,5 @@
 /** Boxes that send requests by what one of them believes, and tell their leader of needs and uses. */
-import type {Packr} from "msgpackr"
+import {packDeflated, packPlain, unpack} from "../src/adapters/link-codec.js"
 import {UseCounts} from "../src/adapters/use-counts.js"
 import {type BoxServing, createBoxServing} from "../src/core/box-state.js"
 import {takeChanges, takeLoads, takePicture} from "../src/core/box-places.js"
@@ -8,6 +8,9 @@
 import {adapterKey} from "../src/types/fleet.js"
 import {type BenchLeader, MODEL, SERVICE_NAME} from "./places-leader.js"
 
+/** A message unfolds to so many times its bytes at most. */
+const MOST_UNFOLDED = 1_000
+
 /** From the send of a request until it is read, and until it has ended, milliseconds. */
 const READ_MS = 300
 const RUN_MS = 1_000
@@ -17,7 +20,6 @@
   readonly boxes: number
   /** One way from a box to the leader, milliseconds. */
   readonly wayMs: number
-  readonly packr: Packr
   readonly leader: BenchLeader
   /** Numbers in [0, 1). */
   readonly draw: () => number
@@ -64,10 +66,10 @@
   }
 
   /** Takes a message of the leader. */
-  apply(packed: Uint8Array): void {
+  apply(packed: Buffer): void {
     const now = this.options_.now()
     const begun = performance.now()
-    const message = this.options_.packr.unpack(packed) as FromLeader
+    const message = unpack(packed, packed.length * MOST_UNFOLDED) as FromLeader
     if (message.t === "engines") takePicture(this.box_, message.engines, now)
     if (message.t === "loads") takeLoads(this.box_, message.loads)
     if (message.t === "places") takeChanges(this.box_, message.changes, now)
@@ -116,11 +118,10 @@
 
   /** What a request costs that is asked for by its adapter, and answered with one place, bytes. */
   askedBytes(adapter: string): number {
-    const {packr} = this.options_
-    const need = packr.pack({t: "need", need: this.needFor(adapter)})
+    const need = packPlain({t: "need", need: this.needFor(adapter)})
     const places = [{adapter: adapterKey(MODEL, adapter), version: 1, readyInMs: 0}]
     const change = {engine: "i-0000000000", places, gone: []}
-    return need.length + packr.pack({t: "places", changes: [change]}).length
+    return need.length + packDeflated({t: "places", changes: [change]}).length
   }
 
   private send(box: number, engine: string, adapter: string): void {
@@ -182,6 +183,6 @@
 
   private count(message: ToLeader): void {
     this.messages++
-    this.bytes += this.options_.packr.pack(message).length
+    this.bytes += packPlain(message).length
   }
 }
--- a/bench/places-run.ts
+++ b/bench/places-run.ts
@@ -1,6 +1,6 @@
 /** One run of a leader and its boxes under simulated time, and what it counts. */
+import {packDeflated} from "../src/adapters/link-codec.js"
 import {build as buildHistogram} from "hdr-histogram-js"
-import {Packr} from "msgpackr"
 import {describeFleet, describeLoads} from "../src/core/placement-news.js"
 import type {FleetEffect, FleetEngine} from "../src/core/placement-state.js"
 import type {EngineChange, EngineNews, FromLeader} from "../src/types/box-messages.js"
@@ -69,7 +69,6 @@
 export class PlacesRun {
   private now_ = 0
   private readonly due_ = new Map<number, (() => void)[]>()
-  private readonly packr_ = new Packr({structuredClone: false})
   private readonly draw_ = createDraws(SEED)
   private readonly zipf_: () => number
   private readonly leader_: BenchLeader
@@ -87,7 +86,6 @@
     this.boxes_ = new BenchBoxes({
       boxes: size_.boxes,
       wayMs: WAY_MS,
-      packr: this.packr_,
       leader: this.leader_,
       draw: this.draw_,
       after,
@@ -102,7 +100,7 @@
   }
 
   /** The picture that a new box is told. */
-  tellPicture(): Uint8Array {
+  tellPicture(): Buffer {
     const {fleet} = this.leader_
     const engines = describeFleet(fleet, this.now_)
     const picture = this.pack({t: "engines", engines})
@@ -214,12 +212,12 @@
       const engine = this.leader_.fleet.engines.get(id)
       return engine ? [describeEngine(engine)] : []
     })
-    return this.packr_.pack({t: "engines", engines} satisfies FromLeader).length
+    return packDeflated({t: "engines", engines} satisfies FromLeader).length
   }
 
-  private pack(message: FromLeader): Uint8Array {
+  private pack(message: FromLeader): Buffer {
     const begun = performance.now()
-    const packed = this.packr_.pack(message)
+    const packed = packDeflated(message)
     this.counts_.packMs += performance.now() - begun
     return packed
   }
