The test of ports holds what it takes until all have theirs

A taker was to stay until it is ended; run by hand it exits 5 ms after it told its ports, since a child with nothing but its channel does not stay for that, and its blocks are free for a process that comes later. Ports themselves are handed out as they should be.

--- a/test/ports.test.ts
+++ b/test/ports.test.ts
@@ -3,7 +3,7 @@
  * Test files run at the same time, and a port is handed out some time before the box listens on it.
  * Two files whose ports began near each other were handed the same one, and one of two boxes ended.
  */
-import {fork} from "node:child_process"
+import {type ChildProcess, fork} from "node:child_process"
 import {fileURLToPath} from "node:url"
 import t from "tap"
 
@@ -11,9 +11,12 @@
 const PROCESSES = 6
 const PORTS = 400
 
+const takers: ChildProcess[] = []
+
 function takePorts(): Promise<number[]> {
   return new Promise((resolve, reject) => {
     const taker = fork(TAKER, [String(PORTS)])
+    takers.push(taker)
     taker.once("error", reject)
     taker.once("message", ports => {
       resolve(ports as number[])
@@ -26,5 +29,9 @@
 t.test("processes at the same time are never handed the same port", async t => {
   const taken = (await Promise.all(Array.from({length: PROCESSES}, takePorts))).flat()
   t.equal(taken.length, PROCESSES * PORTS)
+  t.ok(
+    takers.every(({exitCode}) => exitCode === null),
+    "all still hold theirs"
+  )
   t.equal(new Set(taken).size, taken.length)
 })
