No 404 by a table that may be old

Cause: a box that could not read the store in time took what it knew for all there is, and answered 404 for a route that had been in force for seconds. Ruled out: waiting longer for the store; in an outage all would wait for nothing. Change: where the store was not read within the age that news may have, a route that is not known is refused as not run (503, come back), not as missing.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {AttemptFailure} from "../core/box-doubts.js"
 import {findObstacle} from "../core/box-starts.js"
-import {isStale} from "../core/box-news.js"
+import {isCurrent, isStale} from "../core/box-news.js"
 import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving-events.js"
@@ -29,7 +29,7 @@
 const MAX_NEWS_WAIT_MS = 500
 const NEWS_TURN_MS = 10
 
-/** Before there is a configuration, callers may come back after this, seconds. */
+/** Before there is a configuration, or a current one, callers may come back after this, seconds. */
 const NO_CONFIG_RETRY_S = 0.5
 
 export interface RelayOptions {
@@ -77,16 +77,20 @@
       noteOwn("body-too-large")
       return answer.refuse(413, problem("body-too-large"), own)
     }
+    const retry = String(NO_CONFIG_RETRY_S)
     if (!now) {
       noteOwn("no-configuration")
-      const headers = {...own, "retry-after": String(NO_CONFIG_RETRY_S)}
+      const headers = {...own, "retry-after": retry}
       return answer.refuse(503, problem("no-configuration"), headers)
     }
     const route = findRoute(now, req.headers.host ?? "", req.url ?? "/")
     const service = route && drawService(route, this.options_.random())
     if (!route || service === undefined) {
-      noteOwn("no-route")
-      return answer.refuse(404, problem("no-route"), own)
+      // By an old table nobody can say that there is no such route: it may be new.
+      const current = isCurrent(this.options_.serving(), performance.now())
+      noteOwn(current ? "no-route" : "no-route-yet")
+      if (current) return answer.refuse(404, problem("no-route"), own)
+      return answer.refuse(503, problem("no-route-yet"), {...own, "retry-after": retry})
     }
     const streaming = route.kind === "streaming"
     const exchange = new RelayExchange(answer.id, facts, streaming, req, res, body)
