The test of links bears a time of day that is set

The box's own count is of the steady clock. Change: a measurement within which the time of day stepped against the steady clock by over 20 ms is made again, five times at most, else the test fails. No bound is eased.

--- a/test/versions-links.test.ts
+++ b/test/versions-links.test.ts
@@ -32,6 +32,12 @@
 /** By chance a leader's ping in each standstill tells older or newer news. */
 const STANDSTILLS = 10
 
+/** The time of day may step by so much against the steady clock within a measurement, milliseconds. */
+const MOST_STEP_MS = 20
+
+/** A measurement in which the time of day stepped says nothing of the box; it is made again, so often at most. */
+const MOST_AGAIN = 5
+
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
@@ -48,6 +54,32 @@
   return {box, proxy}
 }
 
+/** How the time of day stands to the steady clock: logs tell the first, which a machine may set at any time. */
+function timeOfDayOffset(): number {
+  return Date.now() - performance.now()
+}
+
+interface Measured {
+  readonly lateMs: number
+  readonly ageMs: number
+}
+
+/** Has a version of an adapter named, and measures what the box that hears of it tells of its age. */
+async function measure(
+  box: BedBox,
+  adapter: string,
+  name: () => Promise<void>
+): Promise<Measured | undefined> {
+  const offset = timeOfDayOffset()
+  const namedAt = Date.now()
+  await name()
+  const named = `${adapter}@2`
+  await until("it hears of it", () => findHeard(box, named) !== undefined)
+  const {time, ageMs} = findHeard(box, named) as HeardLine
+  if (Math.abs(timeOfDayOffset() - offset) > MOST_STEP_MS) return undefined
+  return {lateMs: time - namedAt, ageMs}
+}
+
 function findHeard({child}: BedBox, named: string): HeardLine | undefined {
   return child.output
     .split("\n")
@@ -66,11 +98,12 @@
     proxy.set({delayMs})
     await sleep(2 * STEP_MS)
   }
-  const namedAt = Date.now()
-  bed.bump("a1", 2)
-  await until("it hears of it", () => findHeard(box, "a1@2") !== undefined)
-  const {time, ageMs} = findHeard(box, "a1@2") as HeardLine
-  const lateMs = time - namedAt
+  let measured: Measured | undefined
+  for (let i = 1; !measured && i <= MOST_AGAIN; i++) {
+    measured = await measure(box, `a${i}`, async () => bed.bump(`a${i}`, 2))
+  }
+  if (!measured) return t.fail("the time of day stepped in every measurement")
+  const {lateMs, ageMs} = measured
   t.ok(ageMs >= lateMs, `named ${lateMs} ms before, at most ${ageMs} by its own count`)
 })
 
@@ -79,17 +112,21 @@
   t.teardown(() => bed.stop())
   const frozen = bed.boxes.find(box => box !== bed.leader()) as BedBox
   const short: string[] = []
-  for (let i = 1; i <= STANDSTILLS; i++) {
+  let measurements = 0
+  for (let i = 1; measurements < STANDSTILLS; i++) {
+    if (i > STANDSTILLS + MOST_AGAIN) return t.fail("the time of day stepped too often")
     await sleep(STILL_MS)
     frozen.child.signal("SIGSTOP")
     await sleep(NAMED_AFTER_MS)
-    const namedAt = Date.now()
-    bed.bump(`a${i}`, 2)
-    await sleep(STILL_MS - NAMED_AFTER_MS)
-    frozen.child.signal("SIGCONT")
-    await until("it hears of it", () => findHeard(frozen, `a${i}@2`) !== undefined)
-    const {time, ageMs} = findHeard(frozen, `a${i}@2`) as HeardLine
-    if (ageMs < time - namedAt) short.push(`${time - namedAt} ms, at most ${ageMs}`)
+    const measured = await measure(frozen, `a${i}`, async () => {
+      bed.bump(`a${i}`, 2)
+      await sleep(STILL_MS - NAMED_AFTER_MS)
+      frozen.child.signal("SIGCONT")
+    })
+    if (!measured) continue
+    measurements++
+    const {lateMs, ageMs} = measured
+    if (ageMs < lateMs) short.push(`${lateMs} ms, at most ${ageMs}`)
   }
   t.same(short, [])
 })
