Red tests: the store comes back from an older copy; drills and changes of leader in the soak

The stand-in plays it: the copy's age, how long it is away, leases and revisions that are given out again, 410 for revisions that it does not have, the era in all answers, when operators and servers write again.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -14,6 +14,8 @@
   "--no-versions",
   "No series of versions, queues, late orders, silent connections"
 )
+cli.option("--no-drills", "The store never comes back from an older copy")
+cli.option("--no-leads", "No versions named as the lead changes")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -27,7 +29,9 @@
     seconds: Number(options["seconds"]),
     boxes: Number(options["boxes"]),
     lives: options["lives"] !== false,
-    versions: options["versions"] !== false
+    versions: options["versions"] !== false,
+    drills: options["drills"] !== false,
+    leads: options["leads"] !== false
   })
   rounds++
   if (result.violations.length > 0) bad++
--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -15,14 +15,24 @@
 }
 
 /** Whatever all workers have seen: what is judged after a test. */
+/** An order as an engine got it. */
+export interface TakenOrder {
+  readonly worker: string
+  readonly holder: string
+  readonly fence: number
+  readonly at: number
+}
+
 export class Judge {
   readonly runs: Run[] = []
+  readonly orders: TakenOrder[] = []
   readonly violations: string[] = []
   /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
   unloadsInUse = 0
   private readonly fences_ = new Map<string, {fence: number; holder: string}>()
 
   order(worker: string, holder: string, fence: number): void {
+    this.orders.push({worker, holder, fence, at: performance.now()})
     const known = this.fences_.get(worker)
     if (known && known.fence === fence && known.holder !== holder) {
       this.violations.push(`${worker}: two holders share fence ${fence}`)
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -21,6 +21,39 @@
   readonly gone?: boolean
 }
 
+/** A key as it was before a change, for going back to an older copy. */
+interface Undo {
+  readonly at: number
+  /** Empty: a lease was granted. */
+  readonly key: string
+  readonly before: Row | undefined
+  /** The store's revision before the change. */
+  readonly revision: number
+}
+
+interface Lease {
+  readonly ttlMs: number
+  readonly grantedAt: number
+  until: number
+}
+
+/** A drill: the store is away, and comes back from an older copy. */
+export interface Drill {
+  /** How old the copy is as the store comes back, milliseconds. */
+  readonly copyAgeMs: number
+  /** Calls have no answer for so long before, milliseconds. */
+  readonly awayMs: number
+  /**
+   * When operators write again what the copy lacks, milliseconds after the return; undefined: never. Backend
+   * servers write with their next heartbeat.
+   */
+  readonly rewriteMs?: number
+  /** What operators wrote last is written first. */
+  readonly reversed?: boolean
+  /** Called in the turn of the return, before any call is answered. */
+  readonly returned?: () => void
+}
+
 interface Watch {
   readonly prefix: string
   readonly after: number
@@ -42,12 +75,30 @@
 }
 
 const PAGE = 50
+
+/** Copies are at most so old, milliseconds. */
+const UNDO_MS = 15_000
+
+/** An entry of a server that has not written since the store's return goes after this: three heartbeats, milliseconds. */
+const SILENT_ENTRY_MS = 900
+
+const SERVERS = "servers/"
+const OPERATORS = "op/"
 const LEASE_CHECK_MS = 20
 
 /** A store in this process, behind a port of its own. */
 export class StandInStore {
   faults: StoreFaults = {}
   calls = 0
+  /** The header that tells the era; undefined: answers have none. */
+  tellEra: (era: number) => string | undefined = String
+  private era_ = 1
+  private away_ = false
+  private readonly undo_: Undo[] = []
+  /** When others wrote each key last, changed or not. */
+  private readonly wroteAt_ = new Map<string, number>()
+  /** Leases that ended, which an older copy may hold. */
+  private readonly ended_ = new Map<number, Lease & {readonly endedAt: number}>()
   /** Keys written under a condition, newest last, with who wrote them. */
   private revision_ = 1
   private changes_ = 0
@@ -55,7 +106,7 @@
   private readonly rows_ = new Map<string, Row>()
   private readonly log_: StoreEvent[] = []
   private readonly watches_ = new Set<Watch>()
-  private readonly leases_ = new Map<number, {ttlMs: number; until: number}>()
+  private readonly leases_ = new Map<number, Lease>()
   private readonly timer_ = setInterval(() => this.expire(), LEASE_CHECK_MS)
   private readonly server_: Server
 
@@ -72,6 +123,14 @@
     return store
   }
 
+  get era(): number {
+    return this.era_
+  }
+
+  get revision(): number {
+    return this.revision_
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.server_.address() as AddressInfo).port}`
   }
@@ -85,6 +144,7 @@
   /** Writes a key as the platform's own side does; a value that stands already is no change. */
   write(key: string, value: object): void {
     const text = Buffer.from(JSON.stringify(value)).toString("base64")
+    this.wroteAt_.set(key, performance.now())
     if (this.rows_.get(key)?.value === text) return
     this.put(key, text, 0)
   }
@@ -95,7 +155,9 @@
   }
 
   remove(key: string): void {
-    if (!this.rows_.delete(key)) return
+    if (!this.rows_.has(key)) return
+    this.remember(key)
+    this.rows_.delete(key)
     this.append({key, revision: ++this.revision_, gone: true})
   }
 
@@ -112,7 +174,85 @@
     this.watches_.clear()
   }
 
+  /**
+   * Goes away and comes back from a copy that is some seconds old: what was written since is gone, leases
+   * too, and revisions are given out again.
+   */
+  async drill(drill: Drill): Promise<void> {
+    this.away_ = true
+    for (const {res} of this.watches_) res.destroy()
+    this.watches_.clear()
+    this.server_.closeAllConnections()
+    await new Promise(resolve => setTimeout(resolve, drill.awayMs))
+    const lost = this.goBack(performance.now() - drill.copyAgeMs)
+    this.era_++
+    this.away_ = false
+    drill.returned?.()
+    this.expireSilent()
+    if (drill.rewriteMs === undefined) return
+    if (drill.reversed) lost.reverse()
+    await new Promise(resolve => setTimeout(resolve, drill.rewriteMs))
+    for (const [key, value] of lost) {
+      if (this.rows_.get(key)?.value !== value) this.put(key, value, 0)
+    }
+  }
+
+  /** Goes back to how all was then; what operators had written since, in the order in which they did. */
+  private goBack(copyAt: number): [key: string, value: string][] {
+    const lost = new Map<string, string>()
+    for (
+      let last = this.undo_.at(-1);
+      last && last.at > copyAt;
+      last = this.undo_.at(-1)
+    ) {
+      this.undo_.pop()
+      const {key, before, revision} = last
+      const written = this.rows_.get(key)
+      if (key.startsWith(OPERATORS) && written && !lost.has(key))
+        lost.set(key, written.value)
+      if (before) this.rows_.set(key, before)
+      else this.rows_.delete(key)
+      this.revision_ = revision
+    }
+    while ((this.log_.at(-1)?.revision ?? 0) > this.revision_) this.log_.pop()
+    this.goBackLeases(copyAt)
+    return [...lost].reverse()
+  }
+
+  /** Leases that the copy holds count anew. */
+  private goBackLeases(copyAt: number): void {
+    const now = performance.now()
+    for (const [id, lease] of this.ended_) {
+      if (lease.endedAt > copyAt) this.leases_.set(id, lease)
+    }
+    this.ended_.clear()
+    for (const [id, lease] of this.leases_) {
+      if (lease.grantedAt > copyAt) this.leases_.delete(id)
+      else lease.until = now + lease.ttlMs
+    }
+  }
+
+  private expireSilent(): void {
+    const returnedAt = performance.now()
+    const timer = setTimeout(() => {
+      for (const key of [...this.rows_.keys()]) {
+        const wroteAt = this.wroteAt_.get(key) ?? -Infinity
+        if (key.startsWith(SERVERS) && wroteAt < returnedAt) this.remove(key)
+      }
+    }, SILENT_ENTRY_MS)
+    timer.unref()
+  }
+
+  private remember(key: string): void {
+    const now = performance.now()
+    const row = this.rows_.get(key)
+    const before = row && {...row}
+    this.undo_.push({at: now, key, before, revision: this.revision_})
+    while ((this.undo_[0]?.at ?? now) < now - UNDO_MS) this.undo_.shift()
+  }
+
   private put(key: string, value: string, lease: number): void {
+    this.remember(key)
     const revision = ++this.revision_
     const made = this.rows_.get(key)?.made ?? revision
     this.rows_.set(key, {value, revision, made, lease})
@@ -137,6 +277,8 @@
   }
 
   private endLease(lease: number): void {
+    const ended = this.leases_.get(lease)
+    if (ended) this.ended_.set(lease, {...ended, endedAt: performance.now()})
     this.leases_.delete(lease)
     for (const [key, row] of this.rows_) if (row.lease === lease) this.remove(key)
   }
@@ -150,6 +292,7 @@
     }
     this.calls++
     const {refusing, silent, delayMs} = this.faults
+    if (this.away_) return void res.destroy()
     if (silent) return
     if (refusing) return this.answer(res, 503, {})
     const text = Buffer.concat(chunks).toString()
@@ -172,8 +315,10 @@
     if (pathname === "/kv-txn") return this.change(body as Change, res)
     if (pathname === "/kv-lease") {
       const {ttl_ms: ttlMs} = body as {ttl_ms: number}
+      this.remember("")
       const lease = ++this.revision_
-      this.leases_.set(lease, {ttlMs, until: performance.now() + ttlMs})
+      const grantedAt = performance.now()
+      this.leases_.set(lease, {ttlMs, grantedAt, until: grantedAt + ttlMs})
       return this.answer(res, 200, {lease, ttl_ms: ttlMs})
     }
     const lease = Number(pathname.split("/").at(-1))
@@ -200,7 +345,7 @@
   private watch(query: URLSearchParams, res: ServerResponse): void {
     const prefix = query.get("pathPrefix") ?? ""
     const after = Number(query.get("after"))
-    if (after < this.oldest_) return this.answer(res, 410, {})
+    if (after < this.oldest_ || after > this.revision_) return this.answer(res, 410, {})
     const events = this.faults.deaf
       ? []
       : this.log_.filter(event => event.revision > after && event.key.startsWith(prefix))
@@ -243,7 +388,9 @@
 
   private answer(res: ServerResponse, status: number, body: object): void {
     const text = JSON.stringify(body)
+    const era = this.tellEra(this.era_)
     res.writeHead(status, {
+      ...(era === undefined ? {} : {"store-era": era}),
       "content-type": "application/json",
       "content-length": String(Buffer.byteLength(text))
     })
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -2,6 +2,7 @@
 import type {StandInWorker} from "../stand-ins/platform-worker.js"
 import type {BedBox, PlatformBed} from "./platform-bed.js"
 import type {SoakDraws, SoakRecord} from "./soak-record.js"
+import {DrillFaults} from "./soak-drill-faults.js"
 import {NAMED_ADAPTERS, VersionFaults} from "./soak-version-faults.js"
 import {until} from "./wait.js"
 
@@ -11,6 +12,10 @@
 /** Of the faults, this share concerns versions, where asked for: they show only together. */
 const VERSION_SHARE = 0.4
 
+/** The same of drills, and of versions around changes of leader. */
+const DRILL_SHARE = 0.3
+const LEAD_SHARE = 0.3
+
 /** A fault comes about so often, milliseconds. */
 export const FAULT_MS = 700
 
@@ -19,6 +24,10 @@
   readonly lives?: boolean
   /** Versions come in series, engines queue, orders are late, and connections go silent for good. */
   readonly versions?: boolean
+  /** The store comes back from older copies. */
+  readonly drills?: boolean
+  /** Versions are named as the lead changes. */
+  readonly leads?: boolean
 }
 
 export class SoakFaults {
@@ -26,6 +35,7 @@
   over = false
   private calm_ = false
   private readonly versionFaults_: VersionFaults
+  private readonly drillFaults_: DrillFaults
 
   constructor(
     private readonly bed_: PlatformBed,
@@ -34,7 +44,17 @@
     private readonly options_: FaultOptions
   ) {
     const name = (adapter: string): void => this.name(adapter)
-    this.versionFaults_ = new VersionFaults(bed_, draws_, name, () => this.calm_)
+    const isCalm = (): boolean => this.calm_
+    this.versionFaults_ = new VersionFaults(bed_, draws_, name, isCalm)
+    this.drillFaults_ = new DrillFaults(bed_, draws_, record_, {
+      nameVersion: () => this.bump(),
+      queueAll: () => this.versionFaults_.queueAll(),
+      kill: box => this.restart(box, "SIGKILL"),
+      freeze: box => this.freeze(box),
+      cutFromStore: box => this.cutFromStore(box),
+      replaceEngine: () => this.replaceEngine(true),
+      isCalm
+    })
   }
 
   /** Ends all faults. */
@@ -67,7 +87,7 @@
       "store-loses": () => this.storeFault({loseEach: 2}),
       "store-deaf": () => this.storeFault({deaf: true}),
       "store-forgets": () => this.bed_.store.compact(),
-      "cut-from-store": () => this.cutFromStore(),
+      "cut-from-store": () => this.cutFromStore(this.draws_.pick(this.bed_.boxes)),
       "reset-workers": () => this.draws_.pick(this.bed_.workerProxies).cut(),
       "silence-worker": () => this.silence(),
       "lose-answers": () => (this.draws_.pick(this.workers()).faults = {loseAnswers: 2}),
@@ -81,13 +101,21 @@
       // Last, and only where asked for: the seeds of rounds without them draw as they did.
       ...(this.options_.lives ? this.livesFaults() : {})
     }
-    const ofVersions = this.options_.versions && this.draws_.draw() < VERSION_SHARE
-    const drawn = ofVersions ? this.versionFaults_.all() : faults
+    const drawn = this.special() ?? faults
     const name = this.draws_.pick(Object.keys(drawn))
     this.record_.faults.push({name, at: performance.now()})
     await drawn[name]?.()
   }
 
+  /** Kinds that are drawn from only where asked for: the seeds of other rounds draw as they did. */
+  private special(): Readonly<Record<string, () => unknown>> | undefined {
+    const {versions, drills, leads} = this.options_
+    if (drills && this.draws_.draw() < DRILL_SHARE) return this.drillFaults_.drills()
+    if (leads && this.draws_.draw() < LEAD_SHARE) return this.drillFaults_.leads()
+    if (versions && this.draws_.draw() < VERSION_SHARE) return this.versionFaults_.all()
+    return undefined
+  }
+
   private livesFaults(): Readonly<Record<string, () => unknown>> {
     return {
       "engine-restarts": () => this.draws_.pick(this.bed_.engines).restart(),
@@ -163,8 +191,7 @@
     )
   }
 
-  private cutFromStore(): void {
-    const proxy = this.draws_.pick(this.bed_.boxes).storeProxy
+  private cutFromStore({storeProxy: proxy}: BedBox): void {
     proxy?.set(
       this.draws_.draw() < 0.5 ? {blockUp: true, blockDown: true} : {blockDown: true}
     )
--- a/test/support/soak-version-faults.ts
+++ b/test/support/soak-version-faults.ts
@@ -76,7 +76,8 @@
     this.later(this.span(HELD_BACK_BEFORE_MS), () => this.disturbAll(queue, forMs))
   }
 
-  private queueAll(): void {
+  /** All engines queue for a while. */
+  queueAll(): void {
     this.disturbAll({queueMs: this.span(QUEUE_MS)}, this.span(ENGINE_FAULT_MS))
   }
 
