--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -21,6 +21,7 @@
 import {LeaseHelp} from "./lease-help.js"
 import type {Log} from "./log.js"
 import type {NewsSource} from "./news-source.js"
+import type {StoreEras} from "./store-eras.js"
 
 const PING_MS = 250
 
@@ -41,6 +42,7 @@
   readonly post: (event: RoutedEvent) => void
   readonly news: NewsSource
   readonly leadership: Leadership
+  readonly eras: StoreEras
   /** Whom this box follows, or itself. */
   readonly leader: () => LeaderRecord | undefined
   /** Other boxes take links there. */
@@ -160,7 +162,7 @@
   }
 
   private ping(now: number): FromLeader {
-    const {news, leadership} = this.options_
+    const {news, leadership, eras} = this.options_
     const medianAgeMs = this.links_.medianAgeMs(now)
     this.medianStartAt = now - medianAgeMs
     return {
@@ -170,13 +172,14 @@
       boxes: this.boxes,
       ordersInMs: Math.max(0, Math.round(leadership.orderFrom - now)),
       medianAgeMs,
-      others: this.links_.drawAddresses(TOLD_ADDRESSES)
+      others: this.links_.drawAddresses(TOLD_ADDRESSES),
+      storeEra: eras.tell(now)
     }
   }
 
   /** What a box is told that has no other way to learn; undefined: this one cannot read the store either. */
   private async newsFor({configVersion, ageMs}: AskNews): Promise<StoreNews | undefined> {
-    const {news, state, leader, log} = this.options_
+    const {news, state, leader, eras, log} = this.options_
     try {
       await news.refresh(ageMs)
     } catch (cause) {
@@ -185,9 +188,11 @@
     }
     const {serving} = state()
     const {config} = news
+    const now = performance.now()
     return {
       t: "news",
-      ageMs: news.ageMs(performance.now()),
+      storeEra: eras.tell(now),
+      ageMs: news.ageMs(now),
       config: config && config.version > configVersion ? config : undefined,
       records: listRecords(serving),
       versions: listVersions(serving),
--- a/src/adapters/entry-reader.ts
+++ b/src/adapters/entry-reader.ts
@@ -3,10 +3,12 @@
  * a backend server's names no server to use, an operator's leaves in force what was read before.
  */
 import {tellsLife} from "../core/server-lives.js"
+import {isSamePlace} from "../core/store-era.js"
 import {UnreadableEntry} from "../errors.js"
 import type {FleetRecords} from "../ports/fleet-ports.js"
 import type {KvEntry} from "../ports/ports.js"
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
+import type {StorePosition} from "../types/store-position.js"
 import type {Log} from "./log.js"
 
 /** Findings remembered, so that lists that repeat do not tell them again. */
@@ -35,7 +37,7 @@
 }
 
 interface ReadEntry {
-  readonly revision: number
+  readonly place: StorePosition
   /** Undefined: it cannot be read. */
   readonly record: BackendRecord | undefined
 }
@@ -47,8 +49,8 @@
   private readonly living_ = new Set<string>()
   private readonly told_ = new Set<string>()
   private readonly unreadable_ = new Set<string>()
-  /** At which revision each key of operators was read: lists tell all of them, again and again. */
-  private readonly operators_ = new Map<string, number>()
+  /** At which change each key of operators was read: lists tell all of them, again and again. */
+  private readonly operators_ = new Map<string, StorePosition>()
 
   constructor(
     private readonly records_: FleetRecords,
@@ -76,11 +78,11 @@
 
   /** Reads the entry of a backend server; undefined: it cannot be read. */
   readBackend(entry: KvEntry): BackendRecord | undefined {
-    const {key, revision} = entry
+    const {key, revision, era} = entry
     const known = this.read_.get(key)
-    if (known?.revision === revision) return known.record
+    if (known && isSamePlace(known.place, entry)) return known.record
     const record = this.attempt(entry, () => this.readLiving(entry))
-    this.read_.set(key, {revision, record})
+    this.read_.set(key, {place: {revision, era}, record})
     return record
   }
 
@@ -89,9 +91,10 @@
     const configs: FleetConfig[] = []
     const versions: AdapterVersion[] = []
     for (const entry of entries) {
-      const {key, value, revision} = entry
-      if (this.operators_.get(key) === revision) continue
-      this.operators_.set(key, revision)
+      const {key, value, revision, era} = entry
+      const known = this.operators_.get(key)
+      if (known && isSamePlace(known, entry)) continue
+      this.operators_.set(key, {revision, era})
       this.attempt(entry, () => {
         const config = this.records_.readConfig(key, value)
         if (config) configs.push(config)
@@ -131,9 +134,9 @@
     }
   }
 
-  private tell({key, revision}: KvEntry, {message}: UnreadableEntry): void {
+  private tell({key, revision, era}: KvEntry, {message}: UnreadableEntry): void {
     if (this.unreadable_.size < MAX_KEYS) this.unreadable_.add(key)
-    const content = `${key} ${revision}`
+    const content = `${key} ${revision} ${era ?? ""}`
     if (this.told_.has(content) || this.told_.size >= MAX_TOLD) return
     this.told_.add(content)
     this.log_("entry-unreadable", {key, revision, reason: message.slice(0, MAX_REASON)})
--- a/src/adapters/kv-etcd.ts
+++ b/src/adapters/kv-etcd.ts
@@ -8,6 +8,7 @@
   KvPutResult,
   KvStore
 } from "../ports/ports.js"
+import type {StorePosition} from "../types/store-position.js"
 import {limitTime} from "../utils/time-limit.js"
 
 export interface EtcdOptions {
@@ -116,24 +117,24 @@
 
   async watch(
     prefix: string,
-    afterRevision: number,
+    after: StorePosition,
     take: (change: KvChange) => void,
     signal: AbortSignal
-  ): Promise<number> {
+  ): Promise<StorePosition> {
     const limit = limitTime(this.options.watchMs, signal)
-    let seen = afterRevision
+    let seen = after.revision
     const note = (change: KvChange): void => {
       seen = Math.max(seen, change.revision)
       take(change)
     }
     try {
-      await this.readWatch(prefix, afterRevision, note, limit.signal)
+      await this.readWatch(prefix, after.revision, note, limit.signal)
     } catch (cause) {
       if (!limit.isOver() && !signal.aborted) throw cause
     } finally {
       limit.clear()
     }
-    return seen
+    return {revision: seen}
   }
 
   private async readWatch(
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -1,18 +1,23 @@
 /** Finds the leader in the key-value service, or becomes it. */
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {
+  type Claim,
+  confirmLead,
   createLeadership,
+  doubtLead,
   endLead,
   type LeadershipOptions,
   leads,
   renewLead,
   takeLead
 } from "../core/leadership.js"
-import type {KvStore} from "../ports/ports.js"
+import {toFence} from "../core/store-era.js"
+import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {LeaderRecord} from "../types/box-messages.js"
 import type {StoreCaller} from "../types/store-calls.js"
 import {firstOf, pause} from "../utils/promises.js"
 import {callAs} from "./store-counter.js"
+import type {StoreEras} from "./store-eras.js"
 
 const RENEW_MS = 300
 
@@ -37,6 +42,9 @@
 const YOUNG_SCATTER_SHARE = 0.3
 const SETTLED_MS = 2_000
 
+/** Between two tries to claim the lead again in a new era, milliseconds. */
+const CONFIRM_MS = 50
+
 /** A renewal that has no answer after this is asked of other boxes, too, milliseconds. */
 const HELP_AFTER_MS = 150
 
@@ -51,11 +59,15 @@
 export interface ElectionOptions extends LeadershipOptions {
   readonly key: string
   readonly self: LeaderRecord
+  readonly eras: StoreEras
 }
 
 export interface ElectionEvents {
   readonly won: (fence: number) => void
   readonly lost: (reason: string) => void
+  /** The era rose while this box led: it orders no more until `confirmed`. */
+  readonly doubted: () => void
+  readonly confirmed: (fence: number) => void
   readonly found: (leader: LeaderRecord) => void
   /** How many boxes there are, as far as is known. */
   readonly boxes: () => number
@@ -90,6 +102,16 @@
     this.settled_ = settled
   }
 
+  /** The store came back from an older copy, which may not hold the lease of this box. */
+  doubt(): void {
+    if (this.leadership.fence === undefined) return
+    doubtLead(this.leadership)
+    this.events_.doubted()
+    if (this.busy_) return
+    clearTimeout(this.timer_)
+    this.later(0)
+  }
+
   /** Gives the lead up if it has it, so that another box need not wait for the lease. */
   async stop(): Promise<void> {
     this.stopped_ = true
@@ -114,7 +136,7 @@
     if (this.stopped_ || this.busy_) return
     this.busy_ = true
     try {
-      if (this.leadership.fence !== undefined) await this.renew()
+      if (this.leadership.fence !== undefined) await this.hold()
       else if (!this.settled_) await this.look()
     } catch (cause) {
       if (!(cause instanceof KvUnavailable || cause instanceof KvUnknown)) throw cause
@@ -127,8 +149,17 @@
     ) {
       this.end("lease ran out")
     }
-    if (!this.stopped_)
-      this.later(this.leadership.fence === undefined ? this.lookMs() : RENEW_MS)
+    if (!this.stopped_) this.later(this.pauseMs())
+  }
+
+  private pauseMs(): number {
+    const {fence, confirmed} = this.leadership
+    if (fence === undefined) return this.lookMs()
+    return confirmed ? RENEW_MS : CONFIRM_MS
+  }
+
+  private hold(): Promise<void> {
+    return this.leadership.confirmed ? this.renew() : this.confirm()
   }
 
   private lookMs(): number {
@@ -154,6 +185,8 @@
     if (this.leadership.lease !== lease) return
     if (renewal.helped !== this.helped_) this.events_.helped(renewal.helped)
     this.helped_ = renewal.helped
+    // The lease is of the era before: what counts is who claims first in the new one.
+    if (!this.leadership.confirmed) return
     if (!renewal.known) return this.end("lease is gone")
     // It counts from when the box that renewed was asked, so that its way shortens it only.
     renewLead(this.leadership, renewal.sentAt, this.options_)
@@ -168,6 +201,40 @@
     return {known, sentAt, helped: true}
   }
 
+  /**
+   * Claims the lead again in the new era. The copy may hold the claim of an earlier leader, whose lease
+   * had ended before this one's began; a claim of the new era is another's, who was first.
+   */
+  private async confirm(): Promise<void> {
+    const {key, ttlMs} = this.options_
+    const kv = this.as("lead-confirm")
+    const sentAt = performance.now()
+    const lease = await kv.grantLease(ttlMs)
+    const entry = await kv.get(key)
+    const fence = this.isTaken(entry) ? undefined : await this.claim(kv, lease, entry)
+    if (this.leadership.fence === undefined || fence === undefined) {
+      void kv.revokeLease(lease).catch(() => undefined)
+      return this.end("the store came back without its lease")
+    }
+    confirmLead(
+      this.leadership,
+      this.toClaim(fence, lease, sentAt),
+      performance.now(),
+      this.options_
+    )
+    this.events_.confirmed(fence)
+  }
+
+  private isTaken(entry: KvEntry | undefined): boolean {
+    if (!entry) return false
+    const {incarnation, era} = JSON.parse(entry.value) as LeaderRecord
+    return era === entry.era && incarnation !== this.options_.self.incarnation
+  }
+
+  private toClaim(fence: number, lease: string, sentAt: number): Claim {
+    return {fence, lease, sentAt, eraBy: this.options_.eras.known?.by}
+  }
+
   private async look(): Promise<void> {
     const entry = await this.as("leader-look").get(this.options_.key)
     if (this.stopped_) return
@@ -179,10 +246,10 @@
   private async claimLater(): Promise<void> {
     await new Promise(resolve => setTimeout(resolve, this.claimDelayMs()))
     if (this.stopped_) return
-    const {key, self} = this.options_
+    const kv = this.as("leader-claim")
     const sentAt = performance.now()
-    const lease = await this.as("leader-claim").grantLease(this.options_.ttlMs)
-    const fence = await this.claim(key, JSON.stringify(self), lease)
+    const lease = await kv.grantLease(this.options_.ttlMs)
+    const fence = await this.claim(kv, lease, undefined)
     if (fence === undefined) {
       void this.as("lease-end")
         .revokeLease(lease)
@@ -194,7 +261,7 @@
       return void this.as("lease-end")
         .revokeLease(lease)
         .catch(() => undefined)
-    takeLead(this.leadership, {fence, lease, sentAt}, now, this.options_)
+    takeLead(this.leadership, this.toClaim(fence, lease, sentAt), now, this.options_)
     if (leads(this.leadership, now)) this.events_.won(fence)
     else this.end("claim took too long")
   }
@@ -207,23 +274,28 @@
     return Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
   }
 
-  /** The revision of the claim, which is the fence; undefined: another was first. */
+  /** The fence of a claim in place of what stood there; undefined: another was first. */
   private async claim(
-    key: string,
-    value: string,
-    lease: string
+    kv: KvStore,
+    lease: string,
+    standing: KvEntry | undefined
   ): Promise<number | undefined> {
+    const {key, self, eras} = this.options_
+    const {era} = eras
+    const value = JSON.stringify(era === undefined ? self : {...self, era})
     try {
-      const result = await this.as("leader-claim").put(key, value, {
-        expectRevision: 0,
+      const result = await kv.put(key, value, {
+        expectRevision: standing?.revision ?? 0,
+        expectEra: standing?.era,
         lease
       })
-      return result.ok ? result.revision : undefined
+      return result.ok ? toFence(result) : undefined
     } catch (cause) {
       if (!(cause instanceof KvUnknown)) throw cause
       // The claim may have been taken though its answer was lost.
-      const entry = await this.as("leader-claim").get(key)
-      return entry?.value === value ? entry.revision : undefined
+      const entry = await kv.get(key)
+      const taken = entry?.value === value && entry.era === era
+      return taken ? toFence(entry) : undefined
     }
   }
 
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -14,6 +14,7 @@
 import type {NewsHelp} from "./news-help.js"
 import type {NewsSource} from "./news-source.js"
 import {callAs} from "./store-counter.js"
+import type {StoreEras} from "./store-eras.js"
 
 /** A link on which the leader says nothing for so long is given up, milliseconds. */
 const LINK_SILENCE_MS = 1_200
@@ -29,6 +30,7 @@
   readonly kv: KvStore
   readonly news: NewsSource
   readonly help: NewsHelp
+  readonly eras: StoreEras
   readonly post: (event: RoutedEvent) => void
   readonly boxes: () => number
   /** The box stops: it follows nobody new. */
@@ -165,8 +167,10 @@
   }
 
   private takePing(ping: Extract<FromLeader, {t: "ping"}>): void {
-    const {news, help, post, pinged} = this.options_
+    const {news, help, eras, post, pinged} = this.options_
     pinged(ping.medianAgeMs)
+    // Before the age of the leader's news: a reading of a new era proves less.
+    if (ping.storeEra) eras.hear(ping.storeEra)
     post({type: "orders", led: true, inMs: ping.ordersInMs})
     news.heardLeader(ping.newsAgeMs, performance.now())
     help.learn(ping.others)
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -23,7 +23,9 @@
 import {EntryReader} from "./entry-reader.js"
 import {type LeaderBackends, toBackendEvents, ToldBackends} from "./leader-backends.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
+import type {StoreEras} from "./store-eras.js"
 import {listForOthers, type Listing, StoreFollower} from "./store-follower.js"
+import type {StorePosition} from "../types/store-position.js"
 
 /** A box that starts gives itself so long to find a leader that tells it the news, milliseconds. */
 const START_MS = 600
@@ -37,6 +39,7 @@
   readonly askAll: () => void
   /** Asks other boxes to read the store; undefined: none of them could. */
   readonly askBoxes: (ask: AskNews) => Promise<StoreNews | undefined>
+  readonly eras: StoreEras
 }
 
 export class NewsSource {
@@ -44,6 +47,8 @@
   /** Whether it watches, and does not only list. */
   private watches_ = false
   private age_ = createNewsAge()
+  /** Where the store stood at the last list of each prefix. */
+  private readonly listedTo_ = new Map<string, StorePosition>()
   /** When the newest list of each prefix was asked for. */
   private readonly listedAt_ = new Map<string, number>()
   private trouble_: StoreTrouble = "none"
@@ -154,8 +159,10 @@
     )
   }
 
-  private takeListing(prefix: string, {entries, askedAt}: Listing): void {
+  private takeListing(prefix: string, listing: Listing): void {
     const {records, post, log} = this.options_
+    const {entries, askedAt} = listing
+    this.noteListing(prefix, listing)
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
     if (prefix === records.backendPrefix) {
       const listed = this.reader_.readBackends(entries)
@@ -173,6 +180,15 @@
     this.noteRead(readAt)
   }
 
+  /** Tells of the first list in a new era how far the store went back. */
+  private noteListing(prefix: string, {entries, revision, era}: Listing): void {
+    const last = this.listedTo_.get(prefix)
+    this.listedTo_.set(prefix, {revision, era})
+    if (!last || last.era === era) return
+    const fields = {prefix, era: era ?? -1, keys: entries.length}
+    this.options_.log("era-read", {...fields, revision, before: last.revision})
+  }
+
   /** The store was read at that time, by this box or by one that it asked. */
   private noteRead(at: number): void {
     this.age_ = noteReading(this.age_, at)
@@ -212,7 +228,7 @@
   }
 
   private async takeHelp(askedAt: number): Promise<void> {
-    const {askBoxes, post, log} = this.options_
+    const {askBoxes, eras, post, log} = this.options_
     const news = await askBoxes({
       t: "ask-news",
       configVersion: this.operator_.configVersion,
@@ -220,6 +236,7 @@
     })
     if (!this.follower_ || !news) return
     this.failedAsks_ = 0
+    if (news.storeEra) eras.hear(news.storeEra)
     const {ageMs, records, config, versions} = news
     const at = askedAt - ageMs
     if (at <= this.age_.readAt) return
@@ -254,8 +271,8 @@
     listings.forEach((listing, i) => this.takeListing(prefixes[i] ?? "", listing))
   }
 
-  private takeChange(prefix: string, {key, value, revision}: KvChange): void {
-    const entry = value === undefined ? undefined : {key, value, revision}
+  private takeChange(prefix: string, {key, value, revision, era}: KvChange): void {
+    const entry = value === undefined ? undefined : {key, value, revision, era}
     if (prefix !== this.options_.records.backendPrefix) {
       if (entry) this.operator_.takeEntries([entry])
       return
--- a/src/adapters/platform-mirror.ts
+++ b/src/adapters/platform-mirror.ts
@@ -85,7 +85,7 @@
   private async follow(): Promise<void> {
     await this.kv_.watch(
       this.prefix_ + KEYS.watched,
-      this.revision_,
+      {revision: this.revision_},
       change => this.take(change),
       this.abort_.signal
     )
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -35,6 +35,7 @@
 import {measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
 import {countStoreCalls} from "./store-counter.js"
+import type {StoreEras} from "./store-eras.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 /** A turn of the clock that comes later by so much means that the process stood still, milliseconds. */
@@ -52,6 +53,8 @@
 export interface RoutedContext {
   readonly settings: RoutedSettings
   readonly kv: KvStore
+  /** As the answers of the key-value service tell it. */
+  readonly eras: StoreEras
   readonly dialect: Dialect
   readonly records: FleetRecords
   readonly log: Log
@@ -94,7 +97,7 @@
   private readonly stopped_ = new Promise<void>(resolve => (this.finish_ = resolve))
 
   constructor(private readonly context_: RoutedContext) {
-    const {settings, kv, dialect, records, log} = context_
+    const {settings, kv, eras, dialect, records, log} = context_
     this.self_ = {
       box: settings.box,
       incarnation: this.incarnation_,
@@ -158,7 +161,8 @@
         this.session_.send({t: "ask-all", configVersion})
       },
       renewed: () => this.hub_?.tellReading(performance.now()),
-      askBoxes: ask => this.askBoxes(ask)
+      askBoxes: ask => this.askBoxes(ask),
+      eras
     })
     this.session_ = new LeaderSession({
       self: this.self_,
@@ -166,6 +170,7 @@
       kv,
       news: this.news_,
       help: this.help_,
+      eras,
       post,
       boxes: () => serving.boxes,
       closed: () => this.stopping_,
@@ -199,11 +204,14 @@
       {
         key: `${settings.store.prefix}leader`,
         self: this.self_,
+        eras,
         ...leadershipOptions
       },
       {
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
+        doubted: () => log("lead-unconfirmed", {era: eras.era ?? -1}),
+        confirmed: fence => log("lead-confirmed", {fence, era: eras.era ?? -1}),
         found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
@@ -211,6 +219,10 @@
         helped: helped => log(helped ? "lease-helped" : "lease-own")
       }
     )
+    eras.listen((known, rose) => {
+      post({type: "era", known, rose})
+      if (rose) this.election_.doubt()
+    })
   }
 
   async listen(): Promise<void> {
@@ -244,6 +256,7 @@
         post: this.loop_.post,
         news: this.news_,
         leadership: this.election_.leadership,
+        eras: this.context_.eras,
         leader: () => (this.leading ? this.self_ : this.session_.leader),
         met: (addresses: readonly string[]) => this.help_.learn(addresses),
         log
@@ -255,8 +268,9 @@
 
   /** What a box believes, for its metrics. */
   private measureState(): void {
-    const {metrics} = this.context_
+    const {metrics, eras} = this.context_
     const {serving} = this.loop_.state()
+    metrics.gauge("sedge_store_era", {}, () => eras.era ?? 0)
     metrics.gauge("sedge_open_requests", {}, () => this.relay_.open)
     metrics.gauge("sedge_leads", {}, () => (this.leading ? 1 : 0))
     metrics.gauge("sedge_boxes", {}, () => serving.boxes)
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -3,12 +3,16 @@
 import {LATE_MS} from "../core/news-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {limitTime} from "../utils/time-limit.js"
+import type {StoreEras} from "./store-eras.js"
 
 export interface StoreCallsOptions {
   /** IP number and port. */
   readonly address: string
   /** A call without an answer has failed after this, milliseconds. */
   readonly timeoutMs: number
+  readonly eras: StoreEras
+  /** The header of answers that tells the era, in lower case. */
+  readonly eraHeader: string
 }
 
 export interface StoreCall {
@@ -26,6 +30,8 @@
   readonly status: number
   /** Read as JSON; an empty object where nothing came. */
   readonly body: unknown
+  /** The era that it was answered in; undefined: the service tells none. */
+  readonly era: number | undefined
 }
 
 const CONNECT_MS = 600
@@ -44,6 +50,8 @@
   /** @throws KvUnavailable if nothing was done, KvUnknown if the call may have been carried out. */
   async call({method, path, body, watchMs = 0, signal}: StoreCall): Promise<StoreAnswer> {
     const pool = this.pool_
+    const {eras, eraHeader} = this.options_
+    const sentAt = performance.now()
     const limit = limitTime(watchMs + this.options_.timeoutMs, signal)
     const late = setTimeout(() => this.leavePool(pool), watchMs + LATE_MS)
     try {
@@ -55,7 +63,9 @@
         signal: limit.signal
       })
       const text = await answer.body.text()
-      return {status: answer.statusCode, body: text === "" ? {} : JSON.parse(text)}
+      const header = answer.headers[eraHeader]
+      const era = eras.place(Array.isArray(header) ? header[0] : header, sentAt)
+      return {status: answer.statusCode, body: text === "" ? {} : JSON.parse(text), era}
     } catch (cause) {
       if (limit.isOver()) this.leavePool(pool)
       throw toKvError(cause as Error)
@@ -86,6 +96,7 @@
 }
 
 function toKvError(cause: Error & {readonly code?: string}): Error {
+  if (cause instanceof KvUnknown) return cause
   return UNHEARD.has(cause.code ?? "")
     ? new KvUnavailable(cause.message)
     : new KvUnknown(`${cause.name}: ${cause.message}`)
--- a/src/adapters/store-counter.ts
+++ b/src/adapters/store-counter.ts
@@ -13,6 +13,7 @@
   KvStore
 } from "../ports/ports.js"
 import type {CallPurpose, StoreCaller, StoreOutcome} from "../types/store-calls.js"
+import type {StorePosition} from "../types/store-position.js"
 import type {Log} from "./log.js"
 import type {Metrics} from "./metrics.js"
 
@@ -138,13 +139,13 @@
   /** It may wait: where its time is not known here, no answer is late. */
   watch(
     prefix: string,
-    afterRevision: number,
+    after: StorePosition,
     take: (change: KvChange) => void,
     signal: AbortSignal,
     waitMs?: number
-  ): Promise<number> {
-    const call = (): Promise<number> =>
-      this.kv_.watch(prefix, afterRevision, take, signal, waitMs)
+  ): Promise<StorePosition> {
+    const call = (): Promise<StorePosition> =>
+      this.kv_.watch(prefix, after, take, signal, waitMs)
     return this.count(call, waitMs ?? Infinity, signal)
   }
 
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -1,7 +1,9 @@
 /** Follows prefixes of the key-value service: lists in a fixed rhythm, watches between them. */
 import {LATE_MS, LIST_MS} from "../core/news-age.js"
+import {KvUnavailable} from "../errors.js"
 import type {KvChange, KvEntry, KvStore} from "../ports/ports.js"
 import type {CallPurpose, StoreCaller, StoreReason} from "../types/store-calls.js"
+import type {StorePosition} from "../types/store-position.js"
 import {backoffMs} from "../utils/backoff.js"
 import {askAgainAfter, pause} from "../utils/promises.js"
 import {limitTime} from "../utils/time-limit.js"
@@ -25,9 +27,8 @@
 const SHORTEST_WATCH_MS = 100
 
 /** All keys of a prefix, and when they were asked for, by the clock of the process. */
-export interface Listing {
+export interface Listing extends StorePosition {
   readonly entries: readonly KvEntry[]
-  readonly revision: number
   readonly askedAt: number
 }
 
@@ -74,11 +75,11 @@
     while (!signal.aborted) {
       const end = performance.now() + LIST_MS
       try {
-        const revision = await this.list(prefix, failures === 0, reason)
+        const listing = await this.list(prefix, failures === 0, reason)
         failures = 0
         reason = "regular"
         if (!this.watches_) await pause(end - performance.now())
-        else if (!(await this.watchUntil(prefix, revision, end))) reason = "after-cut"
+        else if (!(await this.watchUntil(prefix, listing, end))) reason = "after-cut"
       } catch (cause) {
         if (signal.aborted) return
         this.failed_.add(prefix)
@@ -94,14 +95,14 @@
     prefix: string,
     again: boolean,
     reason: StoreReason
-  ): Promise<number> {
+  ): Promise<StorePosition> {
     const caller: StoreCaller = this.watches_ ? "leader-list" : "box-list"
     this.asking_.set(prefix, performance.now())
     try {
       const listing = await listAll(this.kv_, prefix, again, {caller, reason})
       this.failed_.delete(prefix)
       if (!this.abort_.signal.aborted) this.events_.list(prefix, listing)
-      return listing.revision
+      return {revision: listing.revision, era: listing.era}
     } finally {
       this.asking_.delete(prefix)
     }
@@ -111,9 +112,13 @@
    * Watches until the next list is due; a watch that is cut may have missed something: it is due
    * then, and the answer is false.
    */
-  private async watchUntil(prefix: string, from: number, end: number): Promise<boolean> {
+  private async watchUntil(
+    prefix: string,
+    from: StorePosition,
+    end: number
+  ): Promise<boolean> {
     const {signal} = this.abort_
-    let revision = from
+    let position = from
     let reason: StoreReason = "regular"
     const take = (change: KvChange): void => {
       if (!signal.aborted) this.events_.change(prefix, change)
@@ -125,12 +130,12 @@
         await pause(waitMs)
         return true
       }
-      const seen = revision
+      const seen = position.revision
       // A watch that does not end in time has gone silent: the list that follows tells what it missed.
       const limit = limitTime(waitMs + LATE_MS, signal)
       try {
         const kv = callAs(this.kv_, {caller: "leader-watch", reason})
-        revision = await kv.watch(prefix, revision, take, limit.signal, waitMs)
+        position = await kv.watch(prefix, position, take, limit.signal, waitMs)
       } catch (cause) {
         if (signal.aborted) return true
         this.events_.cut(prefix, (cause as Error).message)
@@ -139,8 +144,9 @@
       } finally {
         limit.clear()
       }
-      reason = revision > seen ? "after-changes" : "regular"
-      if (revision > seen) await pause(Math.min(GATHER_MS, end - performance.now()))
+      const changed = position.revision > seen
+      reason = changed ? "after-changes" : "regular"
+      if (changed) await pause(Math.min(GATHER_MS, end - performance.now()))
     }
   }
 }
@@ -157,7 +163,7 @@
 ): Promise<Listing> {
   const askedAt = performance.now()
   const entries: KvEntry[] = []
-  let first: number | undefined
+  let first: StorePosition | undefined
   let after: string | undefined
   for (let page = 0; page < PAGE_LIMIT; page++) {
     const from = after
@@ -169,12 +175,14 @@
     }
     const answer = await (again ? askAgainAfter(LATE_MS, ask) : ask())
     // Pages are no snapshot: what changed since the first is told by the watch once more.
-    first ??= answer.revision
+    first ??= {revision: answer.revision, era: answer.era}
+    // Pages of two eras are no list: the first ones may hold what the copy lacks.
+    if (answer.era !== first.era) throw new KvUnavailable("pages of two eras")
     entries.push(...answer.entries)
     after = answer.entries.at(-1)?.key
     if (answer.more !== true || after === undefined) break
   }
-  return {entries, revision: first ?? 0, askedAt}
+  return {entries, revision: first?.revision ?? 0, era: first?.era, askedAt}
 }
 
 /** Lists prefixes for boxes that asked: one whose answer is late is asked for once more. */
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -3,7 +3,8 @@
  * lapsed though its server lives: it stays in doubt until the store has been back for a while.
  */
 import type {BackendRecord} from "../types/fleet.js"
-import {isOf, succeeds} from "./server-lives.js"
+import {isOf, succeeds, tellsLife} from "./server-lives.js"
+import {mayBeCopied} from "./store-era.js"
 
 /** How long after the store's return a vanished entry may still come back, milliseconds. */
 export const RETURN_MS = 2_000
@@ -43,6 +44,12 @@
   readonly left: ReadonlySet<string>
   /** Servers whose entries were gone, and at which reading: an older one does not bring them back. */
   readonly gone: ReadonlyMap<string, number>
+  /** Lives that others followed: none comes back, also where a copy of the store is older than its end. */
+  readonly ended: ReadonlySet<string>
+  /** When the store last came back from an older copy, or before; -Infinity: never. */
+  readonly risenAt: number
+  /** Servers that were known to be gone and whose entries are there since: they may be the copy's. */
+  readonly withheld: ReadonlyMap<string, BackendRecord>
 }
 
 /** A list of nothing. */
@@ -52,10 +59,21 @@
     troubleAt: -Infinity,
     backAt: -Infinity,
     left: new Set(),
-    gone: new Map()
+    gone: new Map(),
+    ended: new Set(),
+    risenAt: -Infinity,
+    withheld: new Map()
   }
 }
 
+/**
+ * The store came back from a copy that is some seconds old. Servers that it lacks may have written their entries
+ * since: they have as long to come back as after an outage.
+ */
+export function noteRise(list: BackendList, risenAt: number, now: number): BackendList {
+  return {...list, risenAt, troubleAt: now, backAt: now, withheld: new Map()}
+}
+
 /** The store failed a call: what vanishes from now on proves nothing. */
 export function noteStoreTrouble(list: BackendList, now: number): BackendList {
   return {...list, troubleAt: now, backAt: Infinity}
@@ -96,15 +114,22 @@
   const left = noteLeaving(list, records)
   const gone = new Map(list.gone)
   const known = new Map<string, KnownBackend>()
+  const withheld = new Map<string, BackendRecord>()
   const before = indexServers(list)
+  const ended: string[] = []
   for (const record of records) {
     const last = before.get(record.server)
     // The list is older than what is known: its entry is that of a life that is over.
-    if (last && succeeds(last.record, record)) {
-      known.set(last.record.id, last)
+    if (isOver(list, last, record)) {
+      if (last) known.set(last.record.id, last)
       continue
     }
     if (wasGone(gone, record, reading.at)) continue
+    if (isWithheld(list, record, now)) {
+      withheld.set(record.id, record)
+      continue
+    }
+    if (last) ended.push(...endedBy(record, last))
     forgetGone(gone, record)
     known.set(record.id, toKnown(record, left))
   }
@@ -118,7 +143,34 @@
     if (doubtful) known.set(id, doubtful)
     else noteGone(gone, id, reading.at)
   }
-  return {...list, known, left, gone}
+  return {...list, known, left, gone, withheld, ended: addEnded(list, ended)}
+}
+
+/** Whether the record is of a life that another has followed. */
+function isOver(
+  {ended}: BackendList,
+  last: KnownBackend | undefined,
+  record: BackendRecord
+): boolean {
+  if (ended.has(record.id)) return true
+  return last !== undefined && succeeds(last.record, record)
+}
+
+/** The life that ends as the record is taken, if it can be told from others of its server. */
+function endedBy(record: BackendRecord, {record: last}: KnownBackend): string[] {
+  return last.id !== record.id && tellsLife(last) ? [last.id] : []
+}
+
+function addEnded({ended}: BackendList, ids: readonly string[]): ReadonlySet<string> {
+  return ids.length === 0 ? ended : new Set([...ended, ...ids].slice(-MAX_LEFT))
+}
+
+function isWithheld(
+  {gone, risenAt}: BackendList,
+  {id, server}: BackendRecord,
+  now: number
+): boolean {
+  return mayBeCopied(risenAt, now) && (gone.has(id) || gone.has(server))
 }
 
 const NONE: ReadonlySet<string> = new Set()
@@ -138,7 +190,8 @@
   reading: Reading,
   now: number
 ): BackendList {
-  if (typeof record === "object") return takeRecord(list, record, reading)
+  if (typeof record === "object") return takeRecord(list, record, reading, now)
+  const withheld = new Map([...list.withheld].filter(([, each]) => !isOf(each, id)))
   const known = new Map(list.known)
   const gone = new Map(list.gone)
   const named = [...list.known.values()].filter(each => isOf(each.record, id))
@@ -151,26 +204,34 @@
     if (!doubtful) noteGone(gone, life, reading.at)
   }
   if (named.length === 0) noteGone(gone, id, reading.at)
-  return {...list, known, gone}
+  return {...list, known, gone, withheld}
 }
 
 function takeRecord(
   list: BackendList,
   record: BackendRecord,
-  reading: Reading
+  reading: Reading,
+  now: number
 ): BackendList {
+  if (list.ended.has(record.id)) return list
+  if (isWithheld(list, record, now)) {
+    return {...list, withheld: new Map(list.withheld).set(record.id, record)}
+  }
   const known = new Map(list.known)
   const gone = new Map(list.gone)
   const left = noteLeaving(list, [record])
-  for (const {record: other} of list.known.values()) {
-    if (other.server !== record.server || other.id === record.id) continue
-    if (succeeds(other, record)) return list
-    known.delete(other.id)
-    noteGone(gone, other.id, reading.at)
+  const ended: string[] = []
+  for (const other of list.known.values()) {
+    const {id, server} = other.record
+    if (server !== record.server || id === record.id) continue
+    if (succeeds(other.record, record)) return list
+    ended.push(...endedBy(record, other))
+    known.delete(id)
+    noteGone(gone, id, reading.at)
   }
   known.set(record.id, toKnown(record, left))
   forgetGone(gone, record)
-  return {...list, known, left, gone}
+  return {...list, known, left, gone, ended: addEnded(list, ended)}
 }
 
 function noteGone(gone: Map<string, number>, id: string, at: number): void {
@@ -214,17 +275,26 @@
   }
 }
 
-/** Drops what did not come back in time. */
+/** Drops what did not come back in time, and takes what has outlasted the time of a copy's entries. */
 export function expireBackends(list: BackendList, now: number): BackendList {
   const due = [...list.known].filter(
     ([, {goneAt}]) => goneAt !== undefined && goneAt <= now
   )
-  if (due.length === 0) return list
+  const released = mayBeCopied(list.risenAt, now) ? NO_RECORDS : list.withheld
+  if (due.length === 0 && released.size === 0) return list
   const known = new Map(list.known)
   for (const [id] of due) known.delete(id)
-  return {...list, known}
+  const gone = new Map(list.gone)
+  for (const record of released.values()) {
+    forgetGone(gone, record)
+    known.set(record.id, toKnown(record, list.left))
+  }
+  const withheld = released.size > 0 ? NO_RECORDS : list.withheld
+  return {...list, known, gone, withheld}
 }
 
+const NO_RECORDS: ReadonlyMap<string, BackendRecord> = new Map()
+
 function vanish(
   list: BackendList,
   backend: KnownBackend,
--- a/src/core/box-news.ts
+++ b/src/core/box-news.ts
@@ -1,6 +1,7 @@
 /** How old the news is that a box sends requests by. */
 import type {BoxServing} from "./box-state.js"
 import {STALE_MS} from "./news-age.js"
+import {type KnownEra, lacksNews} from "./store-era.js"
 
 /**
  * At that time the news was as new as it can be had; `read`: since the store was read then, and not
@@ -11,11 +12,29 @@
   if (read) box.readAt = Math.max(box.readAt ?? -Infinity, at)
 }
 
+/**
+ * The era of the store, as it is known from now on. As it rises, the box keeps what it knew: what the store
+ * lacks from then on may have been acknowledged since it was read last.
+ */
+export function noteEra(box: BoxServing, known: KnownEra, rose: boolean): void {
+  box.era = known
+  if (!rose) return
+  // A box that had read only the copy knows of no reading before.
+  const before = box.readAt !== undefined && box.readAt < known.by
+  box.readBeforeEra = before ? box.readAt : undefined
+}
+
+/** When the store was read last without what is told now; undefined: nobody knows of such a reading. */
+export function readWithoutAt(box: BoxServing, now: number): number | undefined {
+  return lacksNews(box.era, now) ? box.readBeforeEra : box.readAt
+}
+
 /**
  * Whether the box knows what the store held of late. News that nobody could read lets requests go on to what
  * is known; that something is not there can't be told by it.
  */
-export function isCurrent({readAt}: BoxServing, now: number): boolean {
+export function isCurrent({readAt, era}: BoxServing, now: number): boolean {
+  if (lacksNews(era, now)) return false
   return readAt !== undefined && now - readAt <= STALE_MS
 }
 
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -8,6 +8,7 @@
 import {FIRST_RATE} from "./reading-rate.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
 import type {RouteTable} from "./route-table.js"
+import type {KnownEra} from "./store-era.js"
 
 /** A request as it came in. */
 export interface Arrival {
@@ -93,6 +94,10 @@
   newsAt: number | undefined
   /** When the store was read for what this box knows, or before; undefined: it never was. */
   readAt: number | undefined
+  /** The era of the store; undefined: it tells none. */
+  era: KnownEra | undefined
+  /** `readAt` as the era rose; undefined: the store was not read before. */
+  readBeforeEra: number | undefined
   readonly engines: Map<string, EngineView>
   /** What an engine reads in a millisecond, as the leader told last. */
   tokensPerMs: number
@@ -180,6 +185,7 @@
   | "versions-named"
   | "old-version-begun"
   | "old-version-taken-back"
+  | "era-kept"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
 
@@ -191,6 +197,8 @@
     backends: createBackendList(),
     newsAt: undefined,
     readAt: undefined,
+    era: undefined,
+    readBeforeEra: undefined,
     engines: new Map(),
     tokensPerMs: FIRST_RATE,
     held: new Map(),
--- a/src/core/box-versions.ts
+++ b/src/core/box-versions.ts
@@ -8,6 +8,7 @@
   newestOf,
   replacedForMs
 } from "./adapter-versions.js"
+import {readWithoutAt} from "./box-news.js"
 import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
 
 /** An adapter and a version of it that was named. */
@@ -26,7 +27,7 @@
   now: number
 ): void {
   // Heard late is not named late: counted from the last reading, which did not have it.
-  const namedAfter = box.readAt ?? -Infinity
+  const namedAfter = readWithoutAt(box, now) ?? -Infinity
   const newer: Named[] = []
   for (const [adapter, version] of versions) {
     const known = box.versions.get(adapter) ?? []
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -41,6 +41,8 @@
   validUntil: number
   /** No order before. */
   orderFrom: number
+  /** False: the store came back from an older copy, and may not know this lead; no order goes out. */
+  confirmed: boolean
   /**
    * When the last lead of this same process ended in which it could order. Another that led since
    * would have had to wait: until then nobody else has ordered.
@@ -55,22 +57,74 @@
     lease: undefined,
     validUntil: 0,
     orderFrom: 0,
+    confirmed: true,
     endedAt: -Infinity
   }
 }
 
-/** The lead was claimed; the lease was asked for at `sentAt`. */
+/** A claim that the store has taken. */
+export interface Claim {
+  readonly fence: number
+  readonly lease: string
+  /** When its lease was asked for. */
+  readonly sentAt: number
+  /** The era of the store had begun by then; undefined: the store tells none. */
+  readonly eraBy?: number | undefined
+}
+
+/** The lead was claimed. */
 export function takeLead(
   leadership: Leadership,
-  claim: {readonly fence: number; readonly lease: string; readonly sentAt: number},
+  claim: Claim,
+  now: number,
+  options: LeadershipOptions
+): void {
+  holdLead(leadership, claim, options)
+  const {endedAt} = leadership
+  // In the era before, another may have led that the store has forgotten.
+  const sameEra = claim.eraBy === undefined || endedAt >= claim.eraBy
+  const own = sameEra && now - endedAt < handoverMs(options)
+  leadership.orderFrom = own
+    ? now
+    : Math.max(now + handoverMs(options), afterEarlierEras(claim, options))
+}
+
+/**
+ * A leader of the era before goes on for its lease at most, which the store did not wait out as it came back
+ * without it. Where engines check fences, this one's is higher.
+ */
+function afterEarlierEras({eraBy}: Claim, options: LeadershipOptions): number {
+  if (options.checksFences || eraBy === undefined) return -Infinity
+  return eraBy + options.ttlMs + handoverMs(options)
+}
+
+/** The store came back from an older copy: it may not know the lead any more. */
+export function doubtLead(leadership: Leadership): void {
+  leadership.confirmed = leadership.fence === undefined
+}
+
+/** The lead was claimed again in the new era, before any other box did. */
+export function confirmLead(
+  leadership: Leadership,
+  claim: Claim,
   now: number,
   options: LeadershipOptions
 ): void {
-  leadership.fence = claim.fence
-  leadership.lease = claim.lease
-  leadership.validUntil = claim.sentAt + options.ttlMs - options.marginMs
-  const own = now - leadership.endedAt < handoverMs(options)
-  leadership.orderFrom = own ? now : now + handoverMs(options)
+  // While it led by its own clock no other box led in the era before.
+  if (leads(leadership, now)) return holdLead(leadership, claim, options)
+  endLead(leadership, now)
+  takeLead(leadership, claim, now, options)
+}
+
+function holdLead(
+  leadership: Leadership,
+  {fence, lease, sentAt}: Claim,
+  {ttlMs, marginMs}: LeadershipOptions
+): void {
+  leadership.fence = fence
+  leadership.lease = lease
+  leadership.validUntil = sentAt + ttlMs - marginMs
+  leadership.confirmed = true
 }
 
 /** The lease was renewed by a call sent at `sentAt`. */
@@ -88,6 +142,7 @@
   if (leadership.fence === undefined) return
   leadership.fence = undefined
   leadership.lease = undefined
+  leadership.confirmed = true
   const end = Math.min(now, leadership.validUntil)
   if (end >= leadership.orderFrom) leadership.endedAt = end
 }
@@ -99,5 +154,5 @@
 
 /** Whether an order may leave now. */
 export function mayOrder(leadership: Leadership, now: number): boolean {
-  return leads(leadership, now) && now >= leadership.orderFrom
+  return leads(leadership, now) && leadership.confirmed && now >= leadership.orderFrom
 }
--- a/src/core/server-lives.ts
+++ b/src/core/server-lives.ts
@@ -6,6 +6,7 @@
  * started before the one that it follows.
  */
 import type {BackendRecord} from "../types/fleet.js"
+import {isLater} from "./store-era.js"
 
 /** Stands in no name of a server. */
 const SEPARATOR = "~"
@@ -29,7 +30,5 @@
 
 /** Whether `next` is of another life of the same server, and newer. */
 export function succeeds(next: BackendRecord, known: BackendRecord): boolean {
-  return (
-    next.server === known.server && next.id !== known.id && next.revision > known.revision
-  )
+  return next.server === known.server && next.id !== known.id && isLater(next, known)
 }
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -10,6 +10,7 @@
 import type {Reading} from "./backend-list.js"
 import type {AttemptFailure} from "./box-doubts.js"
 import type {Arrival, BoxEffect} from "./box-state.js"
+import type {KnownEra} from "./store-era.js"
 import type {EngineReport, FleetEffect, OrderResult} from "./placement-state.js"
 
 /** What happens to the requests of a box, and what it hears of the world. */
@@ -60,6 +61,8 @@
       /** The store was read then; otherwise nobody could, and nothing newer is to be had. */
       readonly read: boolean
     }
+  /** The era of the store as it is known now; `rose`: it is known from now on that it rose. */
+  | {readonly type: "era"; readonly known: KnownEra; readonly rose: boolean}
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
   | {readonly type: "places"; readonly changes: readonly EngineChange[]}
   | {readonly type: "loads"; readonly loads: EngineLoads}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -4,6 +4,7 @@
   diffUsable,
   expireBackends,
   listEndedLives,
+  noteRise,
   noteStoreBack,
   noteStoreServed,
   noteStoreTrouble,
@@ -23,9 +24,10 @@
 import {admit, hangUp, stopServing, tellLeader} from "./box-requests.js"
 import {endLife} from "./box-lives.js"
 import {type BoxServing, drainEffects, note} from "./box-state.js"
-import {takeVersions} from "./box-versions.js"
+import {takeVersions, toLogged} from "./box-versions.js"
 import {refuseNeed} from "./box-waits.js"
-import {noteNews} from "./box-news.js"
+import {noteEra, noteNews} from "./box-news.js"
+import type {KnownEra} from "./store-era.js"
 import {takeChanges, takeLoads, takePicture} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
 import {takeFleetVersion} from "./placement-uses.js"
@@ -150,6 +152,8 @@
     case "news":
       noteNews(serving, event.at, event.read)
       return tickRequests(serving, now)
+    case "era":
+      return takeEraNews(state, event.known, event.rose, now)
     case "engines":
       takePicture(serving, event.engines, now)
       return tickRequests(serving, now)
@@ -175,6 +179,26 @@
   }
 }
 
+/** What a box knows stays in force as the store comes back from an older copy: none of it goes back. */
+function takeEraNews(
+  {serving}: RoutedState,
+  known: KnownEra,
+  rose: boolean,
+  now: number
+): void {
+  noteEra(serving, known, rose)
+  if (!rose) return
+  serving.backends = noteRise(serving.backends, known.by, now)
+  note(serving, "era-kept", {
+    era: known.era,
+    ageMs: Math.round(now - known.by),
+    config: serving.table?.config.version ?? -1,
+    versions: serving.versions.size,
+    servers: serving.backends.known.size,
+    readBeforeMs: toLogged(now - (serving.readBeforeEra ?? -Infinity))
+  })
+}
+
 /** Takes a new list of backend servers, and tells in the log what changed for requests. */
 function believe(
   state: RoutedState,
--- a/src/events.ts
+++ b/src/events.ts
@@ -306,6 +306,36 @@
     level: "info",
     text: "Calls to the key-value service since the process started, by caller, reason and outcome."
   },
+  "store-era": {
+    number: 215,
+    level: "warn",
+    text: "The key-value service came back from an older copy: its era rose, revisions are given out again."
+  },
+  "era-kept": {
+    number: 216,
+    level: "info",
+    text: "What this box keeps in force as the era rises: how long ago the service was read without loss, and what is known from then."
+  },
+  "store-era-odd": {
+    number: 217,
+    level: "warn",
+    text: "The key-value service told no era, or a lower one than before; its answers count as of the era that is known."
+  },
+  "era-read": {
+    number: 218,
+    level: "info",
+    text: "Keys were listed for the first time in a new era; what is known and not among them is not confirmed yet."
+  },
+  "lead-confirmed": {
+    number: 219,
+    level: "info",
+    text: "This box claimed its lead again in the new era, with a new fence; orders go on."
+  },
+  "lead-unconfirmed": {
+    number: 220,
+    level: "warn",
+    text: "The era rose while this box led: it gives no orders until it has claimed its lead again."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -1,6 +1,15 @@
 /** What boxes and their leader tell each other. */
 import type {BackendRecord, FleetConfig} from "./fleet.js"
 
+/** The era of the key-value service, as a box tells it. */
+export interface ToldEra {
+  readonly era: number
+  /** It had begun so long before, milliseconds. */
+  readonly ageMs: number
+  /** A process saw it rise. */
+  readonly risen: boolean
+}
+
 /** Where an adapter stands on an engine. */
 export interface PlaceNews {
   /** Key of the adapter, `model/adapter`. */
@@ -150,6 +159,8 @@
       readonly ordersInMs: number
       readonly medianAgeMs: number
       readonly others: readonly string[]
+      /** Undefined: the service tells none. */
+      readonly storeEra?: ToldEra | undefined
     } & Sent)
 
 /** The leader as its key names it. */
@@ -158,6 +169,8 @@
   readonly incarnation: string
   /** Where boxes link to it. */
   readonly address: string
+  /** The era of the key-value service that it was claimed in; undefined: the service told none. */
+  readonly era?: number | undefined
 }
 
 /** From a box that leads or that has no leader: it cannot read the store itself. */
@@ -179,6 +192,8 @@
   readonly versions: readonly (readonly [adapter: string, version: number])[]
   /** Whom the box follows, or itself. */
   readonly leader?: LeaderRecord
+  /** Undefined: the service tells none. */
+  readonly storeEra?: ToldEra | undefined
 }
 
 export type BoxMessage = ToLeader | FromLeader
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -1,4 +1,5 @@
 /** Records of a routed fleet: services behind routes, backend servers, and what engines hold. */
+import type {StorePosition} from "./store-position.js"
 
 /** What a request of a route may be put through. */
 export type RouteKind = "safe" | "unsafe" | "streaming"
@@ -84,8 +85,8 @@
   readonly adapters: ReadonlyMap<string, number>
 }
 
-/** A backend server as it last said of itself. */
-export interface BackendRecord {
+/** A backend server as it last said of itself, and where its entry last changed: which of two is newer. */
+export interface BackendRecord extends StorePosition {
   /**
    * Which life of which server. A server that starts again under its name is another one: all that
    * is believed of it, and all that runs there, is kept by this name and ends with the life.
@@ -93,8 +94,6 @@
   readonly id: string
   /** The name of the server, alike for all its lives: what it is addressed by. */
   readonly server: string
-  /** When its entry last changed, by the count of the key-value service: which of two is newer. */
-  readonly revision: number
   readonly service: string
   /** IP number and port. */
   readonly address: string
--- a/src/types/store-calls.ts
+++ b/src/types/store-calls.ts
@@ -5,6 +5,8 @@
   "leader-look",
   /** A box that found no leader claims the lead. */
   "leader-claim",
+  /** A leader claims its lead again, as the service has come back from an older copy. */
+  "lead-confirm",
   /** A leader renews its lease. */
   "lease-renew",
   /** A box ends a lease: its lead is over, or its claim came second. */
--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -5,6 +5,7 @@
 import {stepRouted} from "../src/core/serving.js"
 import type {RoutedState} from "../src/core/serving-fleet.js"
 import {type NewsOptions, NewsSource} from "../src/adapters/news-source.js"
+import {StoreEras} from "../src/adapters/store-eras.js"
 import {StoreFollower} from "../src/adapters/store-follower.js"
 import {KvRefused} from "../src/errors.js"
 import type {FleetRecords} from "../src/ports/fleet-ports.js"
@@ -39,6 +40,7 @@
     askBoxes: () => Promise.resolve(undefined),
     askLeader: () => undefined,
     askAll: () => undefined,
+    eras: new StoreEras(() => undefined),
     ...more
   })
 }
--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -4,6 +4,7 @@
 import {runInNewContext} from "node:vm"
 import t from "tap"
 import {connectStore} from "../platform/store.js"
+import {StoreEras} from "../src/adapters/store-eras.js"
 import {LATE_MS} from "../src/core/news-age.js"
 import type {KvStore} from "../src/ports/ports.js"
 
@@ -52,7 +53,15 @@
 async function connect(): Promise<{store: SilentStore; kv: KvStore}> {
   const store = new SilentStore()
   const address = await store.listen()
-  return {store, kv: connectStore({address, timeoutMs: 450, watchMs: 300})}
+  return {
+    store,
+    kv: connectStore({
+      address,
+      timeoutMs: 450,
+      watchMs: 300,
+      eras: new StoreEras(() => undefined)
+    })
+  }
 }
 
 // A limit that only a combined signal refers to may be collected, and then never ends its call.
@@ -62,7 +71,7 @@
   const abort = new AbortController()
   t.teardown(() => abort.abort())
   const watch = kv
-    .watch("a/", 0, () => undefined, abort.signal)
+    .watch("a/", {revision: 0}, () => undefined, abort.signal)
     .then(
       () => "answered",
       () => "failed"
--- a/test/store-counter.test.ts
+++ b/test/store-counter.test.ts
@@ -1,6 +1,7 @@
 /** Calls to the key-value service by caller, reason and outcome: counted, told, and summed from logs. */
 import t from "tap"
 import {callAs, countStoreCalls} from "../src/adapters/store-counter.js"
+import {StoreEras} from "../src/adapters/store-eras.js"
 import {listAll, StoreFollower} from "../src/adapters/store-follower.js"
 import {Metrics} from "../src/adapters/metrics.js"
 import {LeaderElection} from "../src/adapters/leader-election.js"
@@ -81,7 +82,7 @@
   const limit = limitTime(20)
   const watch = (signal: AbortSignal): Promise<unknown> =>
     callAs(kv, {caller: "leader-watch", reason: "regular"})
-      .watch("a/", 0, () => undefined, signal, 900)
+      .watch("a/", {revision: 0}, () => undefined, signal, 900)
       .catch(() => undefined)
   const watches = [watch(abort.signal), watch(limit.signal)]
   abort.abort()
@@ -118,15 +119,15 @@
       lists++
       return lists === 1 ? Promise.reject(new KvRefused("503")) : Promise.resolve(EMPTY)
     },
-    watch: async (_, revision, __, signal, waitMs = 0) => {
+    watch: async (_, position, __, signal, waitMs = 0) => {
       watches++
-      if (watches === 1) return revision + 1
+      if (watches === 1) return {revision: position.revision + 1}
       if (watches === 2) throw new KvUnknown("reset")
       await Promise.race([
         pause(waitMs),
         new Promise(resolve => signal.addEventListener("abort", resolve))
       ])
-      return revision
+      return position
     }
   })
   const follower = new StoreFollower(kv, ["a/"], true, {
@@ -167,6 +168,7 @@
     kv,
     {
       key: "leader",
+      eras: new StoreEras(() => undefined),
       self: {box: "b", incarnation: "i", address: "a"},
       ttlMs: 2_000,
       marginMs: 200,
@@ -176,6 +178,8 @@
     {
       won: () => setTimeout(() => (renewed = true), 450),
       lost: () => undefined,
+      doubted: () => undefined,
+      confirmed: () => undefined,
       found: () => undefined,
       boxes: () => 1,
       medianAgeMs: () => 0,
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -6,6 +6,8 @@
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {connectStore} from "../platform/store.js"
+import {StoreEras} from "../src/adapters/store-eras.js"
+import type {KvStore} from "../src/ports/ports.js"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {StandInStore} from "./stand-ins/platform-store.js"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
@@ -161,8 +163,12 @@
 t.test("a lease does not become another's that has its number", async t => {
   const store = await StandInStore.start()
   t.teardown(() => store.stop())
-  const kv = connectStore({address: store.address, timeoutMs: 400, watchMs: 900})
-  const other = connectStore({address: store.address, timeoutMs: 400, watchMs: 900})
+  const connect = (): KvStore => {
+    const eras = new StoreEras(() => undefined)
+    return connectStore({address: store.address, timeoutMs: 400, watchMs: 900, eras})
+  }
+  const kv = connect()
+  const other = connect()
   await sleep(300)
   const lease = await kv.grantLease(5_000)
   await store.drill({copyAgeMs: 250, awayMs: 10})
