--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -62,6 +62,10 @@
   183,
   184,
   185,
+  215,
+  216,
+  219,
+  220,
   EVENT.suspect
 ])
 
--- a/src/core/timeline.ts
+++ b/src/core/timeline.ts
@@ -47,7 +47,12 @@
   [208, "backend"],
   [209, "key"],
   [210, "engine"],
-  [211, "versions"]
+  [211, "versions"],
+  [215, "era"],
+  [217, "oddity"],
+  [218, "prefix"],
+  [219, "fence"],
+  [220, "era"]
 ])
 
 interface OpenEntry {
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -225,11 +225,14 @@
     for (const [id, lease] of this.ended_) {
       if (lease.endedAt > copyAt) this.leases_.set(id, lease)
     }
-    this.ended_.clear()
     for (const [id, lease] of this.leases_) {
       if (lease.grantedAt > copyAt) this.leases_.delete(id)
       else lease.until = now + lease.ttlMs
     }
+    // A key does not outlive its lease, whatever drills came between the two.
+    for (const [key, {lease}] of this.rows_) {
+      if (lease !== 0 && !this.leases_.has(lease)) this.rows_.delete(key)
+    }
   }
 
   private expireSilent(): void {
