An era that is told again has not risen; tests of eras in the single parts

Red before: store-eras 2 (52 passed, 1 failed): each second answer of a process had its era count as risen, so that for ten seconds after a start on such a store versions had no time of their own and missing routes were told as 503.

--- a/src/adapters/store-eras.ts
+++ b/src/adapters/store-eras.ts
@@ -56,6 +56,7 @@
       this.tellOdd("falls", header)
       return this.era
     }
+    if (era === this.era) return era
     const risen = this.known_ !== undefined
     this.take({era, by: performance.now(), risen})
     return era
--- /dev/null
+++ b/test/store-eras.test.ts
@@ -0,0 +1,251 @@
+/** Eras of the store in the single parts of a box: answers, positions, beliefs, the lead. */
+import {createServer, type Server} from "node:http"
+import type {AddressInfo} from "node:net"
+import {setTimeout as sleep} from "node:timers/promises"
+import t, {type Test} from "tap"
+import {connectStore} from "../platform/store.js"
+import {StoreEras} from "../src/adapters/store-eras.js"
+import {listAll} from "../src/adapters/store-follower.js"
+import {
+  createBackendList,
+  expireBackends,
+  isUsable,
+  noteRise,
+  takeBackends
+} from "../src/core/backend-list.js"
+import {isCurrent, noteEra, noteNews} from "../src/core/box-news.js"
+import {takeVersions} from "../src/core/box-versions.js"
+import {
+  confirmLead,
+  createLeadership,
+  doubtLead,
+  type LeadershipOptions,
+  mayOrder,
+  takeLead
+} from "../src/core/leadership.js"
+import {isLater, toFence} from "../src/core/store-era.js"
+import {KvUnavailable, KvUnknown} from "../src/errors.js"
+import type {KvStore} from "../src/ports/ports.js"
+import type {BackendRecord} from "../src/types/fleet.js"
+import {Subject} from "./support/box-subject.js"
+
+/** A store that answers each call with the next of some eras, at the same revision. */
+async function serveEras(
+  t: Test,
+  headers: readonly (string | undefined)[]
+): Promise<string> {
+  let calls = 0
+  const server: Server = createServer((_, res) => {
+    const header = headers[Math.min(calls++, headers.length - 1)]
+    if (header !== undefined) res.setHeader("Store-Era", header)
+    res.end(
+      JSON.stringify({
+        items: [{key: `a/${calls}`, revision: 7}],
+        events: [],
+        more: calls < 2,
+        at: 7
+      })
+    )
+  })
+  await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()))
+  t.teardown(() => server.close())
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+interface Connected {
+  readonly kv: KvStore
+  readonly eras: StoreEras
+  readonly told: string[]
+}
+
+function connect(address: string): Connected {
+  const told: string[] = []
+  const eras = new StoreEras((event, fields) =>
+    told.push([event, ...Object.values(fields ?? {})].join(" "))
+  )
+  const kv = connectStore({address, timeoutMs: 400, watchMs: 900, eras})
+  return {kv, eras, told}
+}
+
+t.test("a store that tells no era stays at one", async t => {
+  const {kv, eras, told} = connect(await serveEras(t, [undefined]))
+  const {entries, era} = await kv.list("a/")
+  t.equal(era, undefined)
+  t.equal(entries[0]?.era, undefined)
+  t.equal(eras.era, undefined)
+  t.same(told, [])
+})
+
+t.test(
+  "an answer without an era, with a lower one or with none that is a number",
+  async t => {
+    const headers = ["3", undefined, "2", "x", "3", "-1", "1e3", "99999", "4"]
+    const {kv, eras, told} = connect(await serveEras(t, headers))
+    for (let i = 0; i < headers.length - 1; i++) {
+      const {era, entries} = await kv.list("a/")
+      t.equal(era, 3, `answer ${i} is of the era that is known`)
+      t.equal(entries.length, 1, "nothing is lost")
+    }
+    t.equal((await kv.list("a/")).era, 4)
+    t.equal(eras.era, 4)
+    t.same(told, [
+      "store-era-odd none told  3",
+      "store-era-odd falls 2 3",
+      "store-era-odd no number x 3",
+      "store-era 4 3"
+    ])
+  }
+)
+
+t.test("an answer to a call from before the rise is not taken", async t => {
+  const eras = new StoreEras(() => undefined)
+  eras.place("1", 0)
+  const sentAt = performance.now()
+  await sleep(5)
+  eras.place("2", performance.now())
+  t.throws(() => eras.place("1", sentAt), KvUnknown)
+})
+
+t.test("a watch that another era answers fails, and so do pages of two eras", async t => {
+  const {kv} = connect(await serveEras(t, ["1", "2"]))
+  const {signal} = new AbortController()
+  const watch = kv.watch("a/", {revision: 7, era: 1}, () => undefined, signal)
+  await t.resolves(watch)
+  await t.rejects(
+    kv.watch("a/", {revision: 7, era: 1}, () => undefined, signal),
+    KvUnavailable
+  )
+  const pages = connect(await serveEras(t, ["1", "2"]))
+  await t.rejects(listAll(pages.kv, "a/", false, {}), KvUnavailable)
+})
+
+t.test(
+  "positions and fences of a later era are higher, whatever their revisions",
+  async t => {
+    t.ok(isLater({revision: 1, era: 2}, {revision: 900, era: 1}))
+    t.notOk(isLater({revision: 900, era: 1}, {revision: 1, era: 2}))
+    t.ok(toFence({revision: 1, era: 2}) > toFence({revision: 10 ** 9, era: 1}))
+    t.equal(toFence({revision: 12}), 12, "without eras as it was")
+    t.ok(Number.isSafeInteger(toFence({revision: 2 ** 40 - 1, era: 8_191})))
+  }
+)
+
+t.test("another box's word of an era counts with its age", async t => {
+  const eras = new StoreEras(() => undefined)
+  const rises: boolean[] = []
+  eras.listen((_, rose) => rises.push(rose))
+  eras.place("3", performance.now())
+  eras.hear({era: 3, ageMs: 60_000, risen: false})
+  t.ok((eras.tell(performance.now())?.ageMs ?? 0) >= 60_000)
+  eras.hear({era: 4, ageMs: 500, risen: true})
+  eras.hear({era: 3, ageMs: 0, risen: true})
+  t.match(eras.known, {era: 4, risen: true})
+  t.same(rises, [false, false, true])
+})
+
+const STARTED: BackendRecord = {
+  id: "w~1",
+  server: "w",
+  revision: 50,
+  era: 1,
+  service: "s",
+  address: "10.0.0.1:80",
+  dataCentre: "a",
+  leaving: false,
+  models: []
+}
+
+t.test("a life that ended does not come back with a copy", async t => {
+  const next = {...STARTED, id: "w~2", revision: 90}
+  const at = (now: number): {source: "store"; at: number} => ({source: "store", at: now})
+  let list = takeBackends(createBackendList(), [STARTED], at(0), 0)
+  list = takeBackends(list, [next], at(1_000), 1_000)
+  list = noteRise(list, 2_000, 2_000)
+  list = takeBackends(list, [{...STARTED, revision: 10, era: 2}], at(2_010), 2_010)
+  t.same([...list.known.keys()], ["w~2"])
+  const third = {...STARTED, id: "w~3", revision: 12, era: 2}
+  list = takeBackends(list, [third], at(3_000), 3_000)
+  t.same([...list.known.keys()], ["w~3"], "a newer one does, with a lower revision")
+})
+
+t.test(
+  "a server that was gone is back only when it outlasts the copy's entries",
+  async t => {
+    const at = (now: number): {source: "store"; at: number} => ({
+      source: "store",
+      at: now
+    })
+    const copied = {...STARTED, era: 2}
+    let list = takeBackends(createBackendList(), [STARTED], at(0), 0)
+    list = takeBackends(list, [], at(1_000), 1_000)
+    list = noteRise(list, 2_000, 2_000)
+    list = takeBackends(list, [copied], at(2_010), 2_010)
+    t.notOk(isUsable(list, "w~1"))
+    t.ok(isUsable(expireBackends(list, 7_001), "w~1"), "its entry is still there")
+    const lapsed = takeBackends(list, [], at(5_500), 5_500)
+    t.notOk(isUsable(expireBackends(lapsed, 7_001), "w~1"), "it is not")
+  }
+)
+
+t.test("a server that the copy lacks has time to write again", async t => {
+  const at = (now: number): {source: "store"; at: number} => ({source: "store", at: now})
+  let list = takeBackends(createBackendList(), [STARTED], at(0), 0)
+  list = noteRise(list, 2_000, 2_000)
+  list = takeBackends(list, [], at(2_010), 2_010)
+  t.ok(isUsable(list, "w~1"))
+  t.notOk(isUsable(expireBackends(list, 4_100), "w~1"))
+})
+
+t.test("a version that is written again counts from before the rise", async t => {
+  const subject = new Subject()
+  const {box} = subject
+  noteNews(box, 1_000)
+  noteEra(box, {era: 2, by: 2_000, risen: true}, true)
+  noteNews(box, 5_000)
+  takeVersions(box, [["m/x", 2]], 5_100)
+  t.equal(box.versions.get("m/x")?.at(-1)?.namedAfter, 1_000)
+  t.notOk(isCurrent(box, 5_100), "nor is a route known not to be there")
+  noteNews(box, 13_000)
+  takeVersions(box, [["m/y", 2]], 13_100)
+  t.equal(box.versions.get("m/y")?.at(-1)?.namedAfter, 13_000, "later it is as ever")
+  t.ok(isCurrent(box, 13_100))
+})
+
+const UNCHECKED: LeadershipOptions = {
+  ttlMs: 1_200,
+  marginMs: 200,
+  checksFences: false,
+  orderGapMs: 3_000
+}
+
+t.test("no order leaves in a new era before the lead is claimed again", async t => {
+  const lead = createLeadership()
+  takeLead(lead, {fence: 5, lease: "1", sentAt: 0, eraBy: -60_000}, 10, UNCHECKED)
+  t.ok(mayOrder({...lead, validUntil: 9_000}, 3_300))
+  lead.validUntil = 9_000
+  doubtLead(lead)
+  t.notOk(mayOrder(lead, 3_300))
+  const claim = {fence: 9, lease: "2", sentAt: 3_350, eraBy: 3_300}
+  confirmLead(lead, claim, 3_360, UNCHECKED)
+  t.ok(mayOrder(lead, 3_361), "nobody else led in between")
+  t.equal(lead.fence, 9)
+})
+
+t.test(
+  "who was not the leader waits for one of the era before, where no engine checks fences",
+  async t => {
+    const claim = {fence: 9, lease: "2", sentAt: 1_000, eraBy: 900}
+    const lead = createLeadership()
+    takeLead(lead, claim, 1_010, UNCHECKED)
+    t.equal(lead.orderFrom, 900 + 1_200 + 3_200)
+    const checked = createLeadership()
+    takeLead(checked, claim, 1_010, {...UNCHECKED, checksFences: true})
+    t.equal(checked.orderFrom, 1_010)
+    const late = createLeadership()
+    const lapsed = {fence: 1, lease: "1", sentAt: -2_000}
+    takeLead(late, lapsed, -2_000, UNCHECKED)
+    late.orderFrom = -2_000
+    confirmLead(late, claim, 1_010, UNCHECKED)
+    t.equal(late.orderFrom, 900 + 1_200 + 3_200, "a lead that had lapsed is none")
+  }
+)
