A lead that ended in the moment of a rise is none of the new era: the specification's counterexample

The specification of the lead gains the return from an older copy, with three guards. With all of them it found: a box whose lead ended as the store came back took it for one of the new era and ordered at once, while the box that had claimed since confirmed its own.

--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -82,7 +82,7 @@
   holdLead(leadership, claim, options)
   const {endedAt} = leadership
   // In the era before, another may have led that the store has forgotten.
-  const sameEra = claim.eraBy === undefined || endedAt >= claim.eraBy
+  const sameEra = claim.eraBy === undefined || endedAt > claim.eraBy
   const own = sameEra && now - endedAt < handoverMs(options)
   leadership.orderFrom = own
     ? now
