--- a/test/model/explore.ts
+++ b/test/model/explore.ts
@@ -40,3 +40,29 @@
   const bad = Object.values(map).find(({state}) => isViolated(state.context))
   return {states, violation: bad && JSON.stringify(bad.state.context)}
 }
+
+/** The first reachable state that must not be, nearest to the initial one; undefined: there is none. */
+export function findViolation<S extends object, A>(
+  initial: S,
+  actions: readonly A[],
+  next: (state: S, action: A) => S,
+  isViolated: (state: S) => boolean
+): string | undefined {
+  const met = new Set([JSON.stringify(initial)])
+  let front: S[] = [initial]
+  while (front.length > 0) {
+    const after: S[] = []
+    for (const state of front) {
+      for (const action of actions) {
+        const reached = next(state, action)
+        const key = JSON.stringify(reached)
+        if (met.has(key)) continue
+        if (isViolated(reached)) return key
+        met.add(key)
+        after.push(reached)
+      }
+    }
+    front = after
+  }
+  return undefined
+}
--- a/test/model/lead-spec.ts
+++ b/test/model/lead-spec.ts
@@ -40,8 +40,8 @@
 const WAY = 1
 const WAIT = GAP + WAY
 
-/** By then nothing of the era before is left. */
-const ERA_OVER = TTL + WAIT
+/** A turn after the first order that a leader of the new era may give. */
+const ERA_OVER = TTL + WAIT + 1
 
 interface Box {
   /** Time it believes its lease has left; 0: it does not lead. */
@@ -96,26 +96,32 @@
   violated: false
 }
 
-/**
- * The moments in which the store has just come back from an older copy, which knows no lease: a leader with
- * its order or its renewal on the way and a second box that never led, or one that led a moment ago and a
- * second box that has claimed since and still waits.
- */
-export function listReturns(): State[] {
-  const back = {...INITIAL, eraAge: 0}
-  const leaders = [
-    {...IDLE, lease: TTL, stale: true, order: 0},
-    {...IDLE, lease: TTL - 1, stale: true, renewing: 1}
-  ]
-  const led = leaders.map(leader => ({...back, boxes: [leader, IDLE] as const}))
-  const waits = [1, WAIT].map(wait => {
-    const claimed: Box = {...IDLE, lease: TTL, wait, stale: true}
-    return {...back, boxes: [{...IDLE, ended: WAIT - wait}, claimed] as const}
-  })
-  return [...led, ...waits]
+/** The store has just come back from an older copy, which knows no lease. */
+const BACK: State = {...INITIAL, eraAge: 0}
+
+/** What the boxes may be about at that moment. */
+export const RETURNS: Readonly<Record<"ordering" | "renewing" | "claimed", State>> = {
+  /** A leader's order is on its way; the other box never led. */
+  ordering: {
+    ...BACK,
+    boxes: [{...IDLE, lease: TTL, stale: true, order: 0}, IDLE]
+  },
+  /** A leader's renewal is. */
+  renewing: {
+    ...BACK,
+    boxes: [{...IDLE, lease: TTL - 1, stale: true, renewing: 1}, IDLE]
+  },
+  /** A box led a moment ago; the other has claimed since, and still waits. */
+  claimed: {
+    ...BACK,
+    boxes: [
+      {...IDLE, ended: WAIT - 1},
+      {...IDLE, lease: TTL, wait: 1, stale: true}
+    ]
+  }
 }
 
-/** Whether nothing of the era before is left, so that the exploration of a return is over. */
+/** Whether leaders of the new era have ordered for a while: the exploration of a return is over. */
 export function isEraOver({eraAge}: State): boolean {
   return eraAge >= ERA_OVER
 }
