--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -165,12 +165,15 @@
   return ids.length === 0 ? ended : new Set([...ended, ...ids].slice(-MAX_LEFT))
 }
 
+/** Whether its entry may be the copy's: it was known to be gone before the store came back. */
 function isWithheld(
   {gone, risenAt}: BackendList,
   {id, server}: BackendRecord,
   now: number
 ): boolean {
-  return mayBeCopied(risenAt, now) && (gone.has(id) || gone.has(server))
+  if (!mayBeCopied(risenAt, now)) return false
+  const goneAt = gone.get(id) ?? gone.get(server)
+  return goneAt !== undefined && goneAt < risenAt
 }
 
 const NONE: ReadonlySet<string> = new Set()
