--- a/test/store-eras.test.ts
+++ b/test/store-eras.test.ts
@@ -11,6 +11,9 @@
   expireBackends,
   isUsable,
   noteRise,
+  noteStoreBack,
+  noteStoreServed,
+  noteStoreTrouble,
   takeBackend,
   takeBackends
 } from "../src/core/backend-list.js"
@@ -188,6 +191,33 @@
   }
 )
 
+// Seen in a soak: plain requests were refused for 20 s by a box that had asked others for news as the era rose.
+t.test("that the store served others ends no doubt that the rise has set", async t => {
+  const at = (now: number): {source: "store"; at: number} => ({source: "store", at: now})
+  let list = takeBackends(createBackendList(), [STARTED], at(0), 0)
+  list = noteStoreServed(noteRise(noteStoreTrouble(list, 1_500), 2_000, 2_000))
+  list = takeBackends(list, [], at(2_080), 2_080)
+  t.ok(isUsable(list, "w~1"))
+  list = noteStoreServed(list)
+  t.ok(isUsable(list, "w~1"))
+  t.notOk(isUsable(expireBackends(list, 4_100), "w~1"))
+})
+
+t.test(
+  "what vanished in an outage that ends with a rise is not in doubt for ever",
+  async t => {
+    const at = (now: number): {source: "store"; at: number} => ({
+      source: "store",
+      at: now
+    })
+    let list = takeBackends(createBackendList(), [STARTED], at(0), 0)
+    list = takeBackends(noteStoreTrouble(list, 1_000), [], at(1_100), 1_100)
+    list = noteStoreBack(noteRise(list, 2_000, 2_000), 2_010)
+    t.ok(isUsable(list, "w~1"))
+    t.notOk(isUsable(expireBackends(list, 4_100), "w~1"))
+  }
+)
+
 // A leader tells of a server as gone whose entry it has not heard of in time, and tells it again as it does.
 t.test(
   "a server that is told gone after the rise is back as soon as it is told",
