--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -71,7 +71,8 @@
  * since: they have as long to come back as after an outage.
  */
 export function noteRise(list: BackendList, risenAt: number, now: number): BackendList {
-  return {...list, risenAt, troubleAt: now, backAt: now, withheld: new Map()}
+  const known = giveTimeToReturn(list, now)
+  return {...list, known, risenAt, troubleAt: now, backAt: now, withheld: new Map()}
 }
 
 /** The store failed a call: what vanishes from now on proves nothing. */
@@ -82,13 +83,18 @@
 /** The store answers: vanished entries have a while from here to come back. */
 export function noteStoreBack(list: BackendList, now: number): BackendList {
   if (list.backAt !== Infinity) return list
+  return {...list, known: giveTimeToReturn(list, now), backAt: now}
+}
+
+/** What is in doubt has a while from now to come back. */
+function giveTimeToReturn(list: BackendList, now: number): Map<string, KnownBackend> {
   const known = new Map(list.known)
   for (const [id, backend] of known) {
     if (backend.goneAt !== undefined) {
       known.set(id, {...backend, goneAt: now + RETURN_MS})
     }
   }
-  return {...list, known, backAt: now}
+  return known
 }
 
 /**
@@ -96,7 +102,13 @@
  * trouble for the store's, a leader would send all boxes to servers that left.
  */
 export function noteStoreServed(list: BackendList): BackendList {
-  const known = new Map([...list.known].filter(([, {goneAt}]) => goneAt === undefined))
+  // What a copy lacks is in doubt whomever the store served.
+  const untilReturn = list.risenAt + RETURN_MS
+  const known = new Map(
+    [...list.known].filter(
+      ([, {goneAt}]) => goneAt === undefined || goneAt <= untilReturn
+    )
+  )
   return {...list, known, troubleAt: -Infinity, backAt: -Infinity}
 }
 
@@ -307,8 +319,8 @@
   // A server that said that it leaves did not lapse.
   if (backend.record.leaving) return undefined
   if (list.backAt === Infinity) return {...backend, goneAt: Infinity}
-  if (list.troubleAt < now - LAPSE_WINDOW_MS) return undefined
-  const until = list.backAt + RETURN_MS
+  const lapsedIn = list.troubleAt < now - LAPSE_WINDOW_MS ? -Infinity : list.backAt
+  const until = Math.max(lapsedIn, list.risenAt) + RETURN_MS
   return until > now ? {...backend, goneAt: until} : undefined
 }
 
