Red test: boxes that start after a drill send to a server that had left

Its shape is brought about here without luck: a server leaves the list, the store is well for 2.8 s, all boxes are killed while the store is away, and it comes back from a copy that holds the server. A new process has no memory.

--- /dev/null
+++ b/test/store-era-starts.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Boxes that start as the store has come back from an older copy: they have no memory of what was
+ * acknowledged before, and the copy holds servers that had left. Pattern: all boxes are killed while the
+ * store is away, so that nobody who lives remembers.
+ */
+import {setTimeout as sleep} from "node:timers/promises"
+import t from "tap"
+import type {StandInWorker} from "./stand-ins/platform-worker.js"
+import {type BedBox, PlatformBed} from "./support/platform-bed.js"
+
+/** A server that left gets nothing new after this, with a margin, milliseconds. */
+const DRAIN_MS = 2_500
+
+/** Between a server's leaving and the drill: longer than `DRAIN_MS`, so that all of it has been well. */
+const WELL_MS = 2_800
+
+/** The entries that the copy has too much go after this, with a margin, milliseconds. */
+const LAPSED_MS = 1_500
+
+async function callFor(bed: PlatformBed, ms: number): Promise<void> {
+  const end = performance.now() + ms
+  while (performance.now() < end) {
+    const calls = bed.boxes.map(box => bed.call(box, "/safe/x"))
+    await Promise.race([Promise.all(calls), sleep(50)])
+    await sleep(10)
+  }
+}
+
+async function restartAll(bed: PlatformBed): Promise<void> {
+  await Promise.all(bed.boxes.map(({child}) => child.end("SIGKILL")))
+  for (const box of bed.boxes) bed.restartBox(box)
+}
+
+t.test(
+  "a box that starts after a drill sends nothing to a server that had left",
+  async t => {
+    const bed = await PlatformBed.start({boxes: 2, engines: 1, plain: 3})
+    t.teardown(() => bed.stop())
+    const [left] = bed.plain as [StandInWorker]
+    await callFor(bed, 500)
+    t.ok(bed.judge.runs.some(({worker}) => worker === left.id))
+    left.vanish()
+    const drainedAt = performance.now()
+    await sleep(WELL_MS)
+    const drill = bed.store.drill({copyAgeMs: WELL_MS + 1_500, awayMs: 700})
+    await restartAll(bed)
+    await drill
+    await callFor(bed, LAPSED_MS)
+    const late = bed.judge.runs
+      .filter(({worker, reached}) => worker === left.id && reached > drainedAt + DRAIN_MS)
+      .map(({reached}) => Math.round(reached - drainedAt))
+    t.same(late.slice(0, 3), [], `${late.length} requests reached it`)
+    const [box] = bed.boxes as [BedBox]
+    t.equal((await bed.call(box, "/safe/x")).status, 200)
+  }
+)
