Boxes that start after a drill use no server that only the copy vouches for

Cause: a new process remembers no server that had left; where the store comes back from a copy that holds the server, and all boxes were killed while it was away, they send to it until its entry lapses. Change: a leader writes down which era is settled, a box that starts reads it (only where the store tells eras) and withholds servers for five seconds where the era is newer, unless a box that remembers vouches for them; as a leader it vouches for none.

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -22,6 +22,7 @@
 import type {Log} from "./log.js"
 import type {NewsSource} from "./news-source.js"
 import type {StoreEras} from "./era-source.js"
+import type {SettledEra} from "./settled-era.js"
 
 const PING_MS = 250
 
@@ -43,6 +44,7 @@
   readonly news: NewsSource
   readonly leadership: Leadership
   readonly eras: StoreEras
+  readonly settled: SettledEra
   /** Whom this box follows, or itself. */
   readonly leader: () => LeaderRecord | undefined
   /** Other boxes take links there. */
@@ -113,7 +115,10 @@
   }
 
   private tellBackends(): void {
-    const {serving} = this.options_.state()
+    const {state, settled} = this.options_
+    const {serving} = state()
+    // Boxes that remember more than this one must not drop what it leaves out.
+    if (settled.isDoubted(performance.now())) return
     this.backendNews_.tell(serving.backends.known)
   }
 
@@ -211,7 +216,7 @@
     const now = performance.now()
     const {serving, fleet} = this.options_.state()
     const {config} = this.options_.news
-    const records = listRecords(serving)
+    const records = this.options_.settled.isDoubted(now) ? [] : listRecords(serving)
     const versions = listVersions(serving)
     const engines = fleet ? describeFleet(fleet, now) : []
     const loads = fleet ? describeLoads(fleet) : {order: [], hundreds: []}
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -24,6 +24,7 @@
 import {type LeaderBackends, toBackendEvents, ToldBackends} from "./leader-backends.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
 import type {StoreEras} from "./era-source.js"
+import type {SettledEra} from "./settled-era.js"
 import {listForOthers, type Listing, StoreFollower} from "./store-follower.js"
 import type {StorePosition} from "../types/store-position.js"
 
@@ -40,6 +41,7 @@
   /** Asks other boxes to read the store; undefined: none of them could. */
   readonly askBoxes: (ask: AskNews) => Promise<StoreNews | undefined>
   readonly eras: StoreEras
+  readonly settled: SettledEra
 }
 
 export class NewsSource {
@@ -84,6 +86,7 @@
 
   /** The same of what it read itself or had read: what a leader may vouch for. */
   ownAgeMs(now: number): number {
+    if (this.options_.settled.isDoubted(now)) return Infinity
     return now - this.age_.readAt
   }
 
@@ -160,7 +163,8 @@
   }
 
   private takeListing(prefix: string, listing: Listing): void {
-    const {records, post, log} = this.options_
+    const {records, post, log, settled} = this.options_
+    if (!settled.isChecked) return this.takeOnceChecked(prefix, listing)
     const {entries, askedAt} = listing
     this.noteListing(prefix, listing)
     if (askedAt < (this.listedAt_.get(prefix) ?? -Infinity)) return
@@ -180,6 +184,12 @@
     this.noteRead(readAt)
   }
 
+  private takeOnceChecked(prefix: string, listing: Listing): void {
+    void this.options_.settled.check().then(checked => {
+      if (checked) this.takeListing(prefix, listing)
+    })
+  }
+
   /** Tells of the first list in a new era how far the store went back. */
   private noteListing(prefix: string, {entries, revision, era}: Listing): void {
     const last = this.listedTo_.get(prefix)
@@ -258,6 +268,8 @@
    */
   async refresh(askerAgeMs: number): Promise<void> {
     const now = performance.now()
+    if (this.options_.settled.isDoubted(now))
+      throw new KvUnavailable("it may read a copy")
     if (isNewer(this.ageMs(now), askerAgeMs)) return
     if (this.follower_?.isFailing(now)) throw new KvUnavailable("its own calls fail")
     this.reading_ ??= this.readOnce().finally(() => (this.reading_ = undefined))
@@ -272,6 +284,7 @@
   }
 
   private takeChange(prefix: string, {key, value, revision, era}: KvChange): void {
+    if (!this.options_.settled.isChecked) return
     const entry = value === undefined ? undefined : {key, value, revision, era}
     if (prefix !== this.options_.records.backendPrefix) {
       if (entry) this.operator_.takeEntries([entry])
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -36,6 +36,7 @@
 import {RoutedRelay} from "./routed-relay.js"
 import {countStoreCalls} from "./store-counter.js"
 import type {StoreEras} from "./era-source.js"
+import {SettledEra} from "./settled-era.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 /** A turn of the clock that comes later by so much means that the process stood still, milliseconds. */
@@ -75,6 +76,7 @@
   private readonly loop_
   private readonly relay_: RoutedRelay
   private readonly news_: NewsSource
+  private readonly settled_: SettledEra
   private readonly driver_: EngineDriver
   private readonly election_: LeaderElection
   private readonly leadershipOptions_: LeadershipOptions
@@ -145,6 +147,13 @@
       log,
       closing: () => this.stopping_
     })
+    this.settled_ = new SettledEra({
+      kv,
+      key: `${settings.store.prefix}settled-era`,
+      eras,
+      post,
+      log
+    })
     this.news_ = new NewsSource({
       kv,
       records,
@@ -162,7 +171,8 @@
       },
       renewed: () => this.hub_?.tellReading(performance.now()),
       askBoxes: ask => this.askBoxes(ask),
-      eras
+      eras,
+      settled: this.settled_
     })
     this.session_ = new LeaderSession({
       self: this.self_,
@@ -257,6 +267,7 @@
         news: this.news_,
         leadership: this.election_.leadership,
         eras: this.context_.eras,
+        settled: this.settled_,
         leader: () => (this.leading ? this.self_ : this.session_.leader),
         met: (addresses: readonly string[]) => this.help_.learn(addresses),
         log
@@ -328,6 +339,7 @@
     this.news_.choose(leading, now)
     this.dropPools()
     if (leading) {
+      this.settled_.settleIfDue(now)
       this.hub_?.pingIfDue(now)
       this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
     }
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -48,7 +48,12 @@
   readonly ended: ReadonlySet<string>
   /** When the store last came back from an older copy, or before; -Infinity: never. */
   readonly risenAt: number
-  /** Servers that were known to be gone and whose entries are there since: they may be the copy's. */
+  /**
+   * Until then this box, which started after the store came back, cannot tell entries that it reads from
+   * those of the copy; -Infinity: it can.
+   */
+  readonly copiedUntil: number
+  /** Servers whose entries are there and may be the copy's: they had left, or may have. */
   readonly withheld: ReadonlyMap<string, BackendRecord>
 }
 
@@ -62,10 +67,16 @@
     gone: new Map(),
     ended: new Set(),
     risenAt: -Infinity,
+    copiedUntil: -Infinity,
     withheld: new Map()
   }
 }
 
+/** This box remembers nothing of before the store came back: what it reads may be the copy's until then. */
+export function noteCopy(list: BackendList, copiedUntil: number): BackendList {
+  return {...list, copiedUntil}
+}
+
 /**
  * The store came back from a copy that is some seconds old. Servers that it lacks may have written their entries
  * since: they have as long to come back as after an outage.
@@ -137,7 +148,7 @@
       continue
     }
     if (wasGone(gone, record, reading.at)) continue
-    if (isWithheld(list, record, now)) {
+    if (isWithheld(list, record, reading, now)) {
       withheld.set(record.id, record)
       continue
     }
@@ -179,10 +190,13 @@
 
 /** Whether its entry may be the copy's: it was known to be gone before the store came back. */
 function isWithheld(
-  {gone, risenAt}: BackendList,
+  {gone, risenAt, copiedUntil, known}: BackendList,
   {id, server}: BackendRecord,
+  {source}: Reading,
   now: number
 ): boolean {
+  // Another box that lists it remembers more than this one.
+  if (now < copiedUntil && source === "store" && !known.has(id)) return true
   if (!mayBeCopied(risenAt, now)) return false
   const goneAt = gone.get(id) ?? gone.get(server)
   return goneAt !== undefined && goneAt < risenAt
@@ -229,7 +243,7 @@
   now: number
 ): BackendList {
   if (list.ended.has(record.id)) return list
-  if (isWithheld(list, record, now)) {
+  if (isWithheld(list, record, reading, now)) {
     return {...list, withheld: new Map(list.withheld).set(record.id, record)}
   }
   const known = new Map(list.known)
@@ -295,7 +309,8 @@
   const due = [...list.known].filter(
     ([, {goneAt}]) => goneAt !== undefined && goneAt <= now
   )
-  const released = mayBeCopied(list.risenAt, now) ? NO_RECORDS : list.withheld
+  const doubtful = now < list.copiedUntil || mayBeCopied(list.risenAt, now)
+  const released = doubtful ? NO_RECORDS : list.withheld
   if (due.length === 0 && released.size === 0) return list
   const known = new Map(list.known)
   for (const [id] of due) known.delete(id)
--- a/src/core/eras.ts
+++ b/src/core/eras.ts
@@ -19,7 +19,7 @@
  * So long after a rise an entry of a server that was known to be gone may be the copy's, milliseconds: entries
  * go after three heartbeats of silence, each of 1.2 s where they are farthest apart, and a list is 0.9 s old.
  */
-const COPIED_ENTRY_MS = 5_000
+export const COPIED_ENTRY_MS = 5_000
 
 /** Revisions of one era are fewer: at 1,200 writes a second it would last for 29 years. */
 const REVISIONS_PER_ERA = 2 ** 40
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -63,6 +63,8 @@
     }
   /** The era of the store as it is known now; `rose`: it is known from now on that it rose. */
   | {readonly type: "era"; readonly known: KnownEra; readonly rose: boolean}
+  /** This box started after the store came back: entries that it reads may be the copy's until then. */
+  | {readonly type: "copied"; readonly until: number}
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
   | {readonly type: "places"; readonly changes: readonly EngineChange[]}
   | {readonly type: "loads"; readonly loads: EngineLoads}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -4,6 +4,7 @@
   diffUsable,
   expireBackends,
   listEndedLives,
+  noteCopy,
   noteRise,
   noteStoreBack,
   noteStoreServed,
@@ -27,7 +28,7 @@
 import {takeVersions, toLogged} from "./box-versions.js"
 import {refuseNeed} from "./box-waits.js"
 import {noteEra, noteNews} from "./box-news.js"
-import type {KnownEra} from "./eras.js"
+import {COPIED_ENTRY_MS, type KnownEra} from "./eras.js"
 import {takeChanges, takeLoads, takePicture} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
 import {takeFleetVersion} from "./placement-uses.js"
@@ -154,6 +155,9 @@
       return tickRequests(serving, now)
     case "era":
       return takeEraNews(state, event.known, event.rose, now)
+    case "copied":
+      serving.backends = noteCopy(serving.backends, event.until)
+      return
     case "engines":
       takePicture(serving, event.engines, now)
       return tickRequests(serving, now)
@@ -189,6 +193,9 @@
   noteEra(serving, known, rose)
   if (!rose) return
   serving.backends = noteRise(serving.backends, known.by, now)
+  if (serving.readBeforeEra === undefined) {
+    serving.backends = noteCopy(serving.backends, known.by + COPIED_ENTRY_MS)
+  }
   note(serving, "era-kept", {
     era: known.era,
     ageMs: Math.round(now - known.by),
--- a/src/events.ts
+++ b/src/events.ts
@@ -336,6 +336,16 @@
     level: "warn",
     text: "The era rose while this box led: it gives no orders until it has claimed its lead again."
   },
+  "era-doubted": {
+    number: 221,
+    level: "warn",
+    text: "This box started soon after the key-value service came back from an older copy: it waits before it uses servers that nobody else vouches for."
+  },
+  "era-settled": {
+    number: 222,
+    level: "info",
+    text: "All entries of servers are of the present era; boxes that start from now on need not wait."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/src/types/store-calls.ts
+++ b/src/types/store-calls.ts
@@ -23,6 +23,10 @@
   "help-list",
   /** A box reads the configuration that its leader named. */
   "config-read",
+  /** A box that starts reads which era is settled. */
+  "era-check",
+  /** A leader tells that an era is settled. */
+  "era-settle",
   /** It did not say. */
   "other"
 ] as const
