Boxes tell of limits in one message each 600 ms; a leader trusts no outlook of an older copy; keys and limits in the soak

Change: stock is asked for and use is told in one message for all organisations, at most each 600 ms; only what a request needs goes at once.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -16,6 +16,7 @@
 )
 cli.option("--no-drills", "The store never comes back from an older copy")
 cli.option("--no-leads", "No versions named as the lead changes")
+cli.option("--no-organisations", "Callers have no keys, and there are no limits")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -31,7 +32,8 @@
     lives: options["lives"] !== false,
     versions: options["versions"] !== false,
     drills: options["drills"] !== false,
-    leads: options["leads"] !== false
+    leads: options["leads"] !== false,
+    organisations: options["organisations"] !== false
   })
   rounds++
   if (result.violations.length > 0) bad++
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -216,6 +216,7 @@
       post,
       leading: () => this.leading,
       fence: () => (this.mayGive ? this.election_.leadership.fence : undefined),
+      eras,
       log
     })
     this.driver_ = new EngineDriver({
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -5,6 +5,7 @@
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {StoreCaller} from "../types/store-calls.js"
 import type {UsageOutlooks} from "../types/usage-messages.js"
+import type {StoreEras} from "./era-source.js"
 import {pause} from "../utils/promises.js"
 import type {Log} from "./log.js"
 import {callAs} from "./store-counter.js"
@@ -12,7 +13,16 @@
 /** After a failure it is tried again so much later, milliseconds. */
 const RETRY_MS = 250
 
-const outlooks = z.record(z.string(), z.array(z.number().nonnegative()))
+const stored = z.object({
+  /** In which it was written; undefined: the service told none. */
+  era: z.number().optional(),
+  outlooks: z.record(z.string(), z.array(z.number().nonnegative()))
+})
+
+/** What was read, where an answer came; `outlooks` is undefined where it may be older than what was given. */
+interface ReadUsage {
+  readonly outlooks: UsageOutlooks | undefined
+}
 
 type Place = Pick<KvEntry, "revision" | "era">
 
@@ -25,6 +35,7 @@
   readonly leading: () => boolean
   /** The fence while this box leads for sure; undefined: it does not. */
   readonly fence: () => number | undefined
+  readonly eras: StoreEras
   readonly log: Log
 }
 
@@ -42,7 +53,7 @@
       const left = await this.attempt(() => this.readOnce())
       // Read for an earlier lead of this box it may lack what others gave since.
       if (left && lead !== undefined && fence() === lead) {
-        return post({type: "usage-read", outlooks: left})
+        return post({type: "usage-read", ...left})
       }
       await pause(RETRY_MS)
     }
@@ -52,7 +63,9 @@
   async save(value: UsageOutlooks): Promise<void> {
     const {fence, post} = this.options_
     const lead = fence()
-    const ok = await this.attempt(() => this.write(JSON.stringify(value)))
+    const {era} = this.options_.eras
+    const text = JSON.stringify({era, outlooks: value})
+    const ok = await this.attempt(() => this.write(text))
     if (!ok) {
       await pause(RETRY_MS)
       await this.attempt(() => this.readOnce())
@@ -60,15 +73,16 @@
     post({type: "usage-saved", ok: ok === true && fence() === lead})
   }
 
-  private async readOnce(): Promise<UsageOutlooks> {
-    const {key, log} = this.options_
+  private async readOnce(): Promise<ReadUsage> {
+    const {key, eras, log} = this.options_
     const entry = await this.as("usage-read").get(key)
     this.place_ = entry ?? NOWHERE
-    if (!entry) return {}
-    const parsed = outlooks.safeParse(parse(entry.value))
-    if (parsed.success) return parsed.data
-    log("entry-unreadable", {key, revision: entry.revision, reason: parsed.error.message})
-    return {}
+    // No leader has ever given anything.
+    if (!entry) return {outlooks: {}}
+    const {success, data, error} = stored.safeParse(parse(entry.value))
+    if (success) return {outlooks: data.era === eras.era ? data.outlooks : undefined}
+    log("entry-unreadable", {key, revision: entry.revision, reason: error.message})
+    return {outlooks: undefined}
   }
 
   private async write(value: string): Promise<boolean> {
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -124,8 +124,8 @@
       readonly ask: number
       readonly entries: readonly AllowanceAsk[]
     }
-  /** What earlier leaders may have given of organisations' limits. */
-  | {readonly type: "usage-read"; readonly outlooks: UsageOutlooks}
+  /** What earlier leaders may have given of organisations' limits; undefined: nobody knows. */
+  | {readonly type: "usage-read"; readonly outlooks: UsageOutlooks | undefined}
   /** The outlook is stored; false: it may not be. */
   | {readonly type: "usage-saved"; readonly ok: boolean}
   | {readonly type: "box-gone"; readonly box: string}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -194,13 +194,14 @@
 
 /** What a box knows stays in force as the store comes back from an older copy: none of it goes back. */
 function takeEraNews(
-  {serving}: RoutedState,
+  {serving, ledger}: RoutedState,
   known: KnownEra,
   rose: boolean,
   now: number
 ): void {
   noteEra(serving, known, rose)
   if (!rose) return
+  ledger?.forgetStored()
   serving.backends = noteRise(serving.backends, known.by, now)
   if (serving.readBeforeEra === undefined) {
     serving.backends = noteCopy(serving.backends, known.by + COPIED_ENTRY_MS)
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -70,6 +70,8 @@
 
 export class UsageLedger {
   private readonly accounts_ = new Map<string, Account>()
+  /** All limits may be used up until then. */
+  private fullUntil_ = -Infinity
   private phase_: "new" | "reading" | "known" = "new"
   private saving_: UsageOutlooks | undefined
   private savedAt_ = -Infinity
@@ -92,10 +94,25 @@
     this.emit_({type: "read-usage"})
   }
 
-  /** What earlier leaders may have given counts from now on as their outlook says. */
-  takeStored(outlooks: UsageOutlooks, now: number): void {
+  /**
+   * What earlier leaders may have given counts from now on as their outlook says; undefined: what there is
+   * stood in an older copy of the service, and all limits may be used up.
+   */
+  takeStored(outlooks: UsageOutlooks | undefined, now: number): void {
     if (this.phase_ === "known") return
     this.phase_ = "known"
+    if (outlooks) this.takeOutlooks(outlooks, now)
+    else this.fullUntil_ = now + ALLOWANCE_MS + countedMs(this.options_)
+    this.save(now)
+  }
+
+  /** The service came back from an older copy: the outlook that stands there may not be this leader's. */
+  forgetStored(): void {
+    for (const account of this.accounts_.values()) account.stored = []
+    this.saving_ = undefined
+  }
+
+  private takeOutlooks(outlooks: UsageOutlooks, now: number): void {
     for (const [organisation, outlook] of Object.entries(outlooks)) {
       const {counted} = this.open(organisation)
       outlook.forEach((amount, step) => {
@@ -103,7 +120,6 @@
         if (ends > 0) counted.add(ends, now + (step + 1) * STEP_MS)
       })
     }
-    this.save(now)
   }
 
   /** Time passes: what waits for the key-value service is not forgotten. */
@@ -208,6 +224,9 @@
     const limit = this.limits_().get(organisation)
     if (limit === undefined) return {organisation, amount: 0}
     if (this.phase_ !== "known") return undefined
+    if (now < this.fullUntil_) {
+      return {organisation, amount: 0, roomInMs: Math.round(this.fullUntil_ - now)}
+    }
     const account = this.open(organisation)
     const room = Math.max(0, limit - account.counted.total(now))
     const storedRoom = this.storedRoom(account, now)
@@ -236,6 +255,13 @@
     return Math.min(...outlook.map((amount, step) => (stored[step] ?? 0) - amount))
   }
 
+  private outlookOf({counted}: Account, limit: number, now: number): number[] {
+    const outlook = counted.outlook(now, this.steps_)
+    return outlook.map((amount, step) =>
+      now + step * STEP_MS < this.fullUntil_ ? Math.max(amount, limit) : amount
+    )
+  }
+
   private sumPending(): Map<string, number> {
     const sums = new Map<string, number>()
     for (const {entry} of this.pending_) {
@@ -268,7 +294,7 @@
     const pending = this.sumPending()
     for (const [organisation, limit] of this.limits_()) {
       const account = this.open(organisation)
-      const outlook = account.counted.outlook(now, this.steps_)
+      const outlook = this.outlookOf(account, limit, now)
       const growth = HEADROOM_SHARE * limit + (pending.get(organisation) ?? 0)
       const next = outlook.map(amount =>
         Math.ceil(Math.max(amount, Math.min(limit, amount + growth)))
--- a/src/core/usage-stock.ts
+++ b/src/core/usage-stock.ts
@@ -8,8 +8,8 @@
 /** The time over which use is averaged, milliseconds. */
 const DEMAND_MS = 2_000
 
-/** What is used within this time is told together, milliseconds. */
-const TELL_MS = 500
+/** What is used within this time is told together, and stock asked for, milliseconds. */
+const TELL_MS = 600
 
 /** An allowance with less time left counts for nothing in stock, milliseconds. */
 const SHORT_MS = 300
@@ -29,7 +29,6 @@
   used: number
   returned: number
   restored: number
-  toldAt: number
   askedAt: number
   /** What asks without an answer need together. */
   asked: number
@@ -54,6 +53,11 @@
   readonly least: number
 }
 
+interface Wish {
+  readonly need: number
+  readonly want: number
+}
+
 /** An ask that is not answered yet. */
 interface OpenAsk {
   readonly at: number
@@ -66,6 +70,7 @@
   private readonly holdings_ = new Map<string, Holding>()
   private term_ = 0
   private asks_ = 0
+  private toldAt_ = -Infinity
   private readonly open_ = new Map<number, OpenAsk>()
 
   /** Uses an amount if all of it is there. */
@@ -128,10 +133,16 @@
     now: number
   ): {readonly ask: number; readonly entries: readonly AllowanceAsk[]} | undefined {
     for (const organisation of needs.keys()) this.open(organisation, now)
-    const entries = [...this.holdings_].flatMap(([organisation, holding]) => {
-      const entry = this.entryFor(organisation, holding, needs.get(organisation), now)
-      return entry ? [entry] : []
+    const regular = now - this.toldAt_ >= TELL_MS
+    const wishes = [...this.holdings_].map(([organisation, holding]) => {
+      this.expire(holding, now)
+      const wish = this.wish(holding, needs.get(organisation), regular, now)
+      return {organisation, holding, ...wish}
     })
+    // Each message costs the leader more than what stands in it.
+    if (!regular && !wishes.some(({need}) => need > 0)) return undefined
+    this.toldAt_ = now
+    const entries = wishes.flatMap(each => this.entryFor(each, now))
     if (entries.length === 0) return undefined
     const ask = ++this.asks_
     const asked = new Map(entries.map(({organisation, need}) => [organisation, need]))
@@ -161,26 +172,22 @@
   }
 
   private entryFor(
-    organisation: string,
-    holding: Holding,
-    wanted: UsageNeed | undefined,
+    {organisation, holding, need, want}: Wish & {organisation: string; holding: Holding},
     now: number
-  ): AllowanceAsk | undefined {
-    this.expire(holding, now)
+  ): AllowanceAsk[] {
     const {used, returned, restored} = holding
-    const {need, want} = this.wish(holding, wanted, now)
-    const tells = used + returned + restored > 0 && now - holding.toldAt >= TELL_MS
-    if (want === 0 && !tells) return undefined
-    Object.assign(holding, {used: 0, returned: 0, restored: 0, toldAt: now})
+    if (want === 0 && used + returned + restored === 0) return []
+    Object.assign(holding, {used: 0, returned: 0, restored: 0})
     if (want > 0) Object.assign(holding, {askedAt: now, asked: holding.asked + need})
-    return {organisation, used, returned, restored, need, want}
+    return [{organisation, used, returned, restored, need, want}]
   }
 
   private wish(
     holding: Holding,
     {need: waits, least}: UsageNeed = {need: 0, least: 0},
+    regular: boolean,
     now: number
-  ): {need: number; want: number} {
+  ): Wish {
     const none = {need: 0, want: 0}
     if (holding.fullUntil > now) return none
     const stock = stockOf(holding, now + SHORT_MS)
@@ -190,7 +197,7 @@
     const need = Math.max(0, lacks - holding.asked)
     const target = Math.max(least, this.rate(holding, 0, now) * STOCK_MS)
     const low = stock < target / 2
-    if (need === 0 && (inFlight || !low)) return none
+    if (need === 0 && (inFlight || !low || !regular)) return none
     return {need, want: Math.ceil(Math.max(need, need + target - stock))}
   }
 
@@ -202,7 +209,6 @@
       used: 0,
       returned: 0,
       restored: 0,
-      toldAt: -Infinity,
       askedAt: -Infinity,
       asked: 0,
       fullUntil: -Infinity,
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -4,6 +4,8 @@
  */
 import {PlatformBed} from "./platform-bed.js"
 import {FAULT_MS, type FaultOptions, SoakFaults} from "./soak-faults.js"
+import {judgeOrganisations} from "./soak-judge-organisations.js"
+import {SoakOrganisations, USAGE_WINDOW_S} from "./soak-organisations.js"
 import {judgeRound} from "./soak-judge.js"
 import {type SoakCall, SoakDraws, SoakRecord} from "./soak-record.js"
 import {until} from "./wait.js"
@@ -43,6 +45,7 @@
   private readonly calls_: Promise<void>[] = []
   private readonly notes_: string[] = []
   private readonly violations_: string[] = []
+  private organisations_: SoakOrganisations | undefined
 
   constructor(private readonly options_: SoakOptions) {
     this.draws_ = new SoakDraws(options_.seed)
@@ -55,13 +58,26 @@
       engines: 3,
       plain: 2,
       proxied: true,
-      keepers: versions
+      keepers: versions,
+      usageWindowS: USAGE_WINDOW_S
     })
-    const faults = new SoakFaults(bed, this.draws_, this.record_, this.options_)
+    const organisations = this.openOrganisations(bed)
+    const faults = new SoakFaults(
+      bed,
+      this.draws_,
+      this.record_,
+      this.options_,
+      organisations
+    )
     let logs = ""
     try {
       await this.play(bed, faults)
       this.violations_.push(...judgeRound(bed.judge, this.record_))
+      if (organisations) {
+        this.violations_.push(
+          ...judgeOrganisations(bed.judge, this.record_, organisations)
+        )
+      }
       logs = bed.logs()
     } finally {
       faults.over = true
@@ -70,6 +86,17 @@
     return this.tell(logs)
   }
 
+  /** Callers have keys from here on, if asked for. */
+  private openOrganisations(bed: PlatformBed): SoakOrganisations | undefined {
+    if (!this.options_.organisations) return undefined
+    this.organisations_ = new SoakOrganisations(this.draws_, tenants => {
+      bed.tenants = tenants
+      bed.configure()
+    })
+    this.organisations_.open()
+    return this.organisations_
+  }
+
   private async play(bed: PlatformBed, faults: SoakFaults): Promise<void> {
     const end = performance.now() + this.options_.seconds * 1000
     const caller = setInterval(() => this.call(bed), CALL_MS)
@@ -79,6 +106,7 @@
         await pause(FAULT_MS * (0.3 + this.draws_.draw()))
       }
       faults.calm()
+      this.organisations_?.calm()
       await this.recover(bed)
     } finally {
       clearInterval(caller)
@@ -110,13 +138,16 @@
     const model = kind === "stream" || kind === "once"
     // Skewed: a few adapters are asked for most.
     const adapter = `a${Math.floor(ADAPTERS * this.draws_.draw() ** 3)}`
+    const key = this.organisations_?.pickKey()
     const options = {
       ...(model ? {adapter} : {}),
-      ...(kind === "safe" ? {} : {body: "{}"})
+      ...(kind === "safe" ? {} : {body: "{}"}),
+      ...(key === undefined ? {} : {key})
     }
+    const sentAt = performance.now()
     this.calls_.push(
       bed.call(box, `/${kind}/x`, options).then(outcome => {
-        this.record_.calls.push({kind, box: box.name, outcome})
+        this.record_.calls.push({kind, box: box.name, outcome, key, sentAt})
       })
     )
   }
@@ -127,8 +158,9 @@
     const settled = async (): Promise<boolean> => {
       for (const box of bed.boxes) {
         if (box.child.ended) return false
-        const plain = await bed.call(box, "/safe/x")
-        const stream = await bed.call(box, "/stream/x", {adapter: "a0"})
+        const key = this.organisations_ ? {key: this.organisations_.heldKey} : {}
+        const plain = await bed.call(box, "/safe/x", key)
+        const stream = await bed.call(box, "/stream/x", {...key, adapter: "a0"})
         if (plain.status !== 200 || stream.status !== 200) return false
       }
       return true
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -2,6 +2,11 @@
 import type {StandInWorker} from "../stand-ins/platform-worker.js"
 import type {BedBox, PlatformBed} from "./platform-bed.js"
 import type {SoakDraws, SoakRecord} from "./soak-record.js"
+import {
+  type OrganisationActions,
+  organisationFaults,
+  type SoakOrganisations
+} from "./soak-organisations.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {NAMED_ADAPTERS, VersionFaults} from "./soak-version-faults.js"
 import {until} from "./wait.js"
@@ -16,6 +21,9 @@
 const DRILL_SHARE = 0.3
 const LEAD_SHARE = 0.3
 
+/** The same of keys and limits. */
+const ORGANISATION_SHARE = 0.4
+
 /** A fault comes about so often, milliseconds. */
 export const FAULT_MS = 700
 
@@ -28,6 +36,8 @@
   readonly drills?: boolean
   /** Versions are named as the lead changes. */
   readonly leads?: boolean
+  /** Callers have keys, which are taken away, and limits, which fall. */
+  readonly organisations?: boolean
 }
 
 export class SoakFaults {
@@ -41,7 +51,8 @@
     private readonly bed_: PlatformBed,
     private readonly draws_: SoakDraws,
     private readonly record_: SoakRecord,
-    private readonly options_: FaultOptions
+    private readonly options_: FaultOptions,
+    private readonly organisations_?: SoakOrganisations
   ) {
     const name = (adapter: string): void => this.name(adapter)
     const isCalm = (): boolean => this.calm_
@@ -110,12 +121,28 @@
   /** Kinds that are drawn from only where asked for: the seeds of other rounds draw as they did. */
   private special(): Readonly<Record<string, () => unknown>> | undefined {
     const {versions, drills, leads} = this.options_
+    const organisations = this.organisations_
+    if (organisations && this.draws_.draw() < ORGANISATION_SHARE) {
+      return organisationFaults(organisations, this.organisationActions())
+    }
     if (drills && this.draws_.draw() < DRILL_SHARE) return this.drillFaults_.drills()
     if (leads && this.draws_.draw() < LEAD_SHARE) return this.drillFaults_.leads()
     if (versions && this.draws_.draw() < VERSION_SHARE) return this.versionFaults_.all()
     return undefined
   }
 
+  private organisationActions(): OrganisationActions {
+    const {boxes} = this.bed_
+    return {
+      cutFromStore: () => this.cutFromStore(this.draws_.pick(boxes)),
+      freeze: () => this.freeze(this.draws_.pick(boxes)),
+      killLeader: () =>
+        this.restart(this.bed_.leader() ?? this.draws_.pick(boxes), "SIGKILL"),
+      drill: () => this.drillFaults_.drills()["drill"]?.(),
+      isCalm: () => this.calm_
+    }
+  }
+
   private livesFaults(): Readonly<Record<string, () => unknown>> {
     return {
       "engine-restarts": () => this.draws_.pick(this.bed_.engines).restart(),
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -8,6 +8,9 @@
   /** The box that was asked. */
   readonly box: string
   readonly outcome: Outcome
+  /** Undefined: it had none. */
+  readonly key?: string | undefined
+  readonly sentAt: number
 }
 
 /** A version that was named, and when the store acknowledged it. */
