One ask without an answer a box; weak boxes leave the lead to strong ones; places and loads in one message

Change: a box has one ask without an answer at a time, asked again after 250 ms and then twice as long each time; a box with less than 0.6 of the strongest one's processor claims the lead 250 ms later (settings tell share and cores, links tell the most). With many boxes places and loads, each told once in 249 ms at 83 boxes, go in one message.

--- a/bench/places-boxes.ts
+++ b/bench/places-boxes.ts
@@ -73,6 +73,7 @@
     if (message.t === "engines") takePicture(this.box_, message.engines, now)
     if (message.t === "loads") takeLoads(this.box_, message.loads)
     if (message.t === "places") takeChanges(this.box_, message.changes, now)
+    if (message.t === "places" && message.loads) takeLoads(this.box_, message.loads)
     this.applyMs += performance.now() - begun
     if (message.t === "engines")
       for (const each of message.engines) this.noteHolders(each)
--- a/bench/places-run.ts
+++ b/bench/places-run.ts
@@ -167,11 +167,11 @@
   private tell(effect: FleetEffect): void {
     if (effect.type === "loads") return this.broadcast({t: "loads", loads: effect.loads})
     if (effect.type !== "places") return
-    const {changes, boxes} = effect
+    const {changes, loads, boxes} = effect
     for (const change of changes) this.boxes_.serveWaiting(change)
     if (boxes) return this.answer(changes, boxes.length)
     this.counts_.picturesBytes += this.countPictures(changes)
-    this.broadcast({t: "places", changes})
+    this.broadcast({t: "places", changes, loads})
   }
 
   /** Boxes that wait are told where their weights will be. */
--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -43,6 +43,8 @@
   readonly state: () => RoutedState
   readonly post: (event: RoutedEvent) => void
   readonly news: NewsSource
+  /** What the processor of this box can do, in cores. */
+  readonly capacity: number
   readonly leadership: Leadership
   readonly eras: StoreEras
   readonly settled: SettledEra
@@ -81,8 +83,8 @@
     if (effect.type === "loads") {
       return this.links_.broadcast({t: "loads", loads: effect.loads})
     }
-    const {changes, boxes} = effect
-    const message = {t: "places" as const, changes}
+    const {changes, loads, boxes} = effect
+    const message = {t: "places" as const, changes, loads}
     if (boxes) for (const box of boxes) this.links_.send(box, message)
     else this.links_.broadcast(message)
   }
@@ -172,6 +174,11 @@
     }
   }
 
+  /** The most that the processor of any box can do, this one's included, in cores. */
+  get topCapacity(): number {
+    return Math.max(this.options_.capacity, this.links_.topCapacity)
+  }
+
   private ping(now: number): FromLeader {
     const {news, leadership, eras} = this.options_
     const medianAgeMs = this.links_.medianAgeMs(now)
@@ -185,6 +192,7 @@
       ordersInMs: Math.max(0, Math.round(leadership.orderFrom - now)),
       medianAgeMs,
       others: this.links_.drawAddresses(TOLD_ADDRESSES),
+      topCapacity: this.topCapacity,
       storeEra: eras.tell(now)
     }
   }
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -90,6 +90,8 @@
   private readonly followers_ = new Map<string, Follower>()
   /** When the process of each box started, by the clock of this one. */
   private readonly startedAt_ = new Map<string, number>()
+  /** What the processor of each box can do, in cores. */
+  private readonly capacities_ = new Map<string, number>()
   /** Where each box takes links. */
   private readonly addresses_ = new Map<string, string>()
 
@@ -122,6 +124,11 @@
     return median === undefined ? 0 : Math.round(now - median)
   }
 
+  /** The most that the processor of any box can do, in cores. */
+  get topCapacity(): number {
+    return Math.max(0, ...this.capacities_.values())
+  }
+
   /** Sends to all; the message is packed once for each way in which boxes read it. */
   broadcast(message: FromLeader): void {
     let plain: Buffer | undefined
@@ -184,6 +191,7 @@
       if (box === undefined || this.followers_.get(box) !== follower) return
       this.followers_.delete(box)
       this.startedAt_.delete(box)
+      this.capacities_.delete(box)
       this.addresses_.delete(box)
       this.events_.down(box)
     })
@@ -195,6 +203,7 @@
     follower.deflates = hello.deflates === true
     this.followers_.set(box, follower)
     this.startedAt_.set(box, performance.now() - ageMs)
+    this.capacities_.set(box, hello.capacity ?? 0)
     this.addresses_.set(box, address)
     this.events_.up(box, configVersion, follower)
   }
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -42,6 +42,12 @@
 const YOUNG_SCATTER_SHARE = 0.3
 const SETTLED_MS = 2_000
 
+/**
+ * Boxes much weaker than others leave the claim to these for so long, milliseconds. A leader tells all boxes of
+ * all engines: one that can't keep up loses its lease again and again, and so does the next.
+ */
+const WEAK_WAIT_MS = 250
+
 /** Between two tries to claim the lead again in a new era, milliseconds. */
 const CONFIRM_MS = 50
 
@@ -73,6 +79,8 @@
   readonly boxes: () => number
   /** Since the processes of half of the boxes started, as far as is known, milliseconds. */
   readonly medianAgeMs: (now: number) => number
+  /** Whether other boxes can do much more than this one. */
+  readonly isWeak: () => boolean
   /** Has another box renew the lease; rejects where none can. */
   readonly renewElsewhere: (lease: string) => Promise<boolean>
   /** The lease is now renewed by other boxes, or by this one again. */
@@ -271,7 +279,8 @@
     const age = now - this.startedAt_
     const young =
       age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
-    return Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
+    const scatter = Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
+    return scatter + (this.events_.isWeak() ? WEAK_WAIT_MS : 0)
   }
 
   /** The fence of a claim in place of what stood there; undefined: another was first. */
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -25,6 +25,8 @@
 export interface LeaderSessionOptions {
   /** This box, as other boxes know it. */
   readonly self: LeaderRecord
+  /** What its processor can do, in cores. */
+  readonly capacity: number
   /** When its process started. */
   readonly startedAt: number
   readonly kv: KvStore
@@ -41,6 +43,8 @@
   readonly lost: () => void
   /** A message of the leader's is about to be taken. */
   readonly hearing: () => void
+  /** The most that the processor of any box can do, in cores. */
+  readonly strongest: (capacity: number) => void
   /** So long ago the processes of half of the boxes had started, milliseconds. */
   readonly pinged: (medianAgeMs: number) => void
   readonly log: Log
@@ -115,7 +119,7 @@
   }
 
   private hello(): ToLeader {
-    const {self, news, startedAt} = this.options_
+    const {self, news, startedAt, capacity} = this.options_
     return {
       t: "hello",
       box: self.box,
@@ -123,7 +127,8 @@
       configVersion: news.config?.version ?? -1,
       ageMs: Math.round(performance.now() - startedAt),
       address: self.address,
-      deflates: true
+      deflates: true,
+      capacity
     }
   }
 
@@ -156,7 +161,7 @@
       case "engines":
         return post({type: "engines", engines: message.engines})
       case "places":
-        return post({type: "places", changes: message.changes})
+        return post({type: "places", changes: message.changes, loads: message.loads})
       case "loads":
         return post({type: "loads", loads: message.loads})
       case "refuse": {
@@ -175,8 +180,9 @@
   }
 
   private takePing(ping: Extract<FromLeader, {t: "ping"}>): void {
-    const {news, help, eras, post, pinged} = this.options_
+    const {news, help, eras, post, pinged, strongest} = this.options_
     pinged(ping.medianAgeMs)
+    if (ping.topCapacity !== undefined) strongest(ping.topCapacity)
     // Before the age of the leader's news: a reading of a new era proves less.
     if (ping.storeEra) eras.hear(ping.storeEra)
     post({type: "orders", led: true, inMs: ping.ordersInMs})
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -53,6 +53,9 @@
 /** A leader that stops waits so long at most for what it leaves to the next one, milliseconds. */
 const CLOSE_USAGE_MS = 150
 
+/** A box with less than this part of the strongest one's processor is weak. */
+const WEAK_SHARE = 0.6
+
 /** How often a box that stops looks whether it is done, milliseconds. */
 const STOP_TURN_MS = 50
 
@@ -94,6 +97,9 @@
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
   private readonly startedAt_ = performance.now()
+  /** What processors can do, in cores: this box's, and the most of any. */
+  private readonly capacity_: number
+  private topCapacity_ = 0
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
   /** The servers for which pools were kept last. */
@@ -106,6 +112,8 @@
 
   constructor(private readonly context_: RoutedContext) {
     const {settings, kv, eras, dialect, records, log} = context_
+    const {share = 0, cores = 0} = settings.processor ?? {}
+    this.capacity_ = share * cores
     this.self_ = {
       box: settings.box,
       incarnation: this.incarnation_,
@@ -188,6 +196,8 @@
     })
     this.session_ = new LeaderSession({
       self: this.self_,
+      capacity: this.capacity_,
+      strongest: capacity => (this.topCapacity_ = capacity),
       startedAt: this.startedAt_,
       kv,
       news: this.news_,
@@ -247,6 +257,7 @@
         found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
+        isWeak: () => this.capacity_ < WEAK_SHARE * this.topCapacity_,
         renewElsewhere: lease => this.renewElsewhere(lease),
         helped: helped => log(helped ? "lease-helped" : "lease-own")
       }
@@ -287,6 +298,7 @@
         state: this.loop_.state,
         post: this.loop_.post,
         news: this.news_,
+        capacity: this.capacity_,
         leadership: this.election_.leadership,
         eras: this.context_.eras,
         settled: this.settled_,
@@ -366,6 +378,7 @@
       this.settled_.settleIfDue(now)
       this.hub_?.pingIfDue(now)
       this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
+      this.topCapacity_ = this.hub_?.topCapacity ?? 0
     }
     return mayOrder(this.election_.leadership, now)
   }
--- a/src/core/placement-news.ts
+++ b/src/core/placement-news.ts
@@ -42,12 +42,28 @@
 /** Tells what changed since it was told last. */
 export function tellNews(fleet: Fleet, now: number): void {
   const gap = gatherMs(fleet.boxes)
-  if (gap > 0) tellWaiting(fleet, now)
-  if (now - fleet.toldAt >= gap) tellChanges(fleet, now)
-  if (now - fleet.loadsToldAt >= Math.max(gap, LOADS_MS)) tellLoads(fleet, now)
+  if (gap > 0) {
+    tellWaiting(fleet, now)
+    if (now - fleet.toldAt >= gap) tellTogether(fleet, now)
+    return
+  }
+  const changes = takeChanges(fleet, now)
+  if (changes.length > 0) fleet.effects.push({type: "places", changes})
+  if (now - fleet.loadsToldAt < LOADS_MS) return
+  const loads = takeLoads(fleet, now)
+  if (loads) fleet.effects.push({type: "loads", loads})
+}
+
+/** Places and loads in one message: many boxes wake up for each. */
+function tellTogether(fleet: Fleet, now: number): void {
+  const changes = takeChanges(fleet, now)
+  const loads = takeLoads(fleet, now)
+  if (changes.length > 0) fleet.effects.push({type: "places", changes, loads})
+  else if (loads) fleet.effects.push({type: "loads", loads})
 }
 
-function tellChanges(fleet: Fleet, now: number): void {
+/** What changed since all boxes were told; from here on they were. */
+function takeChanges(fleet: Fleet, now: number): EngineChange[] {
   fleet.toldAt = now
   const changes: EngineChange[] = []
   for (const engine of fleet.engines.values()) {
@@ -57,7 +73,7 @@
     const change = describeChange(engine, now)
     if (change) changes.push(change)
   }
-  if (changes.length > 0) fleet.effects.push({type: "places", changes})
+  return changes
 }
 
 /** What differs from what boxes were told of an engine; from here on they were told. */
@@ -102,18 +118,17 @@
   return {adapter, version, readyInMs: Math.max(0, Math.round(readyAt - now))}
 }
 
-function tellLoads(fleet: Fleet, now: number): void {
+/** The work at all engines where it changed since boxes were told. */
+function takeLoads(fleet: Fleet, now: number): EngineLoads | undefined {
   const order = [...fleet.engines.keys()]
   const sameOrder = order.join() === fleet.toldOrder.join()
-  if (sameOrder && ![...fleet.engines.values()].some(engine => engine.loadChanged)) return
+  const changed = [...fleet.engines.values()].some(engine => engine.loadChanged)
+  if (sameOrder && !changed) return undefined
   fleet.loadsToldAt = now
   fleet.toldOrder = order
   const {hundreds, tokensPerMs} = describeLoads(fleet)
   for (const engine of fleet.engines.values()) engine.loadChanged = false
-  fleet.effects.push({
-    type: "loads",
-    loads: {...(sameOrder ? {} : {order}), hundreds, tokensPerMs}
-  })
+  return {...(sameOrder ? {} : {order}), hundreds, tokensPerMs}
 }
 
 /** The work at all engines, with their order, and how fast they do it. */
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -141,6 +141,7 @@
   | {
       readonly type: "places"
       readonly changes: readonly EngineChange[]
+      readonly loads?: EngineLoads | undefined
       readonly boxes?: readonly string[]
     }
   | {readonly type: "loads"; readonly loads: EngineLoads}
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -74,7 +74,11 @@
   /** This box started after the store came back: entries that it reads may be the copy's until then. */
   | {readonly type: "copied"; readonly until: number}
   | {readonly type: "engines"; readonly engines: readonly EngineNews[]}
-  | {readonly type: "places"; readonly changes: readonly EngineChange[]}
+  | {
+      readonly type: "places"
+      readonly changes: readonly EngineChange[]
+      readonly loads?: EngineLoads | undefined
+    }
   | {readonly type: "loads"; readonly loads: EngineLoads}
   | {
       readonly type: "versions"
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -172,6 +172,7 @@
       return tickRequests(serving, now)
     case "places":
       takeChanges(serving, event.changes, now)
+      if (event.loads) takeLoads(serving, event.loads)
       return tickRequests(serving, now)
     case "loads":
       return takeLoads(serving, event.loads)
--- a/src/core/usage-stock.ts
+++ b/src/core/usage-stock.ts
@@ -14,8 +14,12 @@
 /** An allowance with less time left counts for nothing in stock, milliseconds. */
 const SHORT_MS = 300
 
-/** An ask without an answer is asked again after this, milliseconds. */
+/**
+ * A box has one ask without an answer at a time, whatever comes meanwhile: a leader that is late is asked
+ * less, and not more. It is asked again after this, each time after twice as long, milliseconds.
+ */
 const ASK_AGAIN_MS = 250
+const MAX_ASK_AGAIN_MS = 2_000
 
 interface Portion {
   left: number
@@ -29,9 +33,6 @@
   used: number
   returned: number
   restored: number
-  askedAt: number
-  /** What asks without an answer need together. */
-  asked: number
   /** There is no room for more before. */
   fullUntil: number
   /** Used a millisecond, lately. */
@@ -62,8 +63,6 @@
 interface OpenAsk {
   readonly at: number
   readonly term: number
-  /** By organisation. */
-  readonly needs: ReadonlyMap<string, number>
 }
 
 export class UsageStock {
@@ -71,7 +70,13 @@
   private term_ = 0
   private asks_ = 0
   private toldAt_ = -Infinity
+  /** Asks whose answers may still come. */
   private readonly open_ = new Map<number, OpenAsk>()
+  /** The last of them has no answer. */
+  private waits_ = false
+  private lastAsk_ = 0
+  private askAgainAt_ = -Infinity
+  private askAgainMs_ = ASK_AGAIN_MS
 
   /** Uses an amount if all of it is there. */
   charge(organisation: string, amount: number, now: number): Charge | undefined {
@@ -123,8 +128,9 @@
     this.term_++
     for (const holding of this.holdings_.values()) {
       Object.assign(holding, {used: 0, returned: 0, restored: 0})
-      Object.assign(holding, {asked: 0, askedAt: -Infinity})
     }
+    this.waits_ = false
+    this.askAgainMs_ = ASK_AGAIN_MS
   }
 
   /** What is to be told and asked now; undefined: nothing. */
@@ -132,6 +138,7 @@
     needs: ReadonlyMap<string, UsageNeed>,
     now: number
   ): {readonly ask: number; readonly entries: readonly AllowanceAsk[]} | undefined {
+    if (this.waits_ && now < this.askAgainAt_) return undefined
     for (const organisation of needs.keys()) this.open(organisation, now)
     const regular = now - this.toldAt_ >= TELL_MS
     const wishes = [...this.holdings_].map(([organisation, holding]) => {
@@ -142,24 +149,31 @@
     // Each message costs the leader more than what stands in it.
     if (!regular && !wishes.some(({need}) => need > 0)) return undefined
     this.toldAt_ = now
-    const entries = wishes.flatMap(each => this.entryFor(each, now))
+    const entries = wishes.flatMap(each => this.entryFor(each))
     if (entries.length === 0) return undefined
     const ask = ++this.asks_
-    const asked = new Map(entries.map(({organisation, need}) => [organisation, need]))
-    this.open_.set(ask, {at: now, term: this.term_, needs: asked})
+    if (entries.some(({want}) => want > 0)) this.noteAsk(ask, now)
+    return {ask, entries}
+  }
+
+  private noteAsk(ask: number, now: number): void {
+    if (this.waits_) this.askAgainMs_ = Math.min(MAX_ASK_AGAIN_MS, 2 * this.askAgainMs_)
+    this.waits_ = true
+    this.lastAsk_ = ask
+    this.askAgainAt_ = now + this.askAgainMs_
+    this.open_.set(ask, {at: now, term: this.term_})
     for (const [old, {at}] of this.open_) {
       if (now - at > ALLOWANCE_MS) this.open_.delete(old)
     }
-    return {ask, entries}
   }
 
   /** Takes the leader's answer. */
   take(ask: number, grants: readonly AllowanceGrant[], now: number): void {
     const asked = this.open_.get(ask)
+    if (ask === this.lastAsk_) this.waits_ = false
+    this.askAgainMs_ = ASK_AGAIN_MS
     for (const {organisation, amount, roomInMs} of grants) {
       const holding = this.open(organisation, now)
-      holding.asked = Math.max(0, holding.asked - (asked?.needs.get(organisation) ?? 0))
-      if (holding.asked === 0) holding.askedAt = -Infinity
       if (roomInMs !== undefined) holding.fullUntil = now + roomInMs
       if (!asked || amount <= 0) continue
       // By the box's clock from its ask on, which is earlier than the leader's count of it.
@@ -171,14 +185,15 @@
     }
   }
 
-  private entryFor(
-    {organisation, holding, need, want}: Wish & {organisation: string; holding: Holding},
-    now: number
-  ): AllowanceAsk[] {
+  private entryFor({
+    organisation,
+    holding,
+    need,
+    want
+  }: Wish & {organisation: string; holding: Holding}): AllowanceAsk[] {
     const {used, returned, restored} = holding
     if (want === 0 && used + returned + restored === 0) return []
     Object.assign(holding, {used: 0, returned: 0, restored: 0})
-    if (want > 0) Object.assign(holding, {askedAt: now, asked: holding.asked + need})
     return [{organisation, used, returned, restored, need, want}]
   }
 
@@ -191,13 +206,10 @@
     const none = {need: 0, want: 0}
     if (holding.fullUntil > now) return none
     const stock = stockOf(holding, now + SHORT_MS)
-    const inFlight = now - holding.askedAt < ASK_AGAIN_MS
-    if (!inFlight) holding.asked = 0
-    const lacks = waits > 0 ? Math.max(0, waits - stockOf(holding, now)) : 0
-    const need = Math.max(0, lacks - holding.asked)
+    const need = waits > 0 ? Math.max(0, waits - stockOf(holding, now)) : 0
     const target = Math.max(least, this.rate(holding, 0, now) * STOCK_MS)
     const low = stock < target / 2
-    if (need === 0 && (inFlight || !low || !regular)) return none
+    if (need === 0 && (!low || !regular)) return none
     return {need, want: Math.ceil(Math.max(need, need + target - stock))}
   }
 
@@ -209,8 +221,6 @@
       used: 0,
       returned: 0,
       restored: 0,
-      askedAt: -Infinity,
-      asked: 0,
       fullUntil: -Infinity,
       rate: 0,
       ratedAt: now
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -39,7 +39,8 @@
     configVersion: z.number(),
     ageMs: z.number().min(0),
     address: z.string(),
-    deflates: z.boolean().optional()
+    deflates: z.boolean().optional(),
+    capacity: z.number().min(0).optional()
   }),
   z.object({
     t: z.literal("ask-news"),
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -92,6 +92,8 @@
       readonly address: string
       /** It reads deflated messages; undefined: it does not. */
       readonly deflates?: boolean
+      /** What its processor can do, in cores; undefined: it does not tell. */
+      readonly capacity?: number | undefined
     }
   | AskNews
   /** The box could not read a configuration that was named. */
@@ -147,7 +149,12 @@
   /** A picture of all engines, at the start of a link. */
   | {readonly t: "engines"; readonly engines: readonly EngineNews[]}
   /** What changed since. A link keeps its order and loses nothing, so that changes need no number. */
-  | {readonly t: "places"; readonly changes: readonly EngineChange[]}
+  | {
+      readonly t: "places"
+      readonly changes: readonly EngineChange[]
+      /** Told with them where there are many boxes: each message costs both ends more than its bytes. */
+      readonly loads?: EngineLoads | undefined
+    }
   | {readonly t: "loads"; readonly loads: EngineLoads}
   /** The key-value service turns the leader away: its lease is to be renewed for it. */
   | {readonly t: "renew"; readonly ask: number; readonly lease: string}
@@ -174,6 +181,8 @@
       readonly ordersInMs: number
       readonly medianAgeMs: number
       readonly others: readonly string[]
+      /** The most that any box can do, in cores; undefined: nobody tells. */
+      readonly topCapacity?: number | undefined
       /** Undefined: the service tells none. */
       readonly storeEra?: ToldEra | undefined
     } & Sent)
--- a/src/types/routed-settings.ts
+++ b/src/types/routed-settings.ts
@@ -22,6 +22,12 @@
       "Where they do not: the least time between orders of two leaders"
     )
   }),
+  processor: z
+    .strictObject({
+      share: z.number().positive().describe("Of a core, what the box may use"),
+      cores: z.number().positive().describe("How many times as fast that core is")
+    })
+    .optional(),
   keys: z
     .strictObject({
       takenAwayMs: positiveMs.describe(
--- a/test/patterns/stale-loads.ts
+++ b/test/patterns/stale-loads.ts
@@ -14,6 +14,7 @@
 import type {RoutedState} from "../../src/core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../../src/core/serving-events.js"
 import {UseCounts} from "../../src/adapters/use-counts.js"
+import type {EngineLoads} from "../../src/types/box-messages.js"
 import {Agenda} from "./agenda.js"
 import {CONFIG, drawFrom, LINK_MS, MODEL, recordOf, ROUTE, SERVICE} from "./fleet.js"
 
@@ -180,11 +181,15 @@
       return this.send(box, effect.id, effect.attempt, Number(effect.backend.id.slice(1)))
     }
     if (effect.type === "use") return this.use(box, effect.change)
-    if (effect.type === "loads") {
-      this.agenda_.later(LINK_MS, () => {
-        for (let i = 0; i < this.boxes_.length; i++) this.step(i, effect)
-      })
-    }
+    if (effect.type === "loads") this.tell(effect.loads)
+    // What stands where does not change here.
+    if (effect.type === "places" && effect.loads) this.tell(effect.loads)
+  }
+
+  private tell(loads: EngineLoads): void {
+    this.agenda_.later(LINK_MS, () => {
+      for (let i = 0; i < this.boxes_.length; i++) this.step(i, {type: "loads", loads})
+    })
   }
 
   /** A box tells its leader of what it began and ended, as it does over its link. */
--- a/test/store-counter.test.ts
+++ b/test/store-counter.test.ts
@@ -183,6 +183,7 @@
       found: () => undefined,
       boxes: () => 1,
       medianAgeMs: () => 0,
+      isWeak: () => false,
       renewElsewhere: () => Promise.reject(new KvUnavailable("none")),
       helped: () => undefined
     }
