Copies of hot adapters have a budget of their own and go first; strong boxes lead

A weak box now claims after all others have looked, and gives the lead up two seconds after a stronger one follows.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -43,10 +43,10 @@
 const SETTLED_MS = 2_000
 
 /**
- * Boxes much weaker than others leave the claim to these for so long, milliseconds. A leader tells all boxes of
- * all engines: one that can't keep up loses its lease again and again, and so does the next.
+ * Boxes much weaker than others leave the claim to these until all of them have looked, and some, milliseconds. A
+ * leader tells all boxes of all engines: one that can't keep up is late with everything.
  */
-const WEAK_WAIT_MS = 250
+const WEAK_WAIT_MS = 150
 
 /** Between two tries to claim the lead again in a new era, milliseconds. */
 const CONFIRM_MS = 50
@@ -132,6 +132,16 @@
         .catch(() => undefined)
   }
 
+  /** Gives the lead up to a box that can do more. */
+  resign(): void {
+    const {lease} = this.leadership
+    if (lease === undefined) return
+    this.end("a stronger box is there")
+    void this.as("lease-end")
+      .revokeLease(lease)
+      .catch(() => undefined)
+  }
+
   private as(caller: StoreCaller): KvStore {
     return callAs(this.kv_, {caller})
   }
@@ -280,7 +290,7 @@
     const young =
       age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
     const scatter = Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
-    return scatter + (this.events_.isWeak() ? WEAK_WAIT_MS : 0)
+    return scatter + (this.events_.isWeak() ? this.lookMs() + WEAK_WAIT_MS : 0)
   }
 
   /** The fence of a claim in place of what stood there; undefined: another was first. */
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -53,6 +53,9 @@
 /** A leader that stops waits so long at most for what it leaves to the next one, milliseconds. */
 const CLOSE_USAGE_MS = 150
 
+/** A weak leader gives the lead up to a stronger box that follows, after so long, milliseconds. */
+const WEAK_LEAD_MS = 2_000
+
 /** A box with less than this part of the strongest one's processor is weak. */
 const WEAK_SHARE = 0.6
 
@@ -100,6 +103,7 @@
   /** What processors can do, in cores: this box's, and the most of any. */
   private readonly capacity_: number
   private topCapacity_ = 0
+  private leadsFrom_ = 0
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
   /** The servers for which pools were kept last. */
@@ -257,7 +261,7 @@
         found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
-        isWeak: () => this.capacity_ < WEAK_SHARE * this.topCapacity_,
+        isWeak: () => this.isWeak,
         renewElsewhere: lease => this.renewElsewhere(lease),
         helped: helped => log(helped ? "lease-helped" : "lease-own")
       }
@@ -379,6 +383,7 @@
       this.hub_?.pingIfDue(now)
       this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
       this.topCapacity_ = this.hub_?.topCapacity ?? 0
+      if (this.isWeak && now - this.leadsFrom_ > WEAK_LEAD_MS) this.election_.resign()
     }
     return mayOrder(this.election_.leadership, now)
   }
@@ -410,6 +415,7 @@
     const {orderFrom} = this.election_.leadership
     const waitMs = Math.round(orderFrom - performance.now())
     this.context_.log("leading", {fence, waitMs})
+    this.leadsFrom_ = performance.now()
     this.session_.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
@@ -461,6 +467,10 @@
     }
   }
 
+  private get isWeak(): boolean {
+    return this.capacity_ < WEAK_SHARE * this.topCapacity_
+  }
+
   private get leading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -19,6 +19,8 @@
   running: number
   /** It came from a near copy, not from the weight store. */
   near: boolean
+  /** It was ordered since other engines that hold it were busy, and not since requests waited for it. */
+  copy: boolean
   /** The older version that stands beside it until it has come: together they take two places. */
   replaced: number | undefined
 }
@@ -270,6 +272,7 @@
     lastUsed: now,
     running: 0,
     near: false,
+    copy: false,
     replaced: undefined
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -18,9 +18,15 @@
 /** Adapters on their way from the weight store for each engine: more make each slower. */
 const STORE_LOADS_PER_ENGINE = 2
 
-/** Copies of hot adapters come from the weight store only while fewer loads than this are on their way. */
+/**
+ * Copies of hot adapters that may be on their way from the weight store for each engine, whatever else is: where
+ * demand moves, loads of cold adapters never cease, and each serves one request where a copy serves many.
+ */
 const COPY_LOADS_PER_ENGINE = 0.25
 
+/** Copies of one adapter on their way at once: whether more are needed shows when these have come. */
+const COPIES_ON_WAY = 2
+
 /** An engine with more work than this makes a request wait longer than a load does, milliseconds. */
 const BUSY_MS = 400
 
@@ -75,6 +81,7 @@
 
 /** Places the adapters that requests wait for, what is worth most first. */
 function placeWanted(fleet: Fleet, now: number): void {
+  copyHot(fleet, now)
   const wanted = listWanted(fleet, now)
   let room = STORE_LOADS_PER_ENGINE * fleet.engines.size - countStoreLoads(fleet, now)
   for (const {adapter, service, failedAt} of wanted) {
@@ -86,7 +93,6 @@
     // A place made free is for the load that follows: evictions never run ahead of loads.
     if (!spot.near) room--
   }
-  copyHot(fleet, now)
 }
 
 function listWanted(fleet: Fleet, now: number): Wanted[] {
@@ -168,9 +174,12 @@
       countHolders(fleet, adapter) > 1 + heatOf(fleet, adapter, now) / 6
     )
       continue
-    const store = countStoreLoads(fleet, now) < fleet.engines.size * COPY_LOADS_PER_ENGINE
+    const copies = listCopyLoads(fleet, now)
+    if (copies.filter(each => each === adapter).length >= COPIES_ON_WAY) continue
+    const store = copies.length < fleet.engines.size * COPY_LOADS_PER_ENGINE
     const spot = chooseSpot(fleet, engine.service, adapter, store, now)
-    if (spot && spot.engine.load * 3 < engine.load) takeSpot(fleet, spot, adapter, now)
+    if (!spot || spot.engine.load * 3 >= engine.load) continue
+    if (takeSpot(fleet, spot, adapter, now)) noteCopy(spot.engine, adapter)
   }
 }
 
@@ -233,6 +242,20 @@
   return count
 }
 
+function noteCopy(engine: FleetEngine, adapter: string): void {
+  const place = engine.places.get(adapter)
+  if (place) place.copy = true
+}
+
+/** The adapters of which copies are on their way, each as often as it is. */
+function listCopyLoads(fleet: Fleet, now: number): string[] {
+  return [...fleet.engines.values()].flatMap(({places}) =>
+    [...places].flatMap(([adapter, {copy, phase, readyAt}]) =>
+      copy && phase === "loading" && readyAt > now ? [adapter] : []
+    )
+  )
+}
+
 /** Requests that gave up by themselves. */
 function expireNeeds(fleet: Fleet, now: number): void {
   for (const [key, {need, since}] of fleet.waiting) {
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -57,6 +57,8 @@
 export interface BedOptions {
   /** Undefined: nobody needs a key. */
   readonly tenants?: readonly BedTenant[]
+  /** What the processors of boxes can do, in cores; undefined: they do not tell. */
+  readonly processors?: readonly number[]
   /** Window of tenants' limits, seconds. */
   readonly usageWindowS?: number
   readonly boxes?: number
@@ -173,6 +175,7 @@
         leaseTtlMs: this.options_.leaseTtlMs ?? 1200
       },
       orders: {checksFences: true, leaseMs: 3000},
+      ...this.processorOf(index),
       keys: {takenAwayMs: KEY_MS},
       usage: {windowS: this.options_.usageWindowS ?? 8, overage: 0.1, slack: 0},
       graceS: 8,
@@ -194,6 +197,11 @@
     return box
   }
 
+  private processorOf(index: number): object {
+    const share = this.options_.processors?.[index]
+    return share === undefined ? {} : {processor: {share, cores: 1}}
+  }
+
   private startBox(settingsFile: string): Child {
     const program = this.options_.bundled ? "../target/box.mjs" : "platform/start.js"
     return new Child(program, ["--settings", settingsFile])
