--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -19,8 +19,8 @@
 /** A link on which the leader says nothing for so long is given up, milliseconds. */
 const LINK_SILENCE_MS = 1_200
 
-/** The same where pings are far between, in pings. */
-const SILENT_PINGS = 3
+/** The same where pings are far between, in pings: by then the lease of a leader that stands still has ended. */
+const SILENT_PINGS = 2
 
 export interface LeaderSessionOptions {
   /** This box, as other boxes know it. */
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -53,6 +53,9 @@
 /** A leader that stops waits so long at most for what it leaves to the next one, milliseconds. */
 const CLOSE_USAGE_MS = 150
 
+/** What the strongest box can do, as long as nobody has told, in cores. */
+const USUAL_CAPACITY = 1
+
 /** A weak leader gives the lead up to a stronger box that follows, after so long, milliseconds. */
 const WEAK_LEAD_MS = 2_000
 
@@ -102,7 +105,7 @@
   private readonly startedAt_ = performance.now()
   /** What processors can do, in cores: this box's, and the most of any. */
   private readonly capacity_: number
-  private topCapacity_ = 0
+  private topCapacity_ = USUAL_CAPACITY
   private leadsFrom_ = 0
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = performance.now()
@@ -468,7 +471,7 @@
   }
 
   private get isWeak(): boolean {
-    return this.capacity_ < WEAK_SHARE * this.topCapacity_
+    return this.capacity_ > 0 && this.capacity_ < WEAK_SHARE * this.topCapacity_
   }
 
   private get leading(): boolean {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -31,7 +31,7 @@
 const BUSY_MS = 400
 
 /** Waiting work past which a hot adapter gets another engine: a copy costs a place, milliseconds. */
-const COPY_WAIT_MS = 300
+const COPY_WAIT_MS = 450
 
 /** Gives the orders that are due, tells what changed and refuses what cannot be served. */
 export function planFleet(fleet: Fleet, mayOrder: boolean, now: number): void {
