--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -461,7 +461,7 @@
       case "read-usage":
         return void this.usageStore_.read()
       case "save-usage":
-        return void this.usageStore_.save(effect.outlooks)
+        return void this.usageStore_.save(effect.save, effect.outlooks)
       case "order":
       case "ask":
         return this.driver_.perform(effect)
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -61,8 +61,8 @@
   }
 
   /** Writes in place of what this leader read or wrote last: no later leader's is overwritten. */
-  save(value: UsageOutlooks): Promise<void> {
-    this.saving_ = this.saving_.then(() => this.saveNow(value))
+  save(save: number, value: UsageOutlooks): Promise<void> {
+    this.saving_ = this.saving_.then(() => this.saveNow(save, value))
     return this.saving_
   }
 
@@ -71,7 +71,7 @@
     await Promise.race([this.saving_, pause(limitMs)])
   }
 
-  private async saveNow(value: UsageOutlooks): Promise<void> {
+  private async saveNow(save: number, value: UsageOutlooks): Promise<void> {
     const {fence, post} = this.options_
     const lead = fence()
     const {era} = this.options_.eras
@@ -81,7 +81,7 @@
       await pause(RETRY_MS)
       await this.attempt(() => this.readOnce())
     }
-    post({type: "usage-saved", ok: ok === true && fence() === lead})
+    post({type: "usage-saved", save, ok: ok === true && fence() === lead})
   }
 
   private async readOnce(): Promise<ReadUsage> {
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -131,7 +131,7 @@
   /** What earlier leaders may have given of organisations' limits; undefined: nobody knows. */
   | {readonly type: "usage-read"; readonly outlooks: UsageOutlooks | undefined}
   /** The outlook is stored; false: it may not be. */
-  | {readonly type: "usage-saved"; readonly ok: boolean}
+  | {readonly type: "usage-saved"; readonly save: number; readonly ok: boolean}
   /** This box gives the lead up: it gives no more allowances. */
   | {readonly type: "usage-close"}
   | {readonly type: "box-gone"; readonly box: string}
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -72,7 +72,7 @@
     case "usage-close":
       return state.ledger?.close(now)
     case "usage-saved":
-      return state.ledger?.noteSaved(event.ok, now)
+      return state.ledger?.noteSaved(event.save, event.ok, now)
     case "box-gone":
       state.ledger?.forgetBox(event.box)
       return forgetBox(fleet, event.box, now)
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -57,7 +57,12 @@
 
 export type LedgerEffect =
   | {readonly type: "read-usage"}
-  | {readonly type: "save-usage"; readonly outlooks: UsageOutlooks}
+  | {
+      readonly type: "save-usage"
+      /** Its answer names it. */
+      readonly save: number
+      readonly outlooks: UsageOutlooks
+    }
   | {
       readonly type: "allow"
       readonly box: string
@@ -74,6 +79,7 @@
   private fullUntil_ = -Infinity
   private phase_: "new" | "reading" | "known" = "new"
   private closed_ = false
+  private saves_ = 0
   private saving_: UsageOutlooks | undefined
   private savedAt_ = -Infinity
   private checkedAt_ = -Infinity
@@ -148,7 +154,8 @@
   }
 
   /** The outlook stands in the key-value service, or may not. */
-  noteSaved(ok: boolean, now: number): void {
+  noteSaved(save: number, ok: boolean, now: number): void {
+    if (save !== this.saves_) return
     const saved = this.saving_
     this.saving_ = undefined
     if (!saved) return
@@ -186,28 +193,23 @@
 
   /** Uses count from when they are told, what is given back no longer. */
   private settle(box: string, entry: AllowanceAsk, now: number): void {
-    const {organisation, used, returned, restored} = entry
+    const {organisation, used, returned} = entry
     const {counted, held} = this.open(organisation)
     const span = countedMs(this.options_)
     const portions = (held.get(box) ?? []).filter(({until}) => until + span > now)
     held.set(box, portions)
+    // What is given back ran out: it is of the oldest portions, and none of the use that is told with it.
+    for (const {amount, until} of draw(portions, returned)) {
+      counted.remove(amount, until + span)
+    }
     let unknown = used
     for (const {amount, until} of draw(portions, used)) {
       counted.remove(amount, until + span)
       counted.add(amount, Math.min(now, until) + span)
       unknown -= amount
     }
-    // What was restored is used again after its portion was told to its end.
+    // It held no more, as far as is known here.
     if (unknown > 0) counted.add(unknown, now + span)
-    for (const {amount, until} of draw(portions, returned)) {
-      counted.remove(amount, until + span)
-    }
-    // What was told as used and did not run is held again; it also counts as used until then.
-    const last = portions.at(-1)
-    if (restored > 0 && last) {
-      last.amount += restored
-      counted.add(restored, last.until + span)
-    }
   }
 
   private answer(asks: readonly PendingAsk[], now: number): void {
@@ -315,7 +317,7 @@
       account.stored = next.map((amount, step) => Math.min(amount, stored[step] ?? 0))
     }
     this.saving_ = outlooks
-    this.emit_({type: "save-usage", outlooks})
+    this.emit_({type: "save-usage", save: ++this.saves_, outlooks})
   }
 }
 
--- a/src/core/usage-stock.ts
+++ b/src/core/usage-stock.ts
@@ -32,7 +32,6 @@
   portions: Portion[]
   used: number
   returned: number
-  restored: number
   /** There is no room for more before. */
   fullUntil: number
   /** Used a millisecond, lately. */
@@ -97,18 +96,16 @@
     return {organisation, at: now, parts}
   }
 
-  /** What was charged did not run. */
+  /** What was charged did not run. What was told as used stays so: the leader counts it no longer as held. */
   giveBack({organisation, parts}: Charge): void {
     const holding = this.holdings_.get(organisation)
     if (!holding) return
     for (const {portion, amount} of parts) {
-      portion.left += amount
+      const untold = portion.term === this.term_ ? Math.min(amount, holding.used) : amount
+      if (portion.term === this.term_) holding.used -= untold
+      portion.left += untold
       // One whose time is over goes, and is told as given back, as all others.
       if (!holding.portions.includes(portion)) holding.portions.push(portion)
-      if (portion.term !== this.term_) continue
-      const untold = Math.min(amount, holding.used)
-      holding.used -= untold
-      holding.restored += amount - untold
     }
   }
 
@@ -127,7 +124,7 @@
   beginTerm(): void {
     this.term_++
     for (const holding of this.holdings_.values()) {
-      Object.assign(holding, {used: 0, returned: 0, restored: 0})
+      Object.assign(holding, {used: 0, returned: 0})
     }
     this.waits_ = false
     this.askAgainMs_ = ASK_AGAIN_MS
@@ -191,10 +188,10 @@
     need,
     want
   }: Wish & {organisation: string; holding: Holding}): AllowanceAsk[] {
-    const {used, returned, restored} = holding
-    if (want === 0 && used + returned + restored === 0) return []
-    Object.assign(holding, {used: 0, returned: 0, restored: 0})
-    return [{organisation, used, returned, restored, need, want}]
+    const {used, returned} = holding
+    if (want === 0 && used + returned === 0) return []
+    Object.assign(holding, {used: 0, returned: 0})
+    return [{organisation, used, returned, need, want}]
   }
 
   private wish(
@@ -220,7 +217,6 @@
       portions: [],
       used: 0,
       returned: 0,
-      restored: 0,
       fullUntil: -Infinity,
       rate: 0,
       ratedAt: now
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -26,7 +26,6 @@
   organisation: z.string(),
   used: z.number().min(0),
   returned: z.number().min(0),
-  restored: z.number().min(0),
   need: z.number().min(0),
   want: z.number().min(0)
 })
--- a/src/types/usage-messages.ts
+++ b/src/types/usage-messages.ts
@@ -7,8 +7,6 @@
   readonly used: number
   /** Given back: it ran out unused. */
   readonly returned: number
-  /** Told as used before, and not used after all: the box holds it again. */
-  readonly restored: number
   /** What the requests that wait need; they are served only with all of it. */
   readonly need: number
   /** What the box would like to have, `need` included; 0: nothing. */
