--- a/test/usage-ledger.test.ts
+++ b/test/usage-ledger.test.ts
@@ -86,6 +86,15 @@
   t.equal(subject.ledger.totalOf("one", 1_000), 40)
 })
 
+t.test("use of a newer allowance is not taken for use of one that ran out", async t => {
+  const subject = new Subject().open({})
+  subject.ask(100, 0)
+  subject.ask(100, 2_000)
+  // At 5,000: nothing of the first was used, and all of the second just now.
+  subject.ask(0, 5_000, {used: 100, returned: 100})
+  t.equal(subject.ledger.totalOf("one", 5_000 + SPAN_MS - 1), 100)
+})
+
 t.test(
   "an answer to what was stored before the service came back says nothing",
   async t => {
