--- a/src/core/access.ts
+++ b/src/core/access.ts
@@ -5,10 +5,9 @@
  */
 import type {Route} from "../types/fleet.js"
 import type {RoutedOrganisation} from "../types/organisations.js"
-import {equalHash} from "../utils/hash.js"
 import {configAgeMs, isConfigCurrent} from "./box-news.js"
 import type {BoxServing} from "./box-state.js"
-import type {RouteTable} from "./route-table.js"
+import {findHolder} from "./route-table.js"
 
 /** Off the time in which a key that was taken away may still be used: clock rates, and a turn of the loop. */
 const KEY_MARGIN_MS = 500
@@ -36,8 +35,8 @@
   now: number
 ): Access {
   const {table} = box
-  if (!table || table.organisations.size === 0) return OPEN
-  const organisation = findOrganisation(table, key)
+  if (!table || table.config.organisations.length === 0) return OPEN
+  const organisation = key === undefined ? undefined : findHolder(table, key)
   if (route.anonymous && !organisation) return OPEN
   if (organisation) {
     if (mayTrustKeys(box, now)) return {granted: true, organisation}
@@ -53,8 +52,8 @@
   key: string | undefined,
   organisation: string | undefined
 ): boolean {
-  if (organisation === undefined || !table) return true
-  return findOrganisation(table, key)?.name === organisation
+  if (organisation === undefined || key === undefined || !table) return true
+  return findHolder(table, key)?.name === organisation
 }
 
 /** Whether a key that was taken away in time would be known to be. */
@@ -63,13 +62,3 @@
   if (takenAwayMs === undefined) return true
   return configAgeMs(box, now) <= takenAwayMs - KEY_MARGIN_MS
 }
-
-function findOrganisation(
-  {organisations}: RouteTable,
-  key: string | undefined
-): RoutedOrganisation | undefined {
-  if (key === undefined) return undefined
-  const found = organisations.get(key)
-  const held = found?.keys.some(each => equalHash(each, key)) === true
-  return held ? found : undefined
-}
--- a/src/core/route-table.ts
+++ b/src/core/route-table.ts
@@ -1,16 +1,23 @@
 /** Which route a request takes, and which service of the route. */
 import type {FleetConfig, FleetService, Route} from "../types/fleet.js"
 import type {RoutedOrganisation, UsageLimit} from "../types/organisations.js"
+import {equalHash} from "../utils/hash.js"
 import {type RankOf, rankRequests} from "./request-ranks.js"
 
+/** A key with who holds it. */
+export interface KeyHolder {
+  readonly digest: string
+  readonly organisation: RoutedOrganisation
+}
+
 /** The routes and services of one configuration, prepared for look-ups. */
 export interface RouteTable {
   readonly config: FleetConfig
   /** Routes of a host, longest prefix first. */
   readonly byHost: ReadonlyMap<string, readonly Route[]>
   readonly services: ReadonlyMap<string, FleetService>
-  /** Who holds a key, by its digest. */
-  readonly organisations: ReadonlyMap<string, RoutedOrganisation>
+  /** Who holds which keys, by the beginnings of their digests. */
+  readonly holders: ReadonlyMap<string, readonly KeyHolder[]>
   /** Limits of organisations that have one, by their names. */
   readonly limited: ReadonlyMap<string, UsageLimit>
   readonly rankOf: RankOf
@@ -28,10 +35,10 @@
     routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
   }
   const services = new Map(config.services.map(service => [service.name, service]))
-  const organisations = indexKeys(config)
+  const holders = indexKeys(config)
   const limited = indexLimits(config)
   const rankOf = rankRequests(config)
-  return {config, byHost, services, organisations, limited, rankOf}
+  return {config, byHost, services, holders, limited, rankOf}
 }
 
 function indexLimits({organisations}: FleetConfig): Map<string, UsageLimit> {
@@ -40,9 +47,28 @@
   )
 }
 
-function indexKeys({organisations}: FleetConfig): Map<string, RoutedOrganisation> {
-  const held = organisations.flatMap(each => each.keys.map(key => [key, each] as const))
-  return new Map(held)
+/** Of a digest, what finds those to compare it with. */
+const KEY_BEGINNING = 8
+
+/** The organisation that holds the key of this digest, compared in constant time. */
+export function findHolder(
+  {holders}: RouteTable,
+  digest: string
+): RoutedOrganisation | undefined {
+  const alike = holders.get(digest.slice(0, KEY_BEGINNING)) ?? []
+  return alike.find(each => equalHash(each.digest, digest))?.organisation
+}
+
+function indexKeys({organisations}: FleetConfig): Map<string, KeyHolder[]> {
+  const holders = new Map<string, KeyHolder[]>()
+  for (const organisation of organisations) {
+    for (const digest of organisation.keys) {
+      const beginning = digest.slice(0, KEY_BEGINNING)
+      const alike = holders.get(beginning) ?? []
+      holders.set(beginning, [...alike, {digest, organisation}])
+    }
+  }
+  return holders
 }
 
 /** The route with the longest prefix that begins the path; the query does not count. */
