--- a/test/organisations.test.ts
+++ b/test/organisations.test.ts
@@ -112,3 +112,15 @@
   t.equal(usage("x,80"), 80)
   t.equal(platformDialect.readRequest({}).usage, undefined)
 })
+
+// The parser's own words quote what stands around a fault, and findings go into logs.
+t.test("a configuration that cannot be parsed tells none of its keys", async t => {
+  for (const text of ['{"apiKeys":[secret-1]}', '{"apiKeys":["secret-1"],x}']) {
+    try {
+      platformRecords.readConfig("op/config", text)
+      t.fail("it cannot be read")
+    } catch (cause) {
+      t.notMatch((cause as Error).message, /secret/)
+    }
+  }
+})
