--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -10,6 +10,7 @@
 import {drawService, findRoute} from "../core/route-table.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
+import {fingerprintRequest} from "../utils/fingerprint.js"
 import {pause} from "../utils/promises.js"
 import {BackendPools} from "./backend-pools.js"
 import type {Log} from "./log.js"
@@ -119,12 +120,20 @@
     this.exchanges_.set(exchange.id, exchange)
     res.on("close", () => this.callerClosed(exchange))
     const {id} = exchange
+    const fingerprint = fingerprintRequest({
+      caller: organisation?.name ?? "",
+      method: req.method ?? "GET",
+      host: req.headers.host ?? "",
+      path: req.url ?? "/",
+      body
+    })
     const {name, weights, tokens, usage, key, prefix, lastEventId, deadlineMs} = facts
     this.options_.post({
       type: "arrive",
       arrival: {
         id,
         name,
+        fingerprint,
         route,
         service,
         weights,
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -11,7 +11,13 @@
 import {allowsRepeat, mayRepeat, noteRun, repeat} from "./box-repeats.js"
 import {advance} from "./box-requests.js"
 import {giveBackCharge} from "./box-charges.js"
-import {type Attempt, type BoxServing, budgetOf, note} from "./box-state.js"
+import {
+  type Attempt,
+  type BoxRequest,
+  type BoxServing,
+  budgetOf,
+  note
+} from "./box-state.js"
 import {noteBegun} from "./box-versions.js"
 
 /** Sends that backend servers may refuse before a request is given up. */
@@ -108,6 +114,7 @@
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   const ran = attempt.started && (failure === "broken" || failure === "overtaken")
+  if (attempt.started && failure === "broken") noteBroken(box, request, attempt, now)
   const late = isRefusal(failure) && doubtPlace(box, request, attempt, failure, now)
   // The engine did nothing wrong where only its version was replaced.
   if (!late && failure !== "overtaken") request.failedAt.add(attempt.backend)
@@ -136,6 +143,21 @@
   advance(box, request, now)
 }
 
+function noteBroken(
+  box: BoxServing,
+  {arrival}: BoxRequest,
+  {backend, headed, sentAt}: Attempt,
+  now: number
+): void {
+  note(box, "attempt-broken", {
+    request: arrival.name,
+    fingerprint: arrival.fingerprint ?? "",
+    backend,
+    headed,
+    afterMs: Math.round(now - sentAt)
+  })
+}
+
 function findAttempt(box: BoxServing, id: string, number: number): Attempt | undefined {
   const attempt = box.requests.get(id)?.attempt
   return attempt?.number === number ? attempt : undefined
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -126,6 +126,7 @@
     request: arrival.name,
     attempt: attempts,
     backend: backend.id,
+    fingerprint: arrival.fingerprint ?? "",
     waitedMs: Math.round(now - arrivedAt),
     adapter: arrival.weights?.adapter ?? "",
     version: version ?? 0,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -19,6 +19,8 @@
   readonly id: string
   /** The caller's name of the request, for logs. */
   readonly name: string
+  /** Alike for requests of the same caller, path and body; undefined: not known. */
+  readonly fingerprint?: string
   readonly route: Route
   readonly service: string
   readonly weights?: Weights
@@ -213,6 +215,7 @@
   | "route-sent"
   | "route-refused"
   | "route-again"
+  | "attempt-broken"
   | "route-ended"
   | "route-cut"
   | "caller-left"
--- a/src/events.ts
+++ b/src/events.ts
@@ -346,6 +346,11 @@
     level: "info",
     text: "All entries of servers are of the present era; boxes that start from now on need not wait."
   },
+  "attempt-broken": {
+    number: 223,
+    level: "warn",
+    text: "A request was cut off at a backend server that may have run it; equal fingerprints are the same request."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
