Requests under which servers crash are stopped at all boxes

Callers saw engines gone for seconds again and again, under one request that each box took for a new one. Cause: what a box learned of a request stood on that request and ended with it; nothing knew that the next try was the same, here or at another box. A fault of the class 'state scoped to the attempt where the rule counts over all attempts'. Ruled out by 190 and 223: a box's own repeats (the streams break off after their head), and sends to servers that are gone. The change: a request is known by a digest of caller, method, host, path and body. As an attempt breaks, the box opens a connection to the server's address; refused, the server has crashed (a cut link or a reset does not look so), as it has where its next life is listed. All that was in progress there counts, until some server answers the request whole and outlives that by 500 ms. The lives of crashed servers are a set a request, merged by boxes over the links they have and kept by the leader in the platform's store from the second crash on. From the third on the request is sent nowhere for 10 minutes and more: 503 with Retry-After if it has not run in this try, 502 if it may have. Each send looks at it, at the decision and as the bytes leave; what has no answer yet is taken back.

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -16,6 +16,7 @@
   ToLeader
 } from "../types/box-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
+import type {CrashChanges} from "../types/crash-messages.js"
 import type {AllowanceGrant} from "../types/usage-messages.js"
 import {BackendNews, withoutModels} from "./backend-news.js"
 import {LinkHub} from "./box-links.js"
@@ -104,6 +105,11 @@
     this.links_.send(box, {t: "allowances", ask, grants})
   }
 
+  /** Tells all boxes of requests that crash servers. */
+  tellCrashes(changes: CrashChanges): void {
+    this.links_.broadcast({t: "crashes", changes, whole: false})
+  }
+
   /** Answers a box whether a request may be sent once more. */
   answerRetry(box: string, request: string, allowed: boolean): void {
     this.links_.send(box, {t: "may-retry", request, allowed})
@@ -252,6 +258,11 @@
             }
           ]
         : []),
+      {
+        t: "crashes",
+        changes: {records: serving.crashes.tell(now), cleared: []},
+        whole: true
+      },
       {t: "versions", versions},
       {t: "engines", engines},
       {t: "loads", loads},
@@ -283,6 +294,8 @@
           id: message.request,
           service: message.service
         })
+      case "crashes":
+        return post({type: "crashes", changes: message.changes, source: "box"})
       case "ask-config":
         if (news.config) this.links_.send(box, {t: "config", config: news.config})
         return
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -172,6 +172,10 @@
         const {ask, grants} = message
         return post({type: "allowances", ask, grants})
       }
+      case "crashes": {
+        const {changes, whole} = message
+        return post({type: "crashes", changes, source: whole ? "leader-all" : "leader"})
+      }
       case "may-retry":
         return post({type: "may-retry", id: message.request, allowed: message.allowed})
       case "ping":
--- a/src/adapters/leader-way.ts
+++ b/src/adapters/leader-way.ts
@@ -61,6 +61,10 @@
         this.tell({t: "usage", ask, entries}, {type: "usage", box, ask, entries})
         return true
       }
+      case "crashes":
+        if (this.options_.leading()) this.options_.hub()?.tellCrashes(effect.changes)
+        else this.options_.send({t: "crashes", changes: effect.changes})
+        return true
       default:
         return false
     }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -20,9 +20,11 @@
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvStore} from "../ports/ports.js"
 import type {AskNews, LeaderRecord, StoreNews} from "../types/box-messages.js"
+import type {BackendRecord} from "../types/fleet.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {BoxHub} from "./box-hub.js"
+import {CrashStore} from "./crash-store.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection} from "./leader-election.js"
 import {LeaderSession} from "./leader-session.js"
@@ -39,6 +41,7 @@
 import {UsageStore} from "./usage-store.js"
 import type {StoreEras} from "./era-source.js"
 import {SettledEra} from "./settled-era.js"
+import {probeServer} from "./server-probe.js"
 import {limitCallers, listenAt, serveText} from "./routed-server.js"
 
 /** A turn of the clock that comes later by so much means that the process stood still, milliseconds. */
@@ -99,6 +102,7 @@
   private readonly leaderWay_: LeaderWay
   private readonly help_: NewsHelp
   private readonly usageStore_: UsageStore
+  private readonly crashStore_: CrashStore
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
@@ -239,6 +243,15 @@
       eras,
       log
     })
+    this.crashStore_ = new CrashStore({
+      kv,
+      key: `${settings.store.prefix}crashes`,
+      leads: () => this.mayGive,
+      list: () => serving.crashes.tell(performance.now()),
+      learned: records =>
+        post({type: "crashes", changes: {records, cleared: []}, source: "store"}),
+      log
+    })
     this.driver_ = new EngineDriver({
       dialect,
       pools: this.relay_.pools,
@@ -260,7 +273,10 @@
         won: fence => this.lead(fence),
         lost: reason => this.leadOver(reason),
         doubted: () => log("lead-unconfirmed", {era: eras.era ?? -1}),
-        confirmed: fence => log("lead-confirmed", {fence, era: eras.era ?? -1}),
+        confirmed: fence => {
+          log("lead-confirmed", {fence, era: eras.era ?? -1})
+          this.crashStore_.begin()
+        },
         found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
@@ -271,7 +287,9 @@
     )
     eras.listen((known, rose) => {
       post({type: "era", known, rose})
-      if (rose) this.election_.doubt()
+      if (!rose) return
+      this.election_.doubt()
+      this.crashStore_.begin()
     })
   }
 
@@ -423,6 +441,7 @@
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
     this.loop_.post({type: "leader-new"})
+    this.crashStore_.begin()
     this.applyLimits()
   }
 
@@ -462,6 +481,11 @@
         return void this.usageStore_.read()
       case "save-usage":
         return void this.usageStore_.save(effect.save, effect.outlooks)
+      case "crashes":
+        this.crashStore_.saveSoon()
+        return void this.leaderWay_.perform(effect)
+      case "probe":
+        return void this.probe(effect.backend)
       case "order":
       case "ask":
         return this.driver_.perform(effect)
@@ -470,6 +494,11 @@
     }
   }
 
+  private async probe({id, address}: BackendRecord): Promise<void> {
+    const up = await probeServer(address)
+    this.loop_.post({type: "probed", backend: id, up})
+  }
+
   private get isWeak(): boolean {
     return this.capacity_ > 0 && this.capacity_ < WEAK_SHARE * this.topCapacity_
   }
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -21,11 +21,16 @@
   unknown: 502,
   timeout: 504,
   denied: 401,
-  "over-limit": 429
+  "over-limit": 429,
+  "crashes-servers": 503
 }
 
 /** Requests that were told that they did not run come back when they are told to. */
-const COMES_BACK: ReadonlySet<EndReason> = new Set(["not-run", "over-limit"])
+const COMES_BACK: ReadonlySet<EndReason> = new Set([
+  "not-run",
+  "over-limit",
+  "crashes-servers"
+])
 
 const ACCESS_STATUS: Readonly<Record<AccessRefusal, number>> = {
   "unknown-key": 401,
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -7,7 +7,8 @@
   REFUSED_PAUSE_MS,
   suspect
 } from "./box-doubts.js"
-import {finish, giveUp, leaveAttempt, tellUse} from "./box-ends.js"
+import {noteAnswered, suspectCrash} from "./box-crashes.js"
+import {finish, giveUp, leaveAttempt, noteClosed, tellUse} from "./box-ends.js"
 import {allowsRepeat, mayRepeat, noteRun, repeat} from "./box-repeats.js"
 import {advance} from "./box-requests.js"
 import {giveBackCharge} from "./box-charges.js"
@@ -97,6 +98,7 @@
     firstMs: Math.round((attempt.firstAt ?? now) - request.arrivedAt),
     totalMs: Math.round(now - request.arrivedAt)
   })
+  noteAnswered(box, request, attempt, now)
   finish(box, request)
 }
 
@@ -118,7 +120,11 @@
   const late = isRefusal(failure) && doubtPlace(box, request, attempt, failure, now)
   // The engine did nothing wrong where only its version was replaced.
   if (!late && failure !== "overtaken") request.failedAt.add(attempt.backend)
-  if (failure === "broken" || failure === "not-sent") suspect(box, attempt.backend, now)
+  if (failure === "broken" || failure === "not-sent") {
+    suspect(box, attempt.backend, now)
+    if (failure === "broken" && !attempt.aborted) noteClosed(box, request, now)
+    suspectCrash(box, attempt.backend, now)
+  }
   if (ran) {
     if (mayRepeat(box, request, now)) return repeat(box, request, failure, now)
     if (!allowsRepeat(request) || !mayAsk(box)) {
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -2,6 +2,7 @@
 import {endLateAsk} from "./box-asks.js"
 import {chooseBackend} from "./box-choose.js"
 import {SUSPECT_MS, suspect} from "./box-doubts.js"
+import {endIfStopped} from "./box-crashes.js"
 import {abortAttempt, giveUp} from "./box-ends.js"
 import {endIfOver} from "./box-lives.js"
 import {isStale} from "./box-news.js"
@@ -47,6 +48,7 @@
   now: number
 ): void {
   if (endIfOver(box, request, attempt, now)) return
+  if (endIfStopped(box, request, attempt, now)) return
   if (takeBackIfOutdated(box, request, attempt, now)) return
   lookForSilence(box, request, attempt, now)
 }
@@ -75,7 +77,7 @@
   const other = chooseBackend(box, request, now)
   // Without another that can take it now, it is worth moving only while there is time to load.
   if (!other && request.giveUpAt - now < MOVE_MS) return
-  abortAttempt(box, request)
+  abortAttempt(box, request, now)
   repeat(box, request, "silent", now)
   request.avoided.set(attempt.backend, now + SUSPECT_MS)
 }
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -16,7 +16,7 @@
   retryAfterMs = RETRY_AFTER_MS
 ): void {
   const {id, name, route} = request.arrival
-  abortAttempt(box, request)
+  abortAttempt(box, request, now)
   finish(box, request)
   if (request.replied) box.effects.push({type: "cut", id})
   else box.effects.push({type: "end", id, reason, retryAfterMs})
@@ -34,13 +34,24 @@
 }
 
 /** Closes the connection of the attempt that is under way. */
-export function abortAttempt(box: BoxServing, request: BoxRequest): void {
+export function abortAttempt(box: BoxServing, request: BoxRequest, now: number): void {
   const {attempt, arrival} = request
   if (!attempt || attempt.aborted) return
   attempt.aborted = true
+  noteClosed(box, request, now)
   box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
 }
 
+/** The attempt under way ends without a whole answer, and not by its server's word: it may have run. */
+export function noteClosed(
+  box: BoxServing,
+  {arrival: {fingerprint}, attempt}: BoxRequest,
+  now: number
+): void {
+  if (!attempt?.started || fingerprint === undefined) return
+  box.crashWatch.noteClosed(fingerprint, attempt.backend, now)
+}
+
 /** Forgets a request that has ended. */
 export function finish(box: BoxServing, request: BoxRequest): void {
   leaveAttempt(box, request)
--- a/src/core/box-lives.ts
+++ b/src/core/box-lives.ts
@@ -35,7 +35,7 @@
   const endAt = box.endedLives.get(backend)
   if (endAt === undefined || now < endAt) return false
   if (heardAt !== undefined && now - heardAt < LAST_BYTES_MS) return false
-  abortAttempt(box, request)
+  abortAttempt(box, request, now)
   const {id} = request.arrival
   attemptFailed(box, id, number, "broken", request.lastEventId, now)
   return true
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,6 +2,7 @@
 import {isStillHeld} from "./access.js"
 import {type Candidate, chooseBackend} from "./box-choose.js"
 import {abortAttempt, countUse, dropNeed, finish, giveUp, tellUse} from "./box-ends.js"
+import {stoppedForMs} from "./box-crashes.js"
 import {isStale} from "./box-news.js"
 import {
   type Arrival,
@@ -64,6 +65,11 @@
   if (!isAllowed(box, request)) {
     return giveUp(box, request, request.runs > 0 ? "unknown" : "denied", now)
   }
+  const stoppedMs = stoppedForMs(box, request, now)
+  if (stoppedMs > 0) {
+    const reason = request.runs > 0 ? "unknown" : "crashes-servers"
+    return giveUp(box, request, reason, now, stoppedMs)
+  }
   if (refuseIfFull(box, request, now)) return
   const candidate = chooseBackend(box, request, now)
   if (!candidate) {
@@ -158,7 +164,7 @@
     heldMs: Math.round(now - request.arrivedAt),
     begun: request.replied
   })
-  abortAttempt(box, request)
+  abortAttempt(box, request, now)
   finish(box, request)
 }
 
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -11,6 +11,9 @@
 import type {RouteTable} from "./route-table.js"
 import type {KnownEra} from "./eras.js"
 import {type Charge, UsageStock} from "./usage-stock.js"
+import {CrashList} from "./crash-list.js"
+import {CrashWatch} from "./crash-watch.js"
+import type {CrashChanges} from "../types/crash-messages.js"
 import type {AllowanceAsk} from "../types/usage-messages.js"
 
 /** A request as it came in. */
@@ -139,6 +142,9 @@
   readonly busy: Map<string, number>
   /** Backend servers that failed lately, and until when others go first. */
   readonly suspects: Map<string, number>
+  /** Requests that backend servers crash under, as all boxes know it. */
+  readonly crashes: CrashList
+  readonly crashWatch: CrashWatch
   readonly budgets: Map<string, RetryBudget>
   /** What organisations may use here. */
   readonly stock: UsageStock
@@ -167,6 +173,8 @@
   | "denied"
   /** Its organisation has used its limit; it has not run and never will. */
   | "over-limit"
+  /** Backend servers crash under it; in this try it has not run and never will. */
+  | "crashes-servers"
 
 export type BoxEffect =
   | {
@@ -208,6 +216,10 @@
       readonly adapter: string
       readonly late: boolean
     }
+  /** Looks whether the server's address takes a connection. */
+  | {readonly type: "probe"; readonly backend: BackendRecord}
+  /** Tells other boxes of requests that crash servers. */
+  | {readonly type: "crashes"; readonly changes: CrashChanges}
   | {readonly type: "note"; readonly event: BoxNote; readonly fields: NoteFields}
 
 /** The events of the catalogue that a box's decisions raise. */
@@ -227,6 +239,9 @@
   | "old-version-begun"
   | "old-version-taken-back"
   | "era-kept"
+  | "server-crashed"
+  | "request-stopped"
+  | "request-cleared"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
 
@@ -250,6 +265,8 @@
     endedLives: new Map(),
     busy: new Map(),
     suspects: new Map(),
+    crashes: new CrashList(options.random),
+    crashWatch: new CrashWatch(),
     budgets: new Map(),
     stock: new UsageStock(),
     boxes: 1,
--- a/src/core/box-take-backs.ts
+++ b/src/core/box-take-backs.ts
@@ -27,7 +27,7 @@
     version: attempt.version ?? 0,
     queuedMs: Math.round(now - attempt.sentAt)
   })
-  abortAttempt(box, request)
+  abortAttempt(box, request, now)
   attemptFailed(box, id, attempt.number, "overtaken", request.lastEventId, now)
   return true
 }
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -6,8 +6,10 @@
   Need,
   UseChange
 } from "../types/box-messages.js"
+import type {CrashChanges} from "../types/crash-messages.js"
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
 import type {Reading} from "./backend-list.js"
+import type {CrashSource} from "./box-crashes.js"
 import type {AttemptFailure} from "./box-doubts.js"
 import type {Arrival, BoxEffect} from "./box-state.js"
 import type {KnownEra} from "./eras.js"
@@ -94,6 +96,18 @@
       readonly grants: readonly AllowanceGrant[]
     }
   | {readonly type: "leader-new"}
+  /** What a new connection to a server showed; undefined: it neither came up nor was refused. */
+  | {
+      readonly type: "probed"
+      readonly backend: string
+      readonly up: boolean | undefined
+    }
+  /** What other boxes know of requests that crash servers. */
+  | {
+      readonly type: "crashes"
+      readonly changes: CrashChanges
+      readonly source: CrashSource
+    }
   | {readonly type: "stop"}
   /** In how long loads can be ordered, milliseconds, by the leader or by the next one. */
   | {readonly type: "orders"; readonly led: boolean; readonly inMs: number}
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -15,6 +15,7 @@
 } from "./backend-list.js"
 import {takeRetry} from "./box-asks.js"
 import {tickRequests} from "./box-clock.js"
+import {noteEndedLife, takeCrashes, takeProbe, tickCrashes} from "./box-crashes.js"
 import {
   attemptDone,
   attemptFailed,
@@ -108,6 +109,12 @@
       serving.stock.beginTerm()
       askAllowances(serving, now)
       return tellLeader(serving)
+    case "probed":
+      takeProbe(serving, event.backend, event.up, now)
+      return tickRequests(serving, now)
+    case "crashes":
+      takeCrashes(serving, event.changes, event.source, now)
+      return tickRequests(serving, now)
     case "stop":
       return stopServing(serving, now)
     case "tick":
@@ -227,6 +234,7 @@
   const {serving} = state
   for (const {id, next} of listEndedLives(serving.backends, after)) {
     note(serving, "backend-reborn", {backend: next, before: id, source})
+    noteEndedLife(serving, id, now)
     endLife(serving, id, now)
   }
   for (const {backend, usable} of diffUsable(serving.backends, after)) {
@@ -245,6 +253,7 @@
     believe(state, after, "expiry", now)
     forgetEngines(serving)
   }
+  tickCrashes(serving, now)
   tickRequests(serving, now)
   if (fleet) planFleet(fleet, mayOrder, now)
   state.ledger?.tick(now)
--- a/src/events.ts
+++ b/src/events.ts
@@ -351,6 +351,21 @@
     level: "warn",
     text: "A request was cut off at a backend server that may have run it; equal fingerprints are the same request."
   },
+  "server-crashed": {
+    number: 224,
+    level: "warn",
+    text: "A backend server that had not said that it leaves ended; so many requests were in progress there."
+  },
+  "request-stopped": {
+    number: 225,
+    level: "warn",
+    text: "A request under which backend servers crash is sent to none for a while."
+  },
+  "request-cleared": {
+    number: 226,
+    level: "info",
+    text: "A request that was in progress as backend servers crashed was answered whole: it is not their cause."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -30,6 +30,12 @@
   want: z.number().min(0)
 })
 
+const crashNews = z.object({
+  fingerprint: z.string(),
+  lives: z.array(z.string()),
+  ageMs: z.number().min(0)
+})
+
 const toLeader = z.discriminatedUnion("t", [
   z.object({
     t: z.literal("hello"),
@@ -63,6 +69,13 @@
     ask: z.number(),
     entries: z.array(allowanceAsk)
   }),
+  z.object({
+    t: z.literal("crashes"),
+    changes: z.object({
+      records: z.array(crashNews),
+      cleared: z.array(z.string())
+    })
+  }),
   z.object({t: z.literal("renewed"), ask: z.number(), known: z.boolean()}),
   z.object({t: z.literal("pong")})
 ])
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -1,4 +1,5 @@
 /** What boxes and their leader tell each other. */
+import type {CrashChanges} from "./crash-messages.js"
 import type {AllowanceAsk, AllowanceGrant} from "./usage-messages.js"
 import type {BackendRecord, FleetConfig} from "./fleet.js"
 
@@ -118,6 +119,8 @@
       readonly ask: number
       readonly entries: readonly AllowanceAsk[]
     }
+  /** What the box concluded of requests that crash servers. */
+  | {readonly t: "crashes"; readonly changes: CrashChanges}
   /** The lease that the leader asked to renew was renewed, or is not known any more. */
   | {readonly t: "renewed"; readonly ask: number; readonly known: boolean}
   | {readonly t: "pong"}
@@ -156,6 +159,8 @@
       readonly loads?: EngineLoads | undefined
     }
   | {readonly t: "loads"; readonly loads: EngineLoads}
+  /** What boxes concluded of requests that crash servers; `whole`: all that the leader knows. */
+  | {readonly t: "crashes"; readonly changes: CrashChanges; readonly whole: boolean}
   /** The key-value service turns the leader away: its lease is to be renewed for it. */
   | {readonly t: "renew"; readonly ask: number; readonly lease: string}
   | {readonly t: "refuse"; readonly request: string; readonly retryAfterMs: number}
--- a/src/types/store-calls.ts
+++ b/src/types/store-calls.ts
@@ -31,6 +31,10 @@
   "usage-read",
   /** A leader stores what organisations may have used. */
   "usage-save",
+  /** A new leader reads which requests crash servers. */
+  "crash-read",
+  /** A leader stores which requests crash servers. */
+  "crash-save",
   /** It did not say. */
   "other"
 ] as const
