Whom a crash is blamed on: a request that was answered whole is cleared, a stopped one is tried twice

Causes: the newest answer was kept as the proof, which is always too young where answers come often; what boxes knew of answers was not asked as a record came; and nothing ended a wrong stop.

--- a/src/adapters/crash-store.ts
+++ b/src/adapters/crash-store.ts
@@ -20,7 +20,10 @@
 /** Requests that are kept, those with the most crashes first: some 12 KB. */
 const MAX_KEPT = 100
 
-const stored = z.array(z.tuple([z.string(), z.array(z.string())])).max(MAX_KEPT)
+/** Fingerprint, lives of servers, trials. */
+const stored = z
+  .array(z.tuple([z.string(), z.array(z.string()), z.number().min(0)]))
+  .max(MAX_KEPT)
 
 export interface CrashStoreOptions {
   readonly kv: KvStore
@@ -87,7 +90,9 @@
       return log("entry-unreadable", {key, revision, reason: error.message})
     }
     if (data.length === 0) return
-    learned(data.map(([fingerprint, lives]) => ({fingerprint, lives, ageMs: 0})))
+    learned(
+      data.map(([fingerprint, lives, trials]) => ({fingerprint, lives, trials, ageMs: 0}))
+    )
   }
 
   private async save(): Promise<void> {
@@ -106,7 +111,9 @@
       .filter(({lives}) => lives.length >= LEAST_CRASHES)
       .sort((a, b) => b.lives.length - a.lives.length)
       .slice(0, MAX_KEPT)
-    return JSON.stringify(kept.map(({fingerprint, lives}) => [fingerprint, lives]))
+    return JSON.stringify(
+      kept.map(({fingerprint, lives, trials}) => [fingerprint, lives, trials])
+    )
   }
 
   private as(caller: StoreCaller): KvStore {
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -45,6 +45,7 @@
   if (!request || !attempt) return
   attempt.heardAt = now
   box.suspects.delete(attempt.backend)
+  box.survivors.noteHeard(attempt.backend, now)
   if (attempt.firstAt !== undefined) return
   attempt.firstAt = now
   // The prompt was read: its work is done, whatever still comes out.
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -7,6 +7,9 @@
 import {giveUp} from "./box-ends.js"
 import {type Attempt, type BoxRequest, type BoxServing, note} from "./box-state.js"
 
+/** Callers of a request that is stopped may come back after this at the earliest, milliseconds. */
+const LEAST_RETRY_MS = 5_000
+
 /** Where news of crashes comes from. */
 export type CrashSource =
   /** The leader's whole list, as a link to it begins. */
@@ -17,13 +20,36 @@
   /** What an earlier leader stored. */
   | "store"
 
-/** How long the request is to be sent to no server, milliseconds; 0: it may be sent. */
-export function stoppedForMs(
+/** Whether the request is to be sent to no server. */
+export function isStopped(
   box: BoxServing,
-  {arrival: {fingerprint}}: BoxRequest,
+  {arrival: {fingerprint}, trial, attempt, attempts}: BoxRequest
+): boolean {
+  const isFirstSend = attempts === (attempt ? 1 : 0)
+  if (fingerprint === undefined || (trial && isFirstSend)) return false
+  return box.crashes.isStopped(fingerprint)
+}
+
+/** Ends a request that is stopped, unless it is the one to be tried now; true: it did. */
+export function refuseIfStopped(
+  box: BoxServing,
+  request: BoxRequest,
   now: number
-): number {
-  return fingerprint === undefined ? 0 : box.crashes.stoppedForMs(fingerprint, now)
+): boolean {
+  if (!isStopped(box, request)) return false
+  const {fingerprint = ""} = request.arrival
+  const waitMs = box.crashes.trialInMs(fingerprint, now)
+  // One box alone tries, and what it begins is told before it is sent.
+  if (waitMs === 0 && box.leads && box.crashes.mayTry(now)) {
+    box.crashes.noteTrial(fingerprint, now)
+    request.trial = true
+    note(box, "request-tried", {fingerprint, request: request.arrival.name})
+    tellChanges(box, {records: box.crashes.tell(now, [fingerprint]), cleared: []})
+    return false
+  }
+  const reason = request.runs > 0 ? "unknown" : "crashes-servers"
+  giveUp(box, request, reason, now, Math.max(LEAST_RETRY_MS, waitMs))
+  return true
 }
 
 /** A server answered the request whole. */
@@ -33,7 +59,9 @@
   {backend}: Attempt,
   now: number
 ): void {
-  if (fingerprint) box.crashWatch.noteAnswered(fingerprint, backend, now)
+  if (fingerprint === undefined) return
+  box.crashWatch.noteAnswered(fingerprint, backend, now)
+  box.survivors.noteAnswered(fingerprint, backend, now)
 }
 
 /**
@@ -54,7 +82,9 @@
   now: number
 ): void {
   if (up === false) return confirmCrash(box, backend, now)
-  if (up) box.crashWatch.noteReached(backend, now)
+  if (!up) return
+  box.crashWatch.noteReached(backend, now)
+  box.survivors.noteHeard(backend, now)
 }
 
 /** A server is known to have ended, since it is in its next life. */
@@ -73,7 +103,13 @@
     const missing = box.crashes.tellMissing(records, now)
     if (missing.length > 0) tellChanges(box, {records: missing, cleared: []})
   }
-  const changed = records.filter(record => mergeRecord(box, record, now))
+  const survived = records
+    .map(({fingerprint}) => fingerprint)
+    .filter(fingerprint => box.survivors.has(fingerprint))
+  if (survived.length > 0) tellChanges(box, {records: [], cleared: survived})
+  const changed = records
+    .filter(({fingerprint}) => !survived.includes(fingerprint))
+    .filter(record => mergeRecord(box, record, now))
   const clearedHere = cleared.filter(fingerprint => box.crashes.clear(fingerprint))
   // Requests that were in progress here as these servers crashed count, too.
   for (const life of new Set(changed.flatMap(({lives}) => lives))) {
@@ -93,15 +129,14 @@
 
 /** What time alone brings: servers to look at again, and requests that are known to crash none. */
 export function tickCrashes(box: BoxServing, now: number): void {
-  for (const backend of box.crashWatch.takeLooks(now)) {
+  box.crashes.expire(now)
+  const suspects = box.crashes.fingerprints()
+  const looks = suspects.flatMap(each => box.survivors.takeLook(each, now) ?? [])
+  for (const backend of new Set([...looks, ...box.crashWatch.takeLooks(now)])) {
     const record = findUnannounced(box, backend)
     if (record) askWhetherUp(box, record)
   }
-  if (box.crashes.size === 0) return
-  box.crashes.expire(now)
-  const cleared = box.crashes
-    .fingerprints()
-    .filter(fingerprint => box.crashWatch.hasSurvivor(fingerprint, now))
+  const cleared = suspects.filter(fingerprint => box.survivors.has(fingerprint))
   if (cleared.length === 0) return
   for (const fingerprint of cleared) {
     box.crashes.clear(fingerprint)
@@ -117,10 +152,10 @@
   attempt: Attempt,
   now: number
 ): boolean {
-  const forMs = stoppedForMs(box, request, now)
-  if (attempt.headed || forMs === 0) return false
+  if (attempt.headed || !isStopped(box, request)) return false
   const ran = attempt.started || request.runs > 0
-  giveUp(box, request, ran ? "unknown" : "crashes-servers", now, forMs)
+  const waitMs = box.crashes.trialInMs(request.arrival.fingerprint ?? "", now)
+  giveUp(box, request, ran ? "unknown" : "crashes-servers", now, waitMs)
   return true
 }
 
@@ -129,8 +164,9 @@
     .filter(({attempt}) => attempt?.started === true && attempt.backend === backend)
     .flatMap(({arrival: {fingerprint}}) => fingerprint ?? [])
   const ended = box.crashWatch.takeCrash(backend, now)
-  const suspects = [...new Set([...inProgress, ...ended])].filter(
-    fingerprint => !box.crashWatch.hasSurvivor(fingerprint, now)
+  const answered = box.survivors.takeCrash(backend, now)
+  const suspects = [...new Set([...inProgress, ...ended, ...answered])].filter(
+    fingerprint => !box.survivors.has(fingerprint)
   )
   const added = suspects.filter(fingerprint => addCrash(box, fingerprint, backend, now))
   if (added.length === 0) return
@@ -139,10 +175,7 @@
 }
 
 function mergeRecord(box: BoxServing, record: CrashNews, now: number): boolean {
-  const wasStopped = box.crashes.stoppedForMs(record.fingerprint, now) > 0
-  const isNews = box.crashes.merge(record, now)
-  if (!wasStopped) noteIfStopped(box, record.fingerprint, now)
-  return isNews
+  return noteIfStopped(box, record.fingerprint, () => box.crashes.merge(record, now))
 }
 
 function addCrash(
@@ -151,16 +184,21 @@
   backend: string,
   now: number
 ): boolean {
-  const wasStopped = box.crashes.stoppedForMs(fingerprint, now) > 0
-  const isNews = box.crashes.add(fingerprint, backend, now)
-  if (!wasStopped) noteIfStopped(box, fingerprint, now)
-  return isNews
+  const add = (): boolean => box.crashes.add(fingerprint, backend, now)
+  return noteIfStopped(box, fingerprint, add)
 }
 
-function noteIfStopped(box: BoxServing, fingerprint: string, now: number): void {
-  const forMs = box.crashes.stoppedForMs(fingerprint, now)
-  if (forMs === 0) return
-  note(box, "request-stopped", {fingerprint, forMs: Math.round(forMs)})
+function noteIfStopped(
+  box: BoxServing,
+  fingerprint: string,
+  change: () => boolean
+): boolean {
+  const wasStopped = box.crashes.isStopped(fingerprint)
+  const isNews = change()
+  if (!wasStopped && box.crashes.isStopped(fingerprint)) {
+    note(box, "request-stopped", {fingerprint})
+  }
+  return isNews
 }
 
 function tellChanges(box: BoxServing, changes: CrashChanges): void {
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -2,7 +2,7 @@
 import {isStillHeld} from "./access.js"
 import {type Candidate, chooseBackend} from "./box-choose.js"
 import {abortAttempt, countUse, dropNeed, finish, giveUp, tellUse} from "./box-ends.js"
-import {stoppedForMs} from "./box-crashes.js"
+import {refuseIfStopped} from "./box-crashes.js"
 import {isStale} from "./box-news.js"
 import {
   type Arrival,
@@ -40,6 +40,7 @@
     askedAt: undefined,
     chargeAsked: undefined,
     granted: false,
+    trial: false,
     replied: false,
     lastEventId: arrival.lastEventId
   }
@@ -65,11 +66,7 @@
   if (!isAllowed(box, request)) {
     return giveUp(box, request, request.runs > 0 ? "unknown" : "denied", now)
   }
-  const stoppedMs = stoppedForMs(box, request, now)
-  if (stoppedMs > 0) {
-    const reason = request.runs > 0 ? "unknown" : "crashes-servers"
-    return giveUp(box, request, reason, now, stoppedMs)
-  }
+  if (refuseIfStopped(box, request, now)) return
   if (refuseIfFull(box, request, now)) return
   const candidate = chooseBackend(box, request, now)
   if (!candidate) {
--- a/src/core/box-starts.ts
+++ b/src/core/box-starts.ts
@@ -1,7 +1,7 @@
 /** Whether what was decided at a send still holds as its bytes leave: it may have waited for a connection. */
 import {isStillHeld} from "./access.js"
 import {isUsable} from "./backend-list.js"
-import {stoppedForMs} from "./box-crashes.js"
+import {isStopped} from "./box-crashes.js"
 import type {AttemptFailure} from "./box-doubts.js"
 import {isStale} from "./box-news.js"
 import type {BoxServing} from "./box-state.js"
@@ -22,7 +22,7 @@
   if (!isUsable(box.backends, attempt.backend)) return "not-sent"
   const {key, organisation} = request.arrival
   if (!isStillHeld(box, key, organisation)) return "overtaken"
-  if (stoppedForMs(box, request, now) > 0) return "overtaken"
+  if (isStopped(box, request)) return "overtaken"
   const holds = !isStale(box, now) && mayRunOn(box, request, attempt.version, now)
   return holds ? undefined : "overtaken"
 }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -7,6 +7,7 @@
 import {PrefixMemory} from "./prefix-memory.js"
 import {FIRST_RATE} from "./reading-rate.js"
 import type {UsageOptions} from "./usage-limits.js"
+import {Survivors} from "./survivors.js"
 import {RetryBudget, type RetryBudgetOptions} from "./rate-windows.js"
 import type {RouteTable} from "./route-table.js"
 import type {KnownEra} from "./eras.js"
@@ -92,6 +93,8 @@
   chargeAsked: number | undefined
   /** The leader gave it a repeat, which is not one of this box's own. */
   granted: boolean
+  /** It is let through though it is stopped, to see whether it crashes another server. */
+  trial: boolean
   /** The head of an answer went to the caller. */
   replied: boolean
   lastEventId: string | undefined
@@ -145,12 +148,16 @@
   /** Requests that backend servers crash under, as all boxes know it. */
   readonly crashes: CrashList
   readonly crashWatch: CrashWatch
+  /** Requests that crash none, as far as this box saw. */
+  readonly survivors: Survivors
   readonly budgets: Map<string, RetryBudget>
   /** What organisations may use here. */
   readonly stock: UsageStock
   readonly prefixes: PrefixMemory
   /** The engines in the order in which loads are told. */
   loadOrder: readonly string[]
+  /** This box leads. */
+  leads: boolean
   /** Whether a leader is known, and from when one is believed to order loads. */
   led: boolean
   ordersFrom: number
@@ -241,6 +248,7 @@
   | "era-kept"
   | "server-crashed"
   | "request-stopped"
+  | "request-tried"
   | "request-cleared"
 
 export type NoteFields = Readonly<Record<string, string | number | boolean>>
@@ -265,12 +273,14 @@
     endedLives: new Map(),
     busy: new Map(),
     suspects: new Map(),
-    crashes: new CrashList(options.random),
+    crashes: new CrashList(),
     crashWatch: new CrashWatch(),
+    survivors: new Survivors(),
     budgets: new Map(),
     stock: new UsageStock(),
     boxes: 1,
     loadOrder: [],
+    leads: false,
     led: false,
     ordersFrom: 0,
     prefixes: new PrefixMemory(),
--- a/src/core/crash-list.ts
+++ b/src/core/crash-list.ts
@@ -2,14 +2,23 @@
  * Requests that backend servers crash under. A request is stopped once three servers have crashed while it
  * was in progress there and none has answered it whole. Boxes merge each other's lists: the lives of servers
  * that crashed are a set, so that the order of news does not matter and nothing counts twice.
+ *
+ * A request that many callers send alike can be in progress at three crashes by chance. So the leader lets a
+ * stopped one through now and then, one at a time: an answer clears it, another crash does not.
  */
 import type {CrashNews} from "../types/crash-messages.js"
 
 /** Under so many crashes a request is stopped. */
 export const CRASHES_TO_STOP = 3
 
-/** From the last crash, milliseconds; then one box after another sends the request once more. */
-export const STOP_MS = 600_000
+/** Times from the last crash until each trial, milliseconds. A stopped request reaches servers no more than this. */
+export const TRIALS_MS = [5_000, 60_000] as const
+
+/** From one trial to the next, of whatever request, milliseconds: one must not be blamed for the other's crash. */
+const TRIAL_GAP_MS = 3_000
+
+/** A request under which no server crashed for so long is forgotten, milliseconds. */
+const KEEP_MS = 24 * 3_600_000
 
 /** Requests that are remembered. Those with the fewest crashes make way first, then the oldest. */
 const MAX_RECORDS = 512
@@ -19,15 +28,13 @@
   readonly lives: readonly string[]
   /** When the last of them was seen to end, by the clock of the box. */
   readonly at: number
-  /** Boxes differ in this, so that they do not try the request all at once. */
-  readonly stoppedUntil: number
+  /** Trials that were begun. */
+  readonly trials: number
 }
 
 export class CrashList {
   private readonly records_ = new Map<string, CrashRecord>()
-
-  /** `random`: a random number in [0, 1). */
-  constructor(private readonly random_: () => number) {}
+  private triedAt_ = -Infinity
 
   get size(): number {
     return this.records_.size
@@ -47,17 +54,17 @@
     if (known?.lives.includes(life)) return false
     const lives = [...(known?.lives ?? []), life].slice(-CRASHES_TO_STOP)
     const lastAt = Math.max(at, known?.at ?? -Infinity)
-    const stoppedUntil = lastAt + STOP_MS * (1 + this.random_())
-    this.records_.delete(fingerprint)
-    this.records_.set(fingerprint, {lives, at: lastAt, stoppedUntil})
-    if (this.records_.size > MAX_RECORDS) this.dropOne()
+    this.put(fingerprint, {lives, at: lastAt, trials: known?.trials ?? 0})
     return true
   }
 
   /** Takes another box's record; false: it told nothing new. */
-  merge({fingerprint, lives, ageMs}: CrashNews, now: number): boolean {
+  merge({fingerprint, lives, ageMs, trials}: CrashNews, now: number): boolean {
     const added = lives.map(life => this.add(fingerprint, life, now - ageMs))
-    return added.includes(true)
+    const known = this.records_.get(fingerprint)
+    const isTried = known !== undefined && trials > known.trials
+    if (isTried) this.put(fingerprint, {...known, trials})
+    return isTried || added.includes(true)
   }
 
   /** The request crashes no server. */
@@ -65,11 +72,29 @@
     return this.records_.delete(fingerprint)
   }
 
-  /** How long the request is to be sent to no server, milliseconds; 0: it may be sent. */
-  stoppedForMs(fingerprint: string, now: number): number {
+  /** Whether the request is to be sent to no server. */
+  isStopped(fingerprint: string): boolean {
+    return (this.records_.get(fingerprint)?.lives.length ?? 0) >= CRASHES_TO_STOP
+  }
+
+  /** In how long a stopped request may be tried, milliseconds; 0: now. */
+  trialInMs(fingerprint: string, now: number): number {
     const record = this.records_.get(fingerprint)
-    if (!record || record.lives.length < CRASHES_TO_STOP) return 0
-    return Math.max(0, record.stoppedUntil - now)
+    if (!record) return 0
+    const waitMs = TRIALS_MS[record.trials] ?? KEEP_MS
+    return Math.max(0, record.at + waitMs - now)
+  }
+
+  /** Whether a trial may begin now. */
+  mayTry(now: number): boolean {
+    return now - this.triedAt_ >= TRIAL_GAP_MS
+  }
+
+  /** A trial of a stopped request begins. */
+  noteTrial(fingerprint: string, now: number): void {
+    this.triedAt_ = now
+    const record = this.records_.get(fingerprint)
+    if (record) this.put(fingerprint, {...record, trials: record.trials + 1})
   }
 
   /** The records of these requests, or of all, for other boxes. */
@@ -78,7 +103,8 @@
       const record = this.records_.get(fingerprint)
       if (!record) return []
       const ageMs = Math.max(0, Math.round(now - record.at))
-      return [{fingerprint, lives: record.lives, ageMs}]
+      const {lives, trials} = record
+      return [{fingerprint, lives, ageMs, trials}]
     })
   }
 
@@ -94,10 +120,16 @@
   /** Forgets requests under which no server has crashed for long. */
   expire(now: number): void {
     for (const [fingerprint, {at}] of this.records_) {
-      if (now - at > 3 * STOP_MS) this.records_.delete(fingerprint)
+      if (now - at > KEEP_MS) this.records_.delete(fingerprint)
     }
   }
 
+  private put(fingerprint: string, record: CrashRecord): void {
+    this.records_.delete(fingerprint)
+    this.records_.set(fingerprint, record)
+    if (this.records_.size > MAX_RECORDS) this.dropOne()
+  }
+
   private dropOne(): void {
     let dropped: string | undefined
     let fewest = Infinity
--- a/src/core/crash-watch.ts
+++ b/src/core/crash-watch.ts
@@ -6,11 +6,7 @@
 /** The same after its whole answer came: a server may crash of it right after, and be seen to a little later. */
 const ANSWERED_MS = 300
 
-/** An answer shows that its server survived the request once it has outlived it for so long, milliseconds. */
-export const SURVIVED_MS = 500
-
 const MAX_ENDED = 2_000
-const MAX_ANSWERED = 2_000
 
 /** A server that broke off requests is looked at again after this, milliseconds, and so often in all. */
 const LOOK_AGAIN_MS = 500
@@ -28,12 +24,6 @@
   readonly answered: boolean
 }
 
-/** The last whole answer to a request. */
-interface Answered {
-  readonly life: string
-  readonly at: number
-}
-
 /** A server that broke off requests, and may have crashed. */
 interface Broken {
   readonly at: number
@@ -48,7 +38,6 @@
 export class CrashWatch {
   /** Oldest first. */
   private ended_: EndedSend[] = []
-  private readonly answered_ = new Map<string, Answered>()
   private readonly broken_ = new Map<string, Broken>()
 
   /** A send ended without a whole answer. */
@@ -59,17 +48,6 @@
   /** A send ended with a whole answer. */
   noteAnswered(fingerprint: string, life: string, at: number): void {
     this.noteEnded({fingerprint, life, at, answered: true})
-    this.answered_.delete(fingerprint)
-    this.answered_.set(fingerprint, {life, at})
-    if (this.answered_.size <= MAX_ANSWERED) return
-    const [oldest] = this.answered_.keys()
-    if (oldest !== undefined) this.answered_.delete(oldest)
-  }
-
-  /** Whether some server has answered the request whole and outlived that. */
-  hasSurvivor(fingerprint: string, now: number): boolean {
-    const answered = this.answered_.get(fingerprint)
-    return answered !== undefined && now - answered.at >= SURVIVED_MS
   }
 
   /** Whether a request ended at the server so lately that it may have to do with its crash. */
@@ -107,20 +85,11 @@
     broken.until = Math.min(broken.until, now + REBORN_MS)
   }
 
-  /**
-   * The server has crashed: the requests that ended as it did, or were in progress. What it answered just
-   * before does not show that it survived that.
-   */
+  /** The server has crashed: the requests that ended as it did, or shortly before. */
   takeCrash(life: string, now: number): string[] {
     const broken = this.broken_.get(life)
     this.broken_.delete(life)
-    const at = broken?.at ?? now
-    for (const [fingerprint, answered] of this.answered_) {
-      if (answered.life === life && at - answered.at < SURVIVED_MS) {
-        this.answered_.delete(fingerprint)
-      }
-    }
-    return [...new Set([...(broken?.suspects ?? []), ...this.endedAround(life, at)])]
+    return [...(broken?.suspects ?? []), ...this.endedAround(life, broken?.at ?? now)]
   }
 
   /** The servers that are to be looked at again now. */
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -41,6 +41,7 @@
   if (event.type === "lead") return lead(state, now)
   if (event.type === "lead-over") {
     state.fleet = undefined
+    state.serving.leads = false
     delete state.ledger
     return
   }
@@ -88,6 +89,7 @@
 
 function lead(state: RoutedState, now: number): void {
   state.fleet = createFleet(now)
+  state.serving.leads = true
   state.retries = new RetryPool(state.serving.options.retry, now)
   for (const [adapter, named] of state.serving.versions) {
     takeFleetVersion(state.fleet, adapter, newestOf(named))
--- a/src/events.ts
+++ b/src/events.ts
@@ -359,7 +359,12 @@
   "request-stopped": {
     number: 225,
     level: "warn",
-    text: "A request under which backend servers crash is sent to none for a while."
+    text: "A request under which backend servers crash is sent to none any more, but for trials by the leader."
+  },
+  "request-tried": {
+    number: 227,
+    level: "warn",
+    text: "The leader lets a stopped request through once, to see whether it crashes another server."
   },
   "request-cleared": {
     number: 226,
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -33,7 +33,8 @@
 const crashNews = z.object({
   fingerprint: z.string(),
   lives: z.array(z.string()),
-  ageMs: z.number().min(0)
+  ageMs: z.number().min(0),
+  trials: z.number().min(0)
 })
 
 const toLeader = z.discriminatedUnion("t", [
--- a/src/types/crash-messages.ts
+++ b/src/types/crash-messages.ts
@@ -8,6 +8,8 @@
   readonly lives: readonly string[]
   /** Since the last of them was seen to end, milliseconds. */
   readonly ageMs: number
+  /** How often the request was let through after it was stopped. */
+  readonly trials: number
 }
 
 /** What changed; records are merged, in whatever order they come. */
