Red test: a suspended box believes what its steady clock says is fresh

The test's boxes have a steady clock that leaves out the time in which the process was stopped, as a suspended machine's does, and a time of day that can be set.

--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -1,7 +1,7 @@
 /** A deployment on the stand-in of the users' platform: real boxes as processes, callers in here. */
 import {mkdtempSync, writeFileSync} from "node:fs"
 import {tmpdir} from "node:os"
-import {join} from "node:path"
+import {dirname, join} from "node:path"
 import {Agent, request} from "undici"
 import {Judge} from "../stand-ins/platform-judge.js"
 import {StandInWorker, type WorkerOptions} from "../stand-ins/platform-worker.js"
@@ -40,6 +40,10 @@
   readonly ready: string
   /** Between the box and the store. */
   readonly storeProxy: FaultProxy | undefined
+  /** What its clocks are told: how long its machine was suspended, and by how much its time of day was set. */
+  readonly clocksFile: string
+  suspendedMs: number
+  steppedMs: number
   child: Child
 }
 
@@ -71,6 +75,8 @@
   readonly proxied?: boolean
   /** Boxes run the bundled program, as the platform does, and not the single files. */
   readonly bundled?: boolean
+  /** The machines of boxes can be suspended; not with `bundled`. */
+  readonly suspendable?: boolean
   /** Connections that all boxes may have to a plain worker. */
   readonly plainConnections?: number
   /** Every third engine runs what waits in its queue though the connection has closed. */
@@ -190,10 +196,15 @@
     }
     const settingsFile = join(mkdtempSync(join(tmpdir(), "sedge-bed-")), "box.json")
     writeFileSync(settingsFile, JSON.stringify(settings))
-    const child = this.startBox(settingsFile)
+    const clocksFile = join(dirname(settingsFile), "clocks")
+    writeFileSync(clocksFile, "")
+    const child = this.startBox({settingsFile, clocksFile})
     const box = {
       name,
       settingsFile,
+      clocksFile,
+      suspendedMs: 0,
+      steppedMs: 0,
       callers: `127.0.0.1:${callers}`,
       ready: settings.ready,
       storeProxy,
@@ -208,15 +219,40 @@
     return share === undefined ? {} : {processor: {share, cores: 1}}
   }
 
-  private startBox(settingsFile: string): Child {
+  private startBox({
+    settingsFile,
+    clocksFile
+  }: Pick<BedBox, "settingsFile" | "clocksFile">): Child {
+    const args = ["--settings", settingsFile]
+    if (this.options_.suspendable) {
+      const env = {CLOCKS_FILE: clocksFile}
+      return new Child("test/support/suspendable-box.js", args, env)
+    }
     const program = this.options_.bundled ? "../target/box.mjs" : "platform/start.js"
-    return new Child(program, ["--settings", settingsFile])
+    return new Child(program, args)
+  }
+
+  /** Suspends the machine of a box: its steady clock does not count the time, the time of day does. */
+  async suspend(box: BedBox, ms: number): Promise<void> {
+    const {child} = box
+    const from = performance.now()
+    child.signal("SIGSTOP")
+    await new Promise(resolve => setTimeout(resolve, ms))
+    box.suspendedMs += performance.now() - from
+    setClocks(box)
+    child.signal("SIGCONT")
+  }
+
+  /** Sets the time of day of a box's machine forward. */
+  stepTime(box: BedBox, ms: number): void {
+    box.steppedMs += ms
+    setClocks(box)
   }
 
   /** Starts the process of a box that ended again. */
   restartBox(box: BedBox): void {
     this.past_.push(box.child.output)
-    box.child = this.startBox(box.settingsFile)
+    box.child = this.startBox(box)
   }
 
   /** Waits until all boxes take requests and one leads. */
@@ -389,6 +425,12 @@
   }
 }
 
+/** In one write of fixed length: the box reads the file at each look at a clock. */
+function setClocks({clocksFile, suspendedMs, steppedMs}: BedBox): void {
+  const line = `${suspendedMs.toFixed(3)} ${steppedMs.toFixed(3)}`.padEnd(40)
+  writeFileSync(clocksFile, line, {flag: "r+"})
+}
+
 function portOf(address: string): number {
   return Number(address.split(":")[1])
 }
--- /dev/null
+++ b/test/suspensions.test.ts
@@ -0,0 +1,132 @@
+/**
+ * A box whose machine was suspended believes nothing by the age that its steady clock gives, which does not count
+ * the time: no server that left, no lease that ran out and no key that was taken away meanwhile.
+ *
+ * Found by reading, after machines that are suspended were announced: a suspension was noticed by nothing, since
+ * no turn of the loop was late by the only clock that was read.
+ */
+import {setTimeout as sleep} from "node:timers/promises"
+import t from "tap"
+import type {StandInWorker} from "./stand-ins/platform-worker.js"
+import {passOverIfRed} from "./support/known-red.js"
+import {type BedBox, KEY_MS, PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
+
+/** How long a server that leaves may still be sent requests, milliseconds. */
+const DRAIN_MS = 2_000
+
+/** Between two requests of a caller, milliseconds. */
+const PAUSE_MS = 40
+
+if (!passOverIfRed("suspensions")) playAll()
+
+function followerOf(bed: PlatformBed): BedBox {
+  return bed.boxes.find(box => box !== bed.leader()) as BedBox
+}
+
+/** The plain worker that the box sends to: that of its own data centre. */
+function plainOf(bed: PlatformBed, box: BedBox): StandInWorker {
+  return bed.plain[bed.boxes.indexOf(box) % bed.plain.length] as StandInWorker
+}
+
+async function callFor(bed: PlatformBed, box: BedBox, ms: number): Promise<void> {
+  const calls: Promise<unknown>[] = []
+  for (const end = performance.now() + ms; performance.now() < end;) {
+    calls.push(bed.call(box, "/safe/x"))
+    await sleep(PAUSE_MS)
+  }
+  await Promise.all(calls)
+}
+
+/** How long after it left the worker was still reached, milliseconds; 0: it was not. */
+function lastReachedMs(bed: PlatformBed, worker: StandInWorker): number {
+  const ages = bed.judge.arrived
+    .filter(request => request.worker === worker.id)
+    .map(request => Math.round(request.at - (worker.drainedAt ?? Infinity)))
+  return Math.max(0, ...ages)
+}
+
+function playAll(): void {
+  t.test(
+    "a box that was suspended sends nothing to a server that left meanwhile",
+    async t => {
+      const bed = await PlatformBed.start({boxes: 2, engines: 1, suspendable: true})
+      t.teardown(() => bed.stop())
+      const box = followerOf(bed)
+      const worker = plainOf(bed, box)
+      await callFor(bed, box, 200)
+      const suspended = bed.suspend(box, DRAIN_MS + 1_000)
+      // No news waits in its connections as it goes on.
+      await bed.leader()?.child.end("SIGKILL")
+      worker.drain()
+      await sleep(DRAIN_MS)
+      await Promise.all([suspended, callFor(bed, box, 2_000)])
+      const late = lastReachedMs(bed, worker)
+      t.ok(late <= DRAIN_MS, `last reached ${late} ms after it left`)
+      t.match(bed.logs(), /"suspendedMs":[23]\d{3}/, "the log tells it")
+    }
+  )
+
+  t.test("a leader that was suspended orders nothing once another led", async t => {
+    const bed = await PlatformBed.start({boxes: 3, engines: 2, suspendable: true})
+    t.teardown(() => bed.stop())
+    const leader = bed.leader() as BedBox
+    const from = performance.now()
+    const suspended = bed.suspend(leader, 4_000)
+    await until("another leads", () => bed.leader() !== leader, 4_000)
+    await bed.call(bed.leader() as BedBox, "/stream/x", {adapter: "a1"})
+    // Asked of the old leader while it stands still: it orders as it goes on, if it believes that it leads.
+    const calls = ["a2", "a3", "a4"].map(adapter =>
+      bed.call(leader, "/stream/x", {adapter})
+    )
+    await Promise.all([suspended, ...calls])
+    const orders = bed.judge.orders.filter(({at}) => at > from + 3_900)
+    const newest = Math.max(...bed.judge.orders.map(({fence}) => fence))
+    t.same(
+      orders.filter(({fence}) => fence < newest),
+      []
+    )
+  })
+
+  t.test(
+    "a box that was suspended uses no key that was taken away meanwhile",
+    async t => {
+      const tenant = {name: "one", apiKeys: ["key-1", "key-2"]}
+      const bed = await PlatformBed.start({
+        boxes: 1,
+        engines: 1,
+        proxied: true,
+        suspendable: true,
+        tenants: [tenant]
+      })
+      t.teardown(() => bed.stop())
+      const [box] = bed.boxes as [BedBox]
+      t.equal((await bed.call(box, "/safe/x", {key: "key-1"})).status, 200)
+      // What it knows of the store stays as old as it is.
+      box.storeProxy?.set({blockUp: true, blockDown: true})
+      bed.tenants = [{...tenant, apiKeys: ["key-2"]}]
+      bed.configure()
+      const takenAt = performance.now()
+      await bed.suspend(box, KEY_MS + 500)
+      const late: string[] = []
+      while (performance.now() - takenAt < KEY_MS + 2_500) {
+        const {id} = await bed.call(box, "/safe/x", {key: "key-1", deadlineMs: 1_000})
+        if (bed.judge.runsOf(id).length > 0) late.push(id)
+        await sleep(100)
+      }
+      t.same(late, [])
+    }
+  )
+
+  t.test("requests in progress outlive a step of the time of day", async t => {
+    const bed = await PlatformBed.start({boxes: 1, engines: 1, suspendable: true})
+    t.teardown(() => bed.stop())
+    const [box] = bed.boxes as [BedBox]
+    for (const worker of bed.plain) worker.faults = {slowMs: 1_500}
+    const call = bed.call(box, "/unsafe/x", {body: "{}", deadlineMs: 3_000})
+    await sleep(300)
+    // As a step of the time of day looks to the box: the steady clock falls behind, and no time has passed.
+    bed.stepTime(box, 2_400)
+    t.equal((await call).status, 200)
+  })
+}
