A suspension counts as time that has passed

Callers would have been served by servers that had left, and by keys that were taken away, for as long after a suspension as the box had known them before. Cause: every age of news, lease, key and allowance rested on the steady clock, which stands while a machine is suspended, and a turn that was late by the time of day alone was noticed by nothing. Class: a duration measured by a clock that does not run all the time. Ruled out: os.uptime() as the source. It counts suspensions, but reads a file of the machine in steps of 10 ms at each look. The loop's late turn then shows as a freeze does: news is read anew, the link to the leader is made anew, a lease is renewed before the lead is given up, no order leaving meanwhile. A step of the time of day looks the same: there less time is the safe side for requests in progress, which are postponed, and for budgets and the ledger's windows, which do not count it (src/core/suspensions.ts).

--- a/src/adapters/backend-news.ts
+++ b/src/adapters/backend-news.ts
@@ -5,6 +5,7 @@
 import type {KnownBackend} from "../core/backend-list.js"
 import type {FromLeader} from "../types/box-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
+import {clockNow} from "./clock.js"
 
 export class BackendNews {
   private seen_: ReadonlyMap<string, KnownBackend> = new Map()
@@ -26,7 +27,7 @@
     const gone = [...this.told_.keys()].filter(id => !known.has(id))
     for (const id of gone) this.told_.delete(id)
     if (records.length === 0 && gone.length === 0) return
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     this.send_({t: "backends", records, whole: false, gone, ageMs: 0, sentAt})
   }
 }
--- a/src/adapters/bounded-log.ts
+++ b/src/adapters/bounded-log.ts
@@ -4,6 +4,7 @@
  */
 import pino from "pino"
 import {EVENTS, type EventLevel, type EventName} from "../events.js"
+import {clockNow} from "./clock.js"
 import type {Log} from "./log.js"
 
 /** Lines a second, and at once after a quiet time. */
@@ -30,7 +31,7 @@
   name: string,
   level: EventLevel,
   base: object,
-  now: () => number = () => performance.now()
+  now: () => number = clockNow
 ): BoundedLog {
   const destination = pino.destination({
     dest: 1,
--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -18,6 +18,7 @@
 import type {BackendRecord} from "../types/fleet.js"
 import type {CrashChanges} from "../types/crash-messages.js"
 import type {AllowanceGrant} from "../types/usage-messages.js"
+import {clockNow} from "./clock.js"
 import {BackendNews, withoutModels} from "./backend-news.js"
 import {LinkHub} from "./box-links.js"
 import {LeaseHelp} from "./lease-help.js"
@@ -61,7 +62,7 @@
 /** The leader's end of all links. */
 export class BoxHub {
   /** When the processes of half of the boxes had started, by the clock of this one. */
-  medianStartAt = performance.now()
+  medianStartAt = clockNow()
   private readonly links_: LinkHub
   private readonly backendNews_: BackendNews
   private readonly help_ = new LeaseHelp(
@@ -132,7 +133,7 @@
     const {state, settled} = this.options_
     const {serving} = state()
     // Boxes that remember more than this one must not drop what it leaves out.
-    if (settled.isDoubted(performance.now())) return
+    if (settled.isDoubted(clockNow())) return
     this.backendNews_.tell(serving.backends.known)
   }
 
@@ -214,7 +215,7 @@
     }
     const {serving} = state()
     const {config} = news
-    const now = performance.now()
+    const now = clockNow()
     return {
       t: "news",
       storeEra: eras.tell(now),
@@ -235,7 +236,7 @@
 
   /** All that a new follower has to know. */
   private tellAll(configVersion: number): FromLeader[] {
-    const now = performance.now()
+    const now = clockNow()
     const {serving, fleet} = this.options_.state()
     const {config} = this.options_.news
     const records = this.options_.settled.isDoubted(now) ? [] : listRecords(serving)
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -9,6 +9,7 @@
   ToLeader
 } from "../types/box-messages.js"
 import {splitAddress} from "../utils/address.js"
+import {clockNow} from "./clock.js"
 import {packDeflated, packPlain, unpack} from "./link-codec.js"
 
 /** Bytes that may wait for a slow peer; past that the link is cut. */
@@ -20,7 +21,7 @@
 
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
-  heardAt = performance.now()
+  heardAt = clockNow()
   /** The other end reads deflated messages. */
   deflates = false
   private ended_ = false
@@ -56,7 +57,7 @@
 
   private receive(data: Buffer): void {
     if (this.ended_) return
-    this.heardAt = performance.now()
+    this.heardAt = clockNow()
     const message = this.unpack(data)
     if (message === undefined) return this.close()
     this.take_(message)
@@ -157,7 +158,7 @@
 
   /** Cuts links from which nothing came for so long. */
   cutSilent(silenceMs: number): void {
-    const now = performance.now()
+    const now = clockNow()
     for (const follower of this.followers_.values()) {
       if (now - follower.heardAt > silenceMs) follower.close()
     }
@@ -202,7 +203,7 @@
     this.followers_.get(box)?.close()
     follower.deflates = hello.deflates === true
     this.followers_.set(box, follower)
-    this.startedAt_.set(box, performance.now() - ageMs)
+    this.startedAt_.set(box, clockNow() - ageMs)
     this.capacities_.set(box, hello.capacity ?? 0)
     this.addresses_.set(box, address)
     this.events_.up(box, configVersion, follower)
@@ -279,14 +280,14 @@
       if (socket.readyState !== WebSocket.OPEN) this.link_.close()
     }, CONNECT_MS)
     socket.once("open", () => {
-      this.greetedAt = performance.now()
+      this.greetedAt = clockNow()
       this.link_.heardAt = this.greetedAt
       this.link_.send(hello)
     })
   }
 
   get silentMs(): number {
-    return performance.now() - this.link_.heardAt
+    return clockNow() - this.link_.heardAt
   }
 
   send(message: ToLeader): void {
--- a/src/adapters/entry-process.ts
+++ b/src/adapters/entry-process.ts
@@ -12,6 +12,7 @@
 import {SedgeError} from "../errors.js"
 import type {KeeperMessage} from "../types/messages.js"
 import {splitAddress} from "../utils/address.js"
+import {clockNow} from "./clock.js"
 import {connectBoxList, pollBoxList} from "./box-list.js"
 import {cancelAttempt} from "./cancel.js"
 import {authenticate, isCallerPath, parseRequest} from "./caller-requests.js"
@@ -71,7 +72,7 @@
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick"}),
       tickMs: () => TICK_MS,
-      now: () => performance.now()
+      now: clockNow
     })
     const finished = new Promise<void>(resolve => (this.finish_ = resolve))
     this.ended = Promise.race([finished, this.loop_.ended])
--- a/src/adapters/era-source.ts
+++ b/src/adapters/era-source.ts
@@ -2,6 +2,7 @@
 import {HIGHEST_ERA, type KnownEra, takeEra} from "../core/eras.js"
 import {KvUnknown} from "../errors.js"
 import type {ToldEra} from "../types/box-messages.js"
+import {clockNow} from "./clock.js"
 import type {Log} from "./log.js"
 
 const WHOLE_NUMBER = /^\d{1,6}$/
@@ -58,13 +59,13 @@
     }
     if (era === this.era) return era
     const risen = this.known_ !== undefined
-    this.take({era, by: performance.now(), risen})
+    this.take({era, by: clockNow(), risen})
     return era
   }
 
   /** Another box told. */
   hear({era, ageMs, risen}: ToldEra): void {
-    this.take({era, by: performance.now() - ageMs, risen})
+    this.take({era, by: clockNow() - ageMs, risen})
   }
 
   private take(told: KnownEra): void {
@@ -72,7 +73,7 @@
     const known = takeEra(before, told)
     if (known === before) return
     this.known_ = known
-    if (known.era !== before?.era) this.knownAt_ = performance.now()
+    if (known.era !== before?.era) this.knownAt_ = clockNow()
     const rose = known.risen && !(before?.era === known.era && before.risen)
     if (rose) this.log_("era-rose", {era: known.era, before: before?.era ?? -1})
     for (const listener of this.listeners_) listener(known, rose)
--- a/src/adapters/exchanges.ts
+++ b/src/adapters/exchanges.ts
@@ -4,6 +4,7 @@
 import type {BackendResult, EntryEffect, EntryEvent} from "../core/entry-state.js"
 import {type ErrorCode, SedgeError} from "../errors.js"
 import type {Configuration} from "../types/config.js"
+import {clockNow} from "./clock.js"
 import {type Exchange, sendProblem, sendStreamError} from "./exchange.js"
 import type {Log} from "./log.js"
 import type {Metrics} from "./metrics.js"
@@ -33,7 +34,7 @@
     this.open_.set(id, {
       ...passed,
       res,
-      receivedAt: performance.now(),
+      receivedAt: clockNow(),
       replied: false,
       progressed: false,
       lastEventId: "",
--- a/src/adapters/keeper-process.ts
+++ b/src/adapters/keeper-process.ts
@@ -13,6 +13,7 @@
 import {BUILT_IN_POLICY, findPolicy} from "../plugins/policies.js"
 import type {EntryMessage} from "../types/messages.js"
 import {splitAddress} from "../utils/address.js"
+import {clockNow} from "./clock.js"
 import {connectBoxList, pollBoxList} from "./box-list.js"
 import {ConfigSync} from "./config-sync.js"
 import {EngineOrders} from "./engine-orders.js"
@@ -70,7 +71,7 @@
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick", epoch: Date.now()}),
       tickMs: () => TICK_MS,
-      now: () => performance.now()
+      now: clockNow
     })
     const finished = new Promise<void>(resolve => (this.finish_ = resolve))
     this.ended = Promise.race([finished, this.loop_.ended])
@@ -97,7 +98,7 @@
     this.orders_ = new EngineOrders({
       orderTimeoutMs: this.settings_.orderTimeoutMs,
       loadTimeoutMs: timing.loadTimeoutMs,
-      mayEvict: () => holdsLease(this.loop_.state().ownership, performance.now()),
+      mayEvict: () => holdsLease(this.loop_.state().ownership, clockNow()),
       onGuarded: () => log("order-guarded")
     })
   }
@@ -146,7 +147,7 @@
     return {
       generation: this.sync_.config.generation,
       owned: Object.fromEntries(ownership.owned),
-      holdsLease: holdsLease(ownership, performance.now()),
+      holdsLease: holdsLease(ownership, clockNow()),
       links: [...links],
       cells: [...cells.values()].map(cell => ({
         id: cell.id,
@@ -201,7 +202,7 @@
 
   private async giveOrder(effect: Extract<KeeperEffect, {type: "order"}>): Promise<void> {
     const {cell, engine, fence, order} = effect
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const server = findRecord(this.sync_.config, "backend", engine)?.value
     const result = server
       ? await this.orders_.give({address: server.address, fence}, order)
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -16,6 +16,7 @@
 import type {LeaderRecord} from "../types/box-messages.js"
 import type {StoreCaller} from "../types/store-calls.js"
 import {firstOf, pause} from "../utils/promises.js"
+import {clockNow} from "./clock.js"
 import {callAs} from "./store-counter.js"
 import type {StoreEras} from "./era-source.js"
 
@@ -51,6 +52,9 @@
 /** Between two tries to claim the lead again in a new era, milliseconds. */
 const CONFIRM_MS = 50
 
+/** A lease that may have run out while the machine was suspended is renewed within this, or given up, milliseconds. */
+const RENEW_AGAIN_MS = 400
+
 /** A renewal that has no answer after this is asked of other boxes, too, milliseconds. */
 const HELP_AFTER_MS = 150
 
@@ -95,7 +99,9 @@
   private settled_ = false
   private busy_ = false
   private helped_ = false
-  private readonly startedAt_ = performance.now()
+  /** Until then a lease that has run out by the clock may still be renewed. */
+  private renewUntil_ = -Infinity
+  private readonly startedAt_ = clockNow()
 
   constructor(
     private readonly kv_: KvStore,
@@ -120,6 +126,18 @@
     this.later(0)
   }
 
+  /**
+   * The machine may have been suspended, or its time of day was set. The lease may have run out: it is renewed
+   * before the lead is given up, and no order leaves until then.
+   */
+  doubtLease(): void {
+    if (this.leadership.fence === undefined || leads(this.leadership, clockNow())) return
+    this.renewUntil_ = clockNow() + RENEW_AGAIN_MS
+    if (this.busy_) return
+    clearTimeout(this.timer_)
+    this.later(0)
+  }
+
   /** Gives the lead up if it has it, so that another box need not wait for the lease. */
   async stop(): Promise<void> {
     this.stopped_ = true
@@ -161,19 +179,14 @@
     } finally {
       this.busy_ = false
     }
-    if (
-      this.leadership.fence !== undefined &&
-      !leads(this.leadership, performance.now())
-    ) {
-      this.end("lease ran out")
-    }
+    this.check()
     if (!this.stopped_) this.later(this.pauseMs())
   }
 
   private pauseMs(): number {
     const {fence, confirmed} = this.leadership
     if (fence === undefined) return this.lookMs()
-    return confirmed ? RENEW_MS : CONFIRM_MS
+    return confirmed && leads(this.leadership, clockNow()) ? RENEW_MS : CONFIRM_MS
   }
 
   private hold(): Promise<void> {
@@ -186,16 +199,15 @@
 
   /** Ends the lead by the own clock, whatever call still waits. */
   check(): void {
-    const {fence} = this.leadership
-    if (fence !== undefined && !leads(this.leadership, performance.now())) {
-      this.end("lease ran out")
-    }
+    const now = clockNow()
+    if (this.leadership.fence === undefined || leads(this.leadership, now)) return
+    if (now >= this.renewUntil_) this.end("lease ran out")
   }
 
   private async renew(): Promise<void> {
     const {lease} = this.leadership
     if (lease === undefined) return
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const own = this.as("lease-renew")
       .keepAlive(lease)
       .then(known => ({known, sentAt, helped: false}))
@@ -214,7 +226,7 @@
   private async askHelp(own: Promise<Renewal>, lease: string): Promise<Renewal> {
     const answer = await Promise.race([own.catch(() => undefined), pause(HELP_AFTER_MS)])
     if (answer) return answer
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const known = await this.events_.renewElsewhere(lease)
     return {known, sentAt, helped: true}
   }
@@ -226,7 +238,7 @@
   private async confirm(): Promise<void> {
     const {key, ttlMs} = this.options_
     const kv = this.as("lead-confirm")
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const lease = await kv.grantLease(ttlMs)
     const entry = await kv.get(key)
     const fence = this.isTaken(entry) ? undefined : await this.claim(kv, lease, entry)
@@ -237,7 +249,7 @@
     confirmLead(
       this.leadership,
       this.toClaim(fence, lease, sentAt),
-      performance.now(),
+      clockNow(),
       this.options_
     )
     this.events_.confirmed(fence)
@@ -265,7 +277,7 @@
     await new Promise(resolve => setTimeout(resolve, this.claimDelayMs()))
     if (this.stopped_) return
     const kv = this.as("leader-claim")
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const lease = await kv.grantLease(this.options_.ttlMs)
     const fence = await this.claim(kv, lease, undefined)
     if (fence === undefined) {
@@ -274,7 +286,7 @@
         .catch(() => undefined)
       return
     }
-    const now = performance.now()
+    const now = clockNow()
     if (this.stopped_)
       return void this.as("lease-end")
         .revokeLease(lease)
@@ -285,7 +297,7 @@
   }
 
   private claimDelayMs(): number {
-    const now = performance.now()
+    const now = clockNow()
     const age = now - this.startedAt_
     const young =
       age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
@@ -320,7 +332,7 @@
 
   private end(reason: string): void {
     if (this.leadership.fence === undefined) return
-    endLead(this.leadership, performance.now())
+    endLead(this.leadership, clockNow())
     this.events_.lost(reason)
   }
 }
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -8,6 +8,7 @@
 import type {RoutedEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {FromLeader, LeaderRecord, ToLeader} from "../types/box-messages.js"
+import {clockNow} from "./clock.js"
 import {pingMs} from "./box-hub.js"
 import {LeaderLink} from "./box-links.js"
 import type {Log} from "./log.js"
@@ -106,6 +107,7 @@
       },
       message: message => {
         this.options_.hearing()
+        if (this.link_ !== link) return
         if (!this.linked_) {
           this.linked_ = true
           log("leader-linked", {leader: leader.box})
@@ -125,7 +127,7 @@
       box: self.box,
       incarnation: self.incarnation,
       configVersion: news.config?.version ?? -1,
-      ageMs: Math.round(performance.now() - startedAt),
+      ageMs: Math.round(clockNow() - startedAt),
       address: self.address,
       deflates: true,
       capacity
@@ -136,7 +138,7 @@
   private addWay(message: FromLeader, greetedAt: number): FromLeader {
     if (!("sentAt" in message) || message.sentAt === undefined) return message
     const {sentAt} = message
-    const now = performance.now()
+    const now = clockNow()
     const delay = this.delay_ ?? createLinkDelay(greetedAt, sentAt)
     this.delay_ = noteMessage(delay, sentAt, now)
     const wayMs = onWayMs(this.delay_, sentAt, now)
@@ -191,7 +193,7 @@
     if (ping.storeEra) eras.hear(ping.storeEra)
     post({type: "orders", led: true, inMs: ping.ordersInMs})
     const {newsAgeMs, configAgeMs = Infinity} = ping
-    news.heardLeader(newsAgeMs, configAgeMs, performance.now())
+    news.heardLeader(newsAgeMs, configAgeMs, clockNow())
     help.learn(ping.others)
     post({type: "boxes", boxes: ping.boxes})
   }
--- a/src/adapters/loop.ts
+++ b/src/adapters/loop.ts
@@ -1,5 +1,6 @@
 /** The one loop of a process: events in, one transition at a time, effects out. */
 import {type Scheduler, type Sink, type Source, Stream} from "most"
+import {clockNow} from "./clock.js"
 
 export interface LoopOptions<State, Event, Effect> {
   readonly initial: State
@@ -92,7 +93,7 @@
 
 /** One timer that is set anew only where a tick has become due earlier: wake-ups cost. */
 class Ticker {
-  private lastAt_ = performance.now()
+  private lastAt_ = clockNow()
   private dueAt_ = Infinity
   private timer_: NodeJS.Timeout | undefined
 
@@ -104,11 +105,11 @@
     if (at >= this.dueAt_) return
     this.dueAt_ = at
     clearTimeout(this.timer_)
-    this.timer_ = setTimeout(() => this.run(), Math.max(1, at - performance.now()))
+    this.timer_ = setTimeout(() => this.run(), Math.max(1, at - clockNow()))
   }
 
   private run(): void {
-    this.lastAt_ = performance.now()
+    this.lastAt_ = clockNow()
     this.dueAt_ = Infinity
     this.tick_()
   }
--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -20,6 +20,7 @@
 import type {FleetConfig} from "../types/fleet.js"
 import type {KvChange} from "../ports/ports.js"
 import type {AskNews, FromLeader, StoreNews} from "../types/box-messages.js"
+import {clockNow} from "./clock.js"
 import {EntryReader} from "./entry-reader.js"
 import {type LeaderBackends, toBackendEvents, ToldBackends} from "./leader-backends.js"
 import {OperatorNews, type OperatorNewsOptions} from "./operator-news.js"
@@ -229,7 +230,7 @@
     if (this.trouble_ !== "none") return
     this.options_.log("kv-trouble", {prefix, reason})
     this.trouble_ = "own"
-    this.noteOutage(performance.now())
+    this.noteOutage(clockNow())
   }
 
   /** Nobody has read the store for longer than news may be old: it may be away for all. */
@@ -268,7 +269,7 @@
     const {ageMs, records, config, versions} = news
     const at = askedAt - ageMs
     if (at <= this.age_.readAt) return
-    log("news-from-box", {ageMs: Math.round(performance.now() - at)})
+    log("news-from-box", {ageMs: Math.round(clockNow() - at)})
     if (this.trouble_ === "store") {
       post({type: "store-served"})
       this.trouble_ = "own"
@@ -286,7 +287,7 @@
    * cannot: a box whose own calls fail does not add to them for others, who are in the same outage.
    */
   async refresh(askerAgeMs: number): Promise<void> {
-    const now = performance.now()
+    const now = clockNow()
     if (this.options_.settled.isDoubted(now))
       throw new KvUnavailable("it may read a copy")
     if (isNewer(this.ageMs(now), askerAgeMs)) return
@@ -311,7 +312,7 @@
     }
     this.told_.stray()
     const record = entry && (this.reader_.readBackend(entry) ?? "unreadable")
-    const reading: Reading = {source: "store", at: performance.now()}
+    const reading: Reading = {source: "store", at: clockNow()}
     this.options_.post({type: "backend", id: this.reader_.serverOf(key), record, reading})
   }
 
@@ -338,7 +339,7 @@
   private takeLeaderBackends(message: LeaderBackends): void {
     if (this.rereads_) return this.told_.stray()
     this.told_.take(message)
-    const now = performance.now()
+    const now = clockNow()
     for (const event of toBackendEvents(message, now)) this.options_.post(event)
   }
 }
--- a/src/adapters/peer-links.ts
+++ b/src/adapters/peer-links.ts
@@ -3,6 +3,7 @@
 import {WebSocket, WebSocketServer} from "ws"
 import type {Hello, PeerMessage} from "../types/messages.js"
 import {PROTOCOL_VERSION} from "../types/messages.js"
+import {clockNow} from "./clock.js"
 
 /** Bytes that may wait for a slow peer; past that it is cut off and has to start anew. */
 const MAX_BUFFERED_BYTES = 4 << 20
@@ -30,7 +31,7 @@
 /** One end of a link. `up` is told after the other end has introduced itself. */
 export class PeerLink {
   private peer_: Hello | undefined
-  private lastHeard_ = performance.now()
+  private lastHeard_ = clockNow()
   private ended_ = false
   private readonly timer_: NodeJS.Timeout
 
@@ -65,14 +66,14 @@
   }
 
   private beat(): void {
-    if (performance.now() - this.lastHeard_ > this.options_.silenceMs) return this.close()
+    if (clockNow() - this.lastHeard_ > this.options_.silenceMs) return this.close()
     this.send({t: "ping", generation: this.options_.hello().generation})
   }
 
   private receive(data: Buffer): void {
     // What was still in a buffer of a link given up must not mix with its successor's.
     if (this.ended_) return
-    this.lastHeard_ = performance.now()
+    this.lastHeard_ = clockNow()
     let message: PeerMessage
     try {
       message = packr.unpack(data) as PeerMessage
--- a/src/adapters/registration.ts
+++ b/src/adapters/registration.ts
@@ -2,6 +2,7 @@
 import type {KvStore} from "../ports/ports.js"
 import {backoffMs} from "../utils/backoff.js"
 import type {Timing} from "../core/timing.js"
+import {clockNow} from "./clock.js"
 
 const FIRST_RETRY_MS = 250
 const LONGEST_RETRY_MS = 4_000
@@ -47,7 +48,7 @@
   }
 
   private async beat(): Promise<void> {
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     if (this.lease_ !== "") {
       if (await this.kv_.keepAlive(this.lease_)) return this.events_.renewed(sentAt)
       this.lease_ = ""
--- a/src/adapters/relay-handler.ts
+++ b/src/adapters/relay-handler.ts
@@ -3,6 +3,7 @@
 import type {Histogram} from "hdr-histogram-js"
 import {type Dispatcher, errors} from "undici"
 import type {BackendResult} from "../core/entry-state.js"
+import {clockNow} from "./clock.js"
 import {
   countEvents,
   DONE,
@@ -143,7 +144,7 @@
     if (!replied) {
       this.exchange_.replied = true
       res.writeHead(this.status_, this.passedHeaders())
-      const now = performance.now()
+      const now = clockNow()
       this.measures_.firstToken.recordValue(Math.round(now - receivedAt))
       this.exchange_.lastEventAt = now
     }
@@ -169,7 +170,7 @@
 
   /** Events that come together are no time apart. */
   private measure(events: Buffer): void {
-    const now = performance.now()
+    const now = clockNow()
     const gapMs = Math.round(now - this.exchange_.lastEventAt)
     this.exchange_.lastEventAt = now
     this.measures_.betweenTokens.recordValue(gapMs)
@@ -213,7 +214,7 @@
     if (model !== this.wantedModel()) return this.finish("wrong-model")
     const {res, receivedAt} = this.exchange_
     this.exchange_.replied = true
-    this.measures_.firstToken.recordValue(Math.round(performance.now() - receivedAt))
+    this.measures_.firstToken.recordValue(Math.round(clockNow() - receivedAt))
     res.writeHead(200, {...this.passedHeaders(), "content-length": body.length})
     res.end(body)
     this.finish("ok")
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -23,6 +23,7 @@
 import type {BackendRecord} from "../types/fleet.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
+import {clockNow, clockSuspendedMs} from "./clock.js"
 import {BoxHub} from "./box-hub.js"
 import {CrashStore} from "./crash-store.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
@@ -106,16 +107,18 @@
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
-  private readonly startedAt_ = performance.now()
+  private readonly startedAt_ = clockNow()
   /** What processors can do, in cores: this box's, and the most of any. */
   private readonly capacity_: number
   private topCapacity_ = USUAL_CAPACITY
   private leadsFrom_ = 0
   /** When the processes of half of the boxes had started. */
-  private medianStartAt_ = performance.now()
+  private medianStartAt_ = clockNow()
   /** The servers for which pools were kept last. */
   private pooledFor_: unknown
-  private lastTickAt_ = performance.now()
+  /** What the clock had counted for suspensions at the last look. */
+  private suspendedMs_ = clockSuspendedMs()
+  private lastTickAt_ = clockNow()
   private stopping_ = false
   private random_ = createRandom(Date.now() & 0x7fffffff)
   private finish_: () => void = () => undefined
@@ -162,11 +165,11 @@
     const initial: RoutedState = {serving, fleet: undefined}
     this.loop_ = startLoop<RoutedState, RoutedEvent, RoutedEffect>({
       initial,
-      step: stepRouted,
+      step: (state, event, now) => stepRouted(state, event, now, clockSuspendedMs()),
       perform: effect => this.perform(effect),
       makeTick: () => ({type: "tick", mayOrder: this.tick()}),
       tickMs: nextTickMs,
-      now: () => performance.now()
+      now: clockNow
     })
     this.ended = Promise.race([this.stopped_, this.loop_.ended])
     const {post} = this.loop_
@@ -194,13 +197,13 @@
         if (message.t === "config") this.applyLimits()
         this.hub_?.tellLearned(message)
       },
-      startedAt: performance.now(),
+      startedAt: clockNow(),
       askLeader: () => this.session_.send({t: "ask-config"}),
       askAll: () => {
         const configVersion = this.news_.config?.version ?? -1
         this.session_.send({t: "ask-all", configVersion})
       },
-      renewed: () => this.hub_?.tellReading(performance.now()),
+      renewed: () => this.hub_?.tellReading(clockNow()),
       askBoxes: ask => this.askBoxes(ask),
       eras,
       settled: this.settled_
@@ -221,8 +224,8 @@
       lost: () => {
         if (!this.leading) this.expectTakeover()
       },
-      hearing: () => this.noteStandstill(performance.now()),
-      pinged: medianAgeMs => (this.medianStartAt_ = performance.now() - medianAgeMs),
+      hearing: () => this.noteStandstill(clockNow()),
+      pinged: medianAgeMs => (this.medianStartAt_ = clockNow() - medianAgeMs),
       log
     })
     this.leaderWay_ = new LeaderWay({
@@ -247,7 +250,7 @@
       kv,
       key: `${settings.store.prefix}crashes`,
       leads: () => this.mayGive,
-      list: () => serving.crashes.tell(performance.now()),
+      list: () => serving.crashes.tell(clockNow()),
       learned: records =>
         post({type: "crashes", changes: {records, cleared: []}, source: "store"}),
       log
@@ -348,7 +351,7 @@
     metrics.gauge("sedge_unreadable_entries", {}, () => this.news_.unreadable)
     metrics.gauge("sedge_config_version", {}, () => this.news_.config?.version ?? 0)
     metrics.gauge("sedge_news_age_ms", {}, () =>
-      Math.min(MAX_TOLD_AGE_MS, this.news_.ageMs(performance.now()))
+      Math.min(MAX_TOLD_AGE_MS, this.news_.ageMs(clockNow()))
     )
   }
 
@@ -357,22 +360,21 @@
     if (this.stopping_) return
     this.stopping_ = true
     const {log, settings} = this.context_
-    const deadline = performance.now() + settings.graceS * 900
+    const deadline = clockNow() + settings.graceS * 900
     log("stopping", {open: this.relay_.open})
     this.loop_.post({type: "stop"})
-    const listenUntil =
-      performance.now() + Math.min(STOP_LISTEN_MS, settings.graceS * 500)
+    const listenUntil = clockNow() + Math.min(STOP_LISTEN_MS, settings.graceS * 500)
     // It leads on for as long as it takes requests: the next one waits before it orders anyway, and
     // where boxes are restarted in turn each wait that comes later is one in which loads go on.
-    while (this.leading && performance.now() < listenUntil) {
+    while (this.leading && clockNow() < listenUntil) {
       await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
     this.loop_.post({type: "usage-close"})
     await this.usageStore_.settle(CLOSE_USAGE_MS)
     await this.election_.stop()
-    while (performance.now() < deadline) {
-      const idle = this.relay_.open === 0 && performance.now() >= listenUntil
-      if (performance.now() >= listenUntil) this.closeIdle()
+    while (clockNow() < deadline) {
+      const idle = this.relay_.open === 0 && clockNow() >= listenUntil
+      if (clockNow() >= listenUntil) this.closeIdle()
       if (idle) break
       await new Promise(resolve => setTimeout(resolve, STOP_TURN_MS))
     }
@@ -390,7 +392,7 @@
 
   /** Once a turn of the clock; whether orders may be given. */
   private tick(): boolean {
-    const now = performance.now()
+    const now = clockNow()
     this.noteStandstill(now)
     this.lastTickAt_ = now
     this.election_.check()
@@ -411,6 +413,16 @@
 
   /** Looked at before anything that came meanwhile is believed. */
   private noteStandstill(now: number): void {
+    const suspendedMs = clockSuspendedMs()
+    if (suspendedMs > this.suspendedMs_) {
+      this.context_.log("suspended", {
+        suspendedMs: Math.round(suspendedMs - this.suspendedMs_)
+      })
+      this.suspendedMs_ = suspendedMs
+      // The ages of its messages are told by a clock that has stepped against the leader's.
+      this.session_.close()
+      this.election_.doubtLease()
+    }
     const gap = now - this.lastTickAt_
     if (gap < STOOD_STILL_MS) return
     if (gap > PAUSED_MS) this.context_.log("paused", {gapMs: Math.round(gap)})
@@ -429,14 +441,14 @@
 
   private fence(): number | undefined {
     const {leadership} = this.election_
-    return mayOrder(leadership, performance.now()) ? leadership.fence : undefined
+    return mayOrder(leadership, clockNow()) ? leadership.fence : undefined
   }
 
   private lead(fence: number): void {
     const {orderFrom} = this.election_.leadership
-    const waitMs = Math.round(orderFrom - performance.now())
+    const waitMs = Math.round(orderFrom - clockNow())
     this.context_.log("leading", {fence, waitMs})
-    this.leadsFrom_ = performance.now()
+    this.leadsFrom_ = clockNow()
     this.session_.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
@@ -510,7 +522,7 @@
   /** Whether this box leads for sure: what it gives of limits is in the next leader's count. */
   private get mayGive(): boolean {
     const {leadership} = this.election_
-    return this.leading && leads(leadership, performance.now()) && leadership.confirmed
+    return this.leading && leads(leadership, clockNow()) && leadership.confirmed
   }
 
   /** Applies the callers' limits of the configuration. */
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -12,6 +12,7 @@
 import type {Dialect} from "../ports/fleet-ports.js"
 import {fingerprintRequest} from "../utils/fingerprint.js"
 import {pause} from "../utils/promises.js"
+import {clockNow} from "./clock.js"
 import {BackendPools} from "./backend-pools.js"
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, stripHop} from "./relay-exchange.js"
@@ -107,12 +108,12 @@
     const service = route && drawService(route, this.options_.random())
     if (!route || service === undefined) {
       // By an old table nobody can say that there is no such route: it may be new.
-      const current = isConfigCurrent(this.options_.serving(), performance.now())
+      const current = isConfigCurrent(this.options_.serving(), clockNow())
       noteOwn(current ? "no-route" : "no-route-yet")
       if (current) return answer.refuse(404, problem("no-route"), own)
       return answer.refuse(503, problem("no-route-yet"), {...own, "retry-after": retry})
     }
-    const access = checkAccess(serving, route, facts.key, performance.now())
+    const access = checkAccess(serving, route, facts.key, clockNow())
     if (!access.granted) {
       const status = ACCESS_STATUS[access.reason]
       noteOwn(access.reason)
@@ -159,9 +160,9 @@
    * wait for that as sends do, so that no caller is told that a route is missing which is only new.
    */
   private async awaitNews(): Promise<void> {
-    const until = performance.now() + MAX_NEWS_WAIT_MS
-    while (isStale(this.options_.serving(), performance.now())) {
-      if (performance.now() > until) return
+    const until = clockNow() + MAX_NEWS_WAIT_MS
+    while (isStale(this.options_.serving(), clockNow())) {
+      if (clockNow() > until) return
       await pause(NEWS_TURN_MS)
     }
   }
@@ -238,7 +239,7 @@
         started: abort => {
           if (!current()) return false
           // It may have left while the request waited for a connection.
-          const obstacle = findObstacle(serving(), id, performance.now())
+          const obstacle = findObstacle(serving(), id, clockNow())
           if (obstacle) {
             fail(obstacle)
             return false
@@ -270,7 +271,7 @@
         data: chunk => {
           if (!current()) return
           exchange.take(chunk)
-          const now = performance.now()
+          const now = clockNow()
           if (now - heardAt < HEARD_MS) return
           heardAt = now
           post({type: "heard", id, attempt})
--- a/src/adapters/settled-era.ts
+++ b/src/adapters/settled-era.ts
@@ -7,6 +7,7 @@
 import type {ServingEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {StoreCaller} from "../types/store-calls.js"
+import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
 import type {Log} from "./log.js"
 import {callAs} from "./store-counter.js"
@@ -75,7 +76,7 @@
 
   private doubt(): void {
     const {post, log, eras} = this.options_
-    this.doubtUntil_ = performance.now() + COPIED_ENTRY_MS
+    this.doubtUntil_ = clockNow() + COPIED_ENTRY_MS
     post({type: "copied", until: this.doubtUntil_})
     log("era-doubted", {era: eras.era ?? -1, settled: this.settled_ ?? -1})
   }
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -3,6 +3,7 @@
 import {LATE_MS} from "../core/news-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {limitTime} from "../utils/time-limit.js"
+import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
 
 export interface StoreCallsOptions {
@@ -51,7 +52,7 @@
   async call({method, path, body, watchMs = 0, signal}: StoreCall): Promise<StoreAnswer> {
     const pool = this.pool_
     const {eras, eraHeader} = this.options_
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     const limit = limitTime(watchMs + this.options_.timeoutMs, signal)
     const late = setTimeout(() => this.leavePool(pool), watchMs + LATE_MS)
     try {
--- a/src/adapters/store-counter.ts
+++ b/src/adapters/store-counter.ts
@@ -14,6 +14,7 @@
 } from "../ports/ports.js"
 import type {CallPurpose, StoreCaller, StoreOutcome} from "../types/store-calls.js"
 import type {StorePosition} from "../types/store-position.js"
+import {clockNow} from "./clock.js"
 import type {Log} from "./log.js"
 import type {Metrics} from "./metrics.js"
 
@@ -155,10 +156,10 @@
     signal?: AbortSignal
   ): Promise<T> {
     const purpose = this.counts_.complete(this.purpose_)
-    const sentAt = performance.now()
+    const sentAt = clockNow()
     try {
       const answer = await call()
-      const late = performance.now() - sentAt > waitMs + LATE_MS
+      const late = clockNow() - sentAt > waitMs + LATE_MS
       this.counts_.add(purpose, late ? "late" : "ok")
       return answer
     } catch (cause) {
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -7,6 +7,7 @@
 import {backoffMs} from "../utils/backoff.js"
 import {askAgainAfter, pause} from "../utils/promises.js"
 import {limitTime} from "../utils/time-limit.js"
+import {clockNow} from "./clock.js"
 import {callAs} from "./store-counter.js"
 
 const FIRST_PAUSE_MS = 60
@@ -73,12 +74,12 @@
     let failures = 0
     let reason: StoreReason = "first"
     while (!signal.aborted) {
-      const end = performance.now() + LIST_MS
+      const end = clockNow() + LIST_MS
       try {
         const listing = await this.list(prefix, failures === 0, reason)
         failures = 0
         reason = "regular"
-        if (!this.watches_) await pause(end - performance.now())
+        if (!this.watches_) await pause(end - clockNow())
         else if (!(await this.watchUntil(prefix, listing, end))) reason = "after-cut"
       } catch (cause) {
         if (signal.aborted) return
@@ -97,7 +98,7 @@
     reason: StoreReason
   ): Promise<StorePosition> {
     const caller: StoreCaller = this.watches_ ? "leader-list" : "box-list"
-    this.asking_.set(prefix, performance.now())
+    this.asking_.set(prefix, clockNow())
     try {
       const listing = await listAll(this.kv_, prefix, again, {caller, reason})
       this.failed_.delete(prefix)
@@ -124,7 +125,7 @@
       if (!signal.aborted) this.events_.change(prefix, change)
     }
     for (;;) {
-      const waitMs = Math.round(end - performance.now())
+      const waitMs = Math.round(end - clockNow())
       if (signal.aborted) return true
       if (waitMs < SHORTEST_WATCH_MS) {
         await pause(waitMs)
@@ -139,14 +140,14 @@
       } catch (cause) {
         if (signal.aborted) return true
         this.events_.cut(prefix, (cause as Error).message)
-        await pause(Math.min(CUT_PAUSE_MS, end - performance.now()))
+        await pause(Math.min(CUT_PAUSE_MS, end - clockNow()))
         return false
       } finally {
         limit.clear()
       }
       const changed = position.revision > seen
       reason = changed ? "after-changes" : "regular"
-      if (changed) await pause(Math.min(GATHER_MS, end - performance.now()))
+      if (changed) await pause(Math.min(GATHER_MS, end - clockNow()))
     }
   }
 }
@@ -161,7 +162,7 @@
   again: boolean,
   purpose: CallPurpose
 ): Promise<Listing> {
-  const askedAt = performance.now()
+  const askedAt = clockNow()
   const entries: KvEntry[] = []
   let first: StorePosition | undefined
   let after: string | undefined
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -20,6 +20,7 @@
   note
 } from "./box-state.js"
 import {noteBegun} from "./box-versions.js"
+import {runningMs} from "./suspensions.js"
 
 /** Sends that backend servers may refuse before a request is given up. */
 const MAX_REFUSALS = 3
@@ -140,7 +141,8 @@
   const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
   request.avoided.set(attempt.backend, now + pauseMs)
   const most = late ? MAX_LATE_REFUSALS : MAX_REFUSALS
-  const spent = budgetOf(box, request.arrival.service).left(now, box.boxes) <= 0
+  const spent =
+    budgetOf(box, request.arrival.service).left(runningMs(box, now), box.boxes) <= 0
   if (request.refusals > most || (spent && !mayAsk(box))) {
     return giveUp(box, request, request.runs > 0 ? "unknown" : "not-run", now)
   }
--- a/src/core/box-repeats.ts
+++ b/src/core/box-repeats.ts
@@ -3,6 +3,7 @@
 import {advance} from "./box-requests.js"
 import {type BoxRequest, type BoxServing, budgetOf, note} from "./box-state.js"
 import {isRepeatable} from "./route-table.js"
+import {runningMs} from "./suspensions.js"
 
 /** A backend server that failed a request is not asked again at once, milliseconds. */
 const FAILED_PAUSE_MS = 200
@@ -10,7 +11,7 @@
 /** Whether it may run once more, elsewhere, and the box has a repeat for it. */
 export function mayRepeat(box: BoxServing, request: BoxRequest, now: number): boolean {
   if (!allowsRepeat(request)) return false
-  return budgetOf(box, request.arrival.service).left(now, box.boxes) > 0
+  return budgetOf(box, request.arrival.service).left(runningMs(box, now), box.boxes) > 0
 }
 
 /** Whether it may run once more, elsewhere, if there is a repeat for it. */
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -16,6 +16,7 @@
 import {chargeSend} from "./box-charges.js"
 import {awaitAllowance, refuseIfFull} from "./box-usage.js"
 import {holdEnd, STOP_HOLD_MS, wait} from "./box-waits.js"
+import {runningMs} from "./suspensions.js"
 
 /** How long after a stop was asked for requests are still sent to backend servers, milliseconds. */
 const STOP_SEND_MS = 2_500
@@ -24,7 +25,7 @@
 export function admit(box: BoxServing, arrival: Arrival, now: number): void {
   const {route, deadlineMs, service} = arrival
   const limit = Math.min(deadlineMs, route.timeoutMs)
-  budgetOf(box, service).noteRequest(now)
+  budgetOf(box, service).noteRequest(runningMs(box, now))
   const request: BoxRequest = {
     arrival,
     arrivedAt: now,
@@ -140,7 +141,7 @@
 }
 
 function spendRetry(box: BoxServing, request: BoxRequest, now: number): void {
-  if (!request.granted) budgetOf(box, request.arrival.service).spend(now)
+  if (!request.granted) budgetOf(box, request.arrival.service).spend(runningMs(box, now))
   request.granted = false
 }
 
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -49,7 +49,7 @@
 export interface Attempt {
   readonly number: number
   readonly backend: string
-  readonly sentAt: number
+  sentAt: number
   /** Version of the adapter that it is to run on; undefined: none is asked for, 0: not known. */
   readonly version: number | undefined
   /** Prompt tokens that the backend server is believed to have to read. */
@@ -70,9 +70,9 @@
 /** A request in progress. */
 export interface BoxRequest {
   readonly arrival: Arrival
-  readonly arrivedAt: number
+  arrivedAt: number
   /** The caller's deadline or the route's time limit, whichever is first. */
-  readonly giveUpAt: number
+  giveUpAt: number
   /** Until when it waits for weights or a backend server. */
   holdUntil: number
   attempt: Attempt | undefined
@@ -163,6 +163,8 @@
   ordersFrom: number
   /** Boxes that share budgets and connections. */
   boxes: number
+  /** How much of the time of the box its steady clock did not count, milliseconds. */
+  suspendedMs: number
   /** When the box was asked to stop; undefined: it was not. */
   stoppingAt: number | undefined
   effects: BoxEffect[]
@@ -284,6 +286,7 @@
     led: false,
     ordersFrom: 0,
     prefixes: new PrefixMemory(),
+    suspendedMs: 0,
     stoppingAt: undefined,
     effects: []
   }
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -20,6 +20,7 @@
   takeUses
 } from "./placement-uses.js"
 import {DEFAULT_USAGE, limitIn, type UsageOptions} from "./usage-limits.js"
+import {runningMs} from "./suspensions.js"
 import {type LedgerEffect, UsageLedger} from "./usage-ledger.js"
 import {RetryPool} from "./rate-windows.js"
 import type {FleetEvent} from "./serving-events.js"
@@ -47,6 +48,7 @@
   }
   const {fleet} = state
   if (!fleet) return
+  const running = runningMs(state.serving, now)
   switch (event.type) {
     case "need":
       fleet.unplanned = true
@@ -62,18 +64,18 @@
         : takeMissing(fleet, event.engine, event.adapter, now)
     case "ask-retry": {
       const {box, id, service} = event
-      const allowed = state.retries?.take(service, now) ?? false
+      const allowed = state.retries?.take(service, running) ?? false
       fleet.effects.push({type: "retry", box, id, allowed})
       return
     }
     case "usage":
-      return state.ledger?.take(event.box, event.ask, event.entries, now)
+      return state.ledger?.take(event.box, event.ask, event.entries, running)
     case "usage-read":
-      return state.ledger?.takeStored(event.outlooks, now)
+      return state.ledger?.takeStored(event.outlooks, running)
     case "usage-close":
-      return state.ledger?.close(now)
+      return state.ledger?.close(running)
     case "usage-saved":
-      return state.ledger?.noteSaved(event.save, event.ok, now)
+      return state.ledger?.noteSaved(event.save, event.ok, running)
     case "box-gone":
       state.ledger?.forgetBox(event.box)
       return forgetBox(fleet, event.box, now)
@@ -90,7 +92,10 @@
 function lead(state: RoutedState, now: number): void {
   state.fleet = createFleet(now)
   state.serving.leads = true
-  state.retries = new RetryPool(state.serving.options.retry, now)
+  state.retries = new RetryPool(
+    state.serving.options.retry,
+    runningMs(state.serving, now)
+  )
   for (const [adapter, named] of state.serving.versions) {
     takeFleetVersion(state.fleet, adapter, newestOf(named))
   }
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -34,6 +34,7 @@
 import {takeChanges, takeLoads, takePicture} from "./box-places.js"
 import {drainFleet, planFleet} from "./placement.js"
 import {takeFleetVersion} from "./placement-uses.js"
+import {noteSuspended, runningMs} from "./suspensions.js"
 import {buildRouteTable} from "./route-table.js"
 import {listEngines, type RoutedState, takeFleet} from "./serving-fleet.js"
 import type {
@@ -59,13 +60,18 @@
   return IDLE_TICK_MS
 }
 
-/** One transition; `now` is monotonic milliseconds, simulated or real. */
+/**
+ * One transition; `now` is monotonic milliseconds, simulated or real, of which `suspendedMs` were no time in
+ * which the process ran.
+ */
 export function stepRouted(
   state: RoutedState,
   event: RoutedEvent,
-  now: number
+  now: number,
+  suspendedMs = 0
 ): {readonly state: RoutedState; readonly effects: readonly RoutedEffect[]} {
   const {serving} = state
+  noteSuspended(serving, suspendedMs)
   takeServing(state, event as ServingEvent, now)
   takeFleet(state, event as FleetEvent, now)
   const effects = drainEffects(serving)
@@ -256,7 +262,7 @@
   tickCrashes(serving, now)
   tickRequests(serving, now)
   if (fleet) planFleet(fleet, mayOrder, now)
-  state.ledger?.tick(now)
+  state.ledger?.tick(runningMs(serving, now))
 }
 
 /** Views of engines that are gone. */
--- /dev/null
+++ b/src/core/suspensions.ts
@@ -0,0 +1,35 @@
+/**
+ * What a step of the clock must not do. The clock counts each step of the time of day as a suspension, so that
+ * no belief looks newer than it is. Where less time is the safe side it does not count: requests in progress
+ * must not run out of time by a step, and no budget over a window may refill.
+ */
+import type {BoxRequest, BoxServing} from "./box-state.js"
+
+/** The clock has counted so much for suspensions in all, milliseconds. */
+export function noteSuspended(box: BoxServing, suspendedMs: number): void {
+  const stepMs = suspendedMs - box.suspendedMs
+  if (stepMs <= 0) return
+  box.suspendedMs = suspendedMs
+  for (const request of box.requests.values()) postpone(request, stepMs)
+}
+
+/** The time without suspensions, for budgets over windows. */
+export function runningMs({suspendedMs}: BoxServing, now: number): number {
+  return now - suspendedMs
+}
+
+function postpone(request: BoxRequest, stepMs: number): void {
+  request.arrivedAt += stepMs
+  request.giveUpAt += stepMs
+  request.holdUntil += stepMs
+  if (request.askedAt !== undefined) request.askedAt += stepMs
+  if (request.chargeAsked !== undefined) request.chargeAsked += stepMs
+  for (const [backend, until] of request.avoided) {
+    request.avoided.set(backend, until + stepMs)
+  }
+  const {attempt} = request
+  if (!attempt) return
+  attempt.sentAt += stepMs
+  if (attempt.heardAt !== undefined) attempt.heardAt += stepMs
+  if (attempt.firstAt !== undefined) attempt.firstAt += stepMs
+}
--- a/src/events.ts
+++ b/src/events.ts
@@ -30,6 +30,11 @@
     level: "warn",
     text: "The process stood still for longer than a link may be silent; links are made anew."
   },
+  suspended: {
+    number: 105,
+    level: "warn",
+    text: "The time of day went ahead of the steady clock: the machine was suspended, or its time was set; what is known is that much older."
+  },
   "kv-trouble": {
     number: 110,
     level: "warn",
