Red test: what servers say of themselves in answers is not heeded

The stand-in's workers say Server-Leaving in all answers once they leave, also where the store does not take it, and turn requests away with a Retry-After.

--- /dev/null
+++ b/test/server-notices.test.ts
@@ -0,0 +1,150 @@
+/**
+ * A backend server's own word in its answers binds the box that got them: no request goes to one that leaves, and
+ * none to one that asked for rest until that is over.
+ *
+ * Seen: servers were sent requests for 5 s after their answers had said that they leave, as the store that alone
+ * was asked was away; and four in the three seconds of rest that one had asked for.
+ */
+import {setTimeout as sleep} from "node:timers/promises"
+import t from "tap"
+import type {StandInWorker} from "./stand-ins/platform-worker.js"
+import {
+  judgeNotices,
+  type NoticedCall,
+  type NoticeRecord
+} from "./support/judge-notices.js"
+import {passOverIfRed} from "./support/known-red.js"
+import {type BedBox, type Outcome, PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
+
+/** Between two requests of a caller, milliseconds. */
+const PAUSE_MS = 40
+
+/** What is refused at once takes no longer, milliseconds. */
+const AT_ONCE_MS = 200
+
+/** A bed whose calls are recorded for the judge. */
+class Subject {
+  readonly calls = new Map<string, NoticedCall>()
+  readonly reborn: {worker: string; at: number}[] = []
+
+  constructor(readonly bed: PlatformBed) {}
+
+  get worker(): StandInWorker {
+    return this.bed.plain[0] as StandInWorker
+  }
+
+  async call(path = "/safe/x", adapter?: string): Promise<Outcome> {
+    const box = this.bed.boxes[this.calls.size % this.bed.boxes.length] as BedBox
+    const id = `n-${this.calls.size}`
+    this.calls.set(id, {box: box.name, sentAt: performance.now()})
+    return this.bed.call(box, path, {id, ...(adapter === undefined ? {} : {adapter})})
+  }
+
+  async callFor(ms: number, path?: string, adapter?: string): Promise<Outcome[]> {
+    const outcomes: Promise<Outcome>[] = []
+    for (const end = performance.now() + ms; performance.now() < end;) {
+      outcomes.push(this.call(path, adapter))
+      await sleep(PAUSE_MS)
+    }
+    return Promise.all(outcomes)
+  }
+
+  violations(): string[] {
+    const record: NoticeRecord = {calls: this.calls, excuses: [], reborn: this.reborn}
+    return judgeNotices(this.bed.judge, record)
+  }
+}
+
+if (!passOverIfRed("server-notices")) playAll()
+
+function playAll(): void {
+  t.test("a server that says in its answers that it leaves gets nothing new", async t => {
+    const bed = await PlatformBed.start({boxes: 2, engines: 2, plain: 2})
+    t.teardown(() => bed.stop())
+    const subject = new Subject(bed)
+    await subject.callFor(500)
+    await subject.callFor(500, "/stream/x", "a1")
+    subject.worker.drainUnheard()
+    bed.engines[0]?.drainUnheard()
+    await Promise.all([
+      subject.callFor(4_000),
+      subject.callFor(4_000, "/stream/x", "a1"),
+      subject.callFor(4_000, "/stream/x", "a2")
+    ])
+    t.ok(bed.judge.leaves.length > 0, "it said so")
+    t.same(subject.violations(), [])
+  })
+
+  t.test("its next life under the same name is served by", async t => {
+    const bed = await PlatformBed.start({boxes: 1, engines: 1, plain: 1})
+    t.teardown(() => bed.stop())
+    const subject = new Subject(bed)
+    subject.worker.drainUnheard()
+    await subject.callFor(500)
+    t.equal((await subject.call()).status, 503, "there is no other")
+    await subject.worker.restart()
+    subject.worker.resume()
+    await until("it is served", async () => (await subject.call()).status === 200, 3_000)
+  })
+
+  t.test("a server that asked for rest gets none", async t => {
+    const bed = await PlatformBed.start({boxes: 2, engines: 1, plain: 2})
+    t.teardown(() => bed.stop())
+    const subject = new Subject(bed)
+    subject.worker.faults = {shedding: true, retryAfter: "2"}
+    const outcomes = await subject.callFor(5_000)
+    t.ok(bed.judge.rests.length > 0, "it asked")
+    t.same(subject.violations(), [])
+    t.same(
+      outcomes.filter(({status}) => status !== 200),
+      [],
+      "the other one serves"
+    )
+  })
+
+  t.test(
+    "engines that all rest have callers refused at once, and told until when",
+    async t => {
+      const bed = await PlatformBed.start({boxes: 1, engines: 2, plain: 1})
+      t.teardown(() => bed.stop())
+      const subject = new Subject(bed)
+      t.equal((await subject.call("/stream/x", "a1")).status, 200)
+      for (const engine of bed.engines) {
+        engine.faults = {shedding: true, retryAfter: "2.5"}
+      }
+      await subject.callFor(300, "/stream/x", "a1")
+      const from = performance.now()
+      const {status, headers} = await subject.call("/stream/x", "a1")
+      t.equal(status, 503)
+      t.ok(performance.now() - from < AT_ONCE_MS, "at once")
+      const comeBackS = Number(headers["retry-after"])
+      t.ok(comeBackS > 1.5 && comeBackS < 3.5, `come back in ${comeBackS} s`)
+      for (const engine of bed.engines) engine.faults = {}
+      await sleep(comeBackS * 1_000)
+      t.equal((await subject.call("/stream/x", "a1")).status, 200)
+      t.same(subject.violations(), [])
+    }
+  )
+
+  t.test("what is no time asks for no rest", async t => {
+    const bed = await PlatformBed.start({boxes: 1, engines: 1, plain: 1})
+    t.teardown(() => bed.stop())
+    const subject = new Subject(bed)
+    for (const retryAfter of [
+      "-1",
+      "soon",
+      "Thu, 03 Dec 2026 10:00:00 GMT",
+      "0",
+      "1e9",
+      ""
+    ]) {
+      subject.worker.faults = {shedding: true, retryAfter}
+      t.equal((await subject.call()).status, 503)
+      subject.worker.faults = {}
+      await sleep(100)
+      t.equal((await subject.call()).status, 200, `after "${retryAfter}"`)
+    }
+    t.match(bed.logs(), /"event":230/, "the log tells it")
+  })
+}
--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -43,10 +43,27 @@
   readonly at: number
 }
 
+/** A worker turned a request away and wants nothing from its sender for so long. */
+export interface Rest {
+  readonly id: string
+  readonly worker: string
+  readonly seconds: number
+  readonly at: number
+}
+
+/** A worker's answer to a request said that it leaves. */
+export interface Leave {
+  readonly id: string
+  readonly worker: string
+  readonly at: number
+}
+
 export class Judge {
   readonly runs: Run[] = []
   readonly arrived: Arrived[] = []
   readonly crashes: Crash[] = []
+  readonly rests: Rest[] = []
+  readonly leaves: Leave[] = []
   readonly orders: TakenOrder[] = []
   readonly violations: string[] = []
   /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -17,6 +17,8 @@
   mute?: boolean
   /** Requests are refused without running. */
   shedding?: boolean
+  /** What it says in its refusals of when it wants to be asked again, as the header stands there. */
+  retryAfter?: string
   /** Answers end so early that they look whole but are not: a stream's last events are missing. */
   cutAfterEvents?: number
   /** The next requests run, and their connections are reset. */
@@ -230,6 +232,12 @@
     this.beat()
   }
 
+  /** Says that it leaves in its answers alone: the store does not take it. */
+  drainUnheard(): void {
+    this.state_ = "draining"
+    this.held_ = true
+  }
+
   /** Leaves the list without a word; it goes on serving. */
   vanish(): void {
     clearInterval(this.timer_)
@@ -287,20 +295,55 @@
     const target = req.headers["x-target-instance"]
     if (req.url === "/report") return this.report(res)
     if (target !== undefined && target !== this.id) {
-      return reply(res, 421, {"x-instance-id": this.id}, "")
+      return this.reply(res, 421, {"x-instance-id": this.id}, "")
     }
     const body = Buffer.concat(chunks).toString()
     if (req.url === "/order") return this.order(JSON.parse(body) as Order, res)
     if (faults.mute) return
     const id = String(req.headers["x-request-id"])
     this.judge_.arrived.push({id, worker: this.id, body, at: performance.now()})
-    if (faults.shedding) {
-      return reply(res, 503, {"x-not-executed": "1", "x-request-id": id}, "")
-    }
+    if (faults.shedding) return this.shed(id, res)
     if (this.options_.model) return this.generate(id, body, req, res)
     this.serve(id, body, req, res)
   }
 
+  private shed(id: string, res: ServerResponse): void {
+    const {retryAfter} = this.faults
+    const headers = {"x-not-executed": "1", "x-request-id": id}
+    if (retryAfter === undefined) return this.reply(res, 503, headers, "")
+    const seconds = Number(retryAfter)
+    if (seconds > 0) {
+      this.judge_.rests.push({id, worker: this.id, seconds, at: performance.now()})
+    }
+    this.reply(res, 503, {...headers, "retry-after": retryAfter}, "")
+  }
+
+  private notRun(res: ServerResponse, id: string): void {
+    const headers = {"x-not-executed": "1", "x-request-id": id}
+    if (!res.destroyed) this.reply(res, 503, headers, "")
+  }
+
+  /** All its answers say that it leaves once it has said so elsewhere. */
+  private reply(
+    res: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    text: string
+  ): void {
+    const isSaid = this.state_ === "draining" && status !== 421
+    const id = headers["x-request-id"]
+    if (isSaid && id !== undefined) this.noteLeaving(id)
+    reply(res, status, {...headers, ...this.notice()}, text)
+  }
+
+  private noteLeaving(id: string): void {
+    this.judge_.leaves.push({id, worker: this.id, at: performance.now()})
+  }
+
+  private notice(): Readonly<Record<string, string>> {
+    return this.state_ === "draining" ? {"server-leaving": "1"} : {}
+  }
+
   private serve(
     id: string,
     body: string,
@@ -317,12 +360,12 @@
     if (slowMs > 0) {
       setTimeout(() => {
         run.ended = "whole"
-        reply(res, status, headers, text)
+        this.reply(res, status, headers, text)
       }, slowMs)
       return
     }
     run.ended = "whole"
-    reply(res, status, headers, text)
+    this.reply(res, status, headers, text)
     if (crashMoment(body)) setTimeout(() => void this.crash(body), AFTER_END_MS)
     if (this.faults.surplus) {
       const extra =
@@ -351,7 +394,7 @@
       begin: () => {
         if (!this.refuses(id, req, res)) this.run(id, body, req, res, reached)
       },
-      refuse: () => notRun(res, id)
+      refuse: () => this.notRun(res, id)
     })
   }
 
@@ -362,12 +405,12 @@
     const held = this.versionHeld(adapter)
     const expected = req.headers["x-expected-version"]
     if (this.pending_.has(adapter)) {
-      notRun(res, id)
+      this.notRun(res, id)
       return true
     }
     const wrong = expected !== undefined && Number(expected) !== held
     if (model === this.options_.model && held !== undefined && !wrong) return false
-    reply(res, 421, {"x-request-id": id}, "")
+    this.reply(res, 421, {"x-request-id": id}, "")
     return true
   }
 
@@ -390,11 +433,13 @@
     const crash = crashMoment(body)
     if (crash === "before-head") return void this.crash(body)
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
+    if (this.state_ === "draining") this.noteLeaving(id)
     res.writeHead(200, {
       "x-request-id": id,
       "content-type": "text/event-stream",
       "x-response-signature": sign(this.id, id),
-      "x-weights-versions": String(held)
+      "x-weights-versions": String(held),
+      ...this.notice()
     })
     this.stream(run, Number(from) || 0, res, body)
   }
@@ -500,7 +545,7 @@
       return void res.destroy()
     }
     this.later(this.faults.orderAnswerMs ?? 0, () => {
-      if (!res.destroyed) reply(res, status, {}, "")
+      if (!res.destroyed) this.reply(res, status, {}, "")
     })
   }
 
@@ -585,7 +630,7 @@
       pending,
       born: this.born_
     }
-    reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
+    this.reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
   }
 }
 
@@ -608,10 +653,6 @@
   return String(req.headers["x-model-id"]).split("/")[1] ?? ""
 }
 
-function notRun(res: ServerResponse, id: string): void {
-  if (!res.destroyed) reply(res, 503, {"x-not-executed": "1", "x-request-id": id}, "")
-}
-
 function sign(worker: string, id: string): string {
   return `${worker}.${id}`
 }
