--- a/src/core/server-notices.ts
+++ b/src/core/server-notices.ts
@@ -35,7 +35,7 @@
   const backends = noteSaidLeaving(box.backends, backend)
   if (backends === box.backends) return false
   box.backends = backends
-  note(box, "server-leaving", {backend})
+  note(box, "backend-leaves", {backend})
   return true
 }
 
@@ -68,7 +68,7 @@
   // Answers overtake each other: the longest wish holds.
   if (until <= (box.rests.get(backend) ?? -Infinity)) return
   if (restsForMs(box, backend, now) === 0) {
-    note(box, "server-rests", {backend, forMs: Math.round(forMs), askedMs})
+    note(box, "backend-rests", {backend, forMs: Math.round(forMs), askedMs})
   }
   box.rests.delete(backend)
   box.rests.set(backend, until)
--- a/src/events.ts
+++ b/src/events.ts
@@ -376,12 +376,12 @@
     level: "info",
     text: "A request that was in progress as backend servers crashed was answered whole: it is not their cause."
   },
-  "server-leaving": {
+  "backend-leaves": {
     number: 228,
     level: "info",
     text: "A backend server said in an answer that it leaves; this box sends it nothing more."
   },
-  "server-rests": {
+  "backend-rests": {
     number: 229,
     level: "info",
     text: "A backend server turned this box away and asked for rest; it is sent nothing for so long."
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -43,6 +43,8 @@
   /** What its clocks are told: how long its machine was suspended, and by how much its time of day was set. */
   readonly clocksFile: string
   suspendedMs: number
+  /** Undefined: it is not suspended now. */
+  suspendedFrom: number | undefined
   steppedMs: number
   child: Child
 }
@@ -204,6 +206,7 @@
       settingsFile,
       clocksFile,
       suspendedMs: 0,
+      suspendedFrom: undefined,
       steppedMs: 0,
       callers: `127.0.0.1:${callers}`,
       ready: settings.ready,
@@ -234,13 +237,19 @@
 
   /** Suspends the machine of a box: its steady clock does not count the time, the time of day does. */
   async suspend(box: BedBox, ms: number): Promise<void> {
-    const {child} = box
-    const from = performance.now()
-    child.signal("SIGSTOP")
+    box.suspendedFrom = performance.now()
+    box.child.signal("SIGSTOP")
     await new Promise(resolve => setTimeout(resolve, ms))
-    box.suspendedMs += performance.now() - from
+    this.resume(box)
+  }
+
+  /** Ends the suspension of a box's machine, if it is suspended. */
+  resume(box: BedBox): void {
+    if (box.suspendedFrom === undefined) return
+    box.suspendedMs += performance.now() - box.suspendedFrom
+    box.suspendedFrom = undefined
     setClocks(box)
-    child.signal("SIGCONT")
+    box.child.signal("SIGCONT")
   }
 
   /** Sets the time of day of a box's machine forward. */
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -6,6 +6,7 @@
 import {FAULT_MS, type FaultOptions, SoakFaults} from "./soak-faults.js"
 import {judgeOrganisations} from "./soak-judge-organisations.js"
 import {SoakOrganisations, USAGE_WINDOW_S} from "./soak-organisations.js"
+import {judgeIncidents} from "./soak-judge-incidents.js"
 import {judgeRound} from "./soak-judge.js"
 import {type SoakCall, SoakDraws, SoakRecord} from "./soak-record.js"
 import {until} from "./wait.js"
@@ -30,6 +31,12 @@
 
 const CALL_MS = 25
 
+/** A server that crashed is back after this, milliseconds. */
+const DOWN_MS = 900
+
+/** Turns the seed of a round into that of its second series of faults. */
+const SECOND_SEED = 0x5eed
+
 /** Without faults, everything is served again within this. */
 const RECOVERY_LIMIT_MS = 20_000
 
@@ -58,6 +65,9 @@
       engines: 3,
       plain: 2,
       proxied: true,
+      suspendable: true,
+      engine: {downMs: DOWN_MS},
+      plainWorker: {downMs: DOWN_MS},
       keepers: versions,
       usageWindowS: USAGE_WINDOW_S
     })
@@ -73,6 +83,7 @@
     try {
       await this.play(bed, faults)
       this.violations_.push(...judgeRound(bed.judge, this.record_))
+      this.violations_.push(...judgeIncidents(bed.judge, this.record_))
       if (organisations) {
         this.violations_.push(
           ...judgeOrganisations(bed.judge, this.record_, organisations)
@@ -100,6 +111,9 @@
   private async play(bed: PlatformBed, faults: SoakFaults): Promise<void> {
     const end = performance.now() + this.options_.seconds * 1000
     const caller = setInterval(() => this.call(bed), CALL_MS)
+    const incidents = faults.playIncidents(
+      new SoakDraws(this.options_.seed ^ SECOND_SEED)
+    )
     try {
       while (performance.now() < end) {
         await faults.disturb()
@@ -111,6 +125,7 @@
     } finally {
       clearInterval(caller)
     }
+    await incidents
     await Promise.all(this.calls_)
   }
 
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -7,6 +7,7 @@
   organisationFaults,
   type SoakOrganisations
 } from "./soak-organisations.js"
+import {IncidentFaults} from "./soak-incident-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {NAMED_ADAPTERS, VersionFaults} from "./soak-version-faults.js"
 import {until} from "./wait.js"
@@ -44,6 +45,8 @@
   /** No box is started again after its deployment has ended. */
   over = false
   private calm_ = false
+  /** Boxes whose processes are stopped. */
+  private readonly frozen_ = new Set<BedBox>()
   private readonly versionFaults_: VersionFaults
   private readonly drillFaults_: DrillFaults
 
@@ -68,9 +71,19 @@
     })
   }
 
+  /** What each round plays besides; resolves when its callers have their answers. */
+  playIncidents(draws: SoakDraws): Promise<void> {
+    const faults = new IncidentFaults(this.bed_, draws, this.record_, {
+      isHeld: box => this.frozen_.has(box) || box.suspendedFrom !== undefined,
+      isCalm: () => this.calm_
+    })
+    return faults.play()
+  }
+
   /** Ends all faults. */
   calm(): void {
     this.calm_ = true
+    for (const box of this.bed_.boxes) this.bed_.resume(box)
     const {store, workerProxies, boxes} = this.bed_
     store.faults = {}
     for (const proxy of workerProxies) proxy.set()
@@ -181,11 +194,15 @@
   private async restart(box: BedBox, signal: NodeJS.Signals): Promise<void> {
     if (box.child.ended) return
     const {child} = box
+    this.bed_.resume(box)
+    this.record_.excuse(box.name)
     child.signal("SIGCONT")
     if (signal === "SIGKILL") await child.end(signal)
     else child.signal(signal)
     void until("the box ended", () => child.ended).then(() => {
-      if (box.child === child && !this.over) this.bed_.restartBox(box)
+      if (box.child !== child || this.over) return
+      this.record_.excuse(box.name)
+      this.bed_.restartBox(box)
     })
   }
 
@@ -203,9 +220,19 @@
     ended.then(restart, () => undefined)
   }
 
-  private freeze({child}: BedBox): void {
+  private freeze(box: BedBox): void {
+    const ms = 500 + 2_500 * this.draws_.draw()
+    // A stopped process whose clock is told to stand must not be let go on early.
+    if (box.suspendedFrom !== undefined) return
+    const {child} = box
+    this.frozen_.add(box)
+    this.record_.excuse(box.name)
     child.signal("SIGSTOP")
-    setTimeout(() => child.signal("SIGCONT"), 500 + 2_500 * this.draws_.draw())
+    setTimeout(() => {
+      this.frozen_.delete(box)
+      this.record_.excuse(box.name)
+      child.signal("SIGCONT")
+    }, ms)
   }
 
   private storeFault(faults: PlatformBed["store"]["faults"]): void {
@@ -220,7 +247,8 @@
     )
   }
 
-  private cutFromStore({storeProxy: proxy}: BedBox): void {
+  private cutFromStore({name, storeProxy: proxy}: BedBox): void {
+    this.record_.excuse(name)
     proxy?.set(
       this.draws_.draw() < 0.5 ? {blockUp: true, blockDown: true} : {blockDown: true}
     )
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -78,14 +78,30 @@
   }
 }
 
+/** A request that crashes servers, as one box took it. */
+export interface CrashingCall {
+  readonly path: string
+  readonly box: string
+  readonly outcome: Outcome
+  readonly sentAt: number
+}
+
 export class SoakRecord {
   readonly calls: SoakCall[] = []
+  readonly crashing: CrashingCall[] = []
+  /** When boxes were restarted, stood still or were cut off. */
+  readonly excuses: {readonly box: string; readonly at: number}[] = []
   readonly trouble = new StoreTrouble()
   readonly versions: SoakVersion[] = []
   /** Engines that were replaced. */
   readonly gone: LeftEngine[] = []
   readonly faults: {readonly name: string; readonly at: number}[] = []
 
+  /** A box is restarted, stands still or is cut off, or is no longer. */
+  excuse(box: string): void {
+    this.excuses.push({box, at: performance.now()})
+  }
+
   /** The faults that began in a time, each with how long after its begin, milliseconds. */
   faultsBetween(from: number, to: number): string {
     return this.faults
