Stand-in: a load that is on its way when a worker crashes does not come into its next life

The stand-in put the adapter of a load of the life that was over into the empty one, 60 ms after the crash: what counted was told by no report. The check stands as it was.

--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -184,6 +184,8 @@
     this.server_.close()
     for (const socket of this.sockets_) socket.destroy()
     this.forgetAll()
+    // Loads that are on their way belong to the life that is over.
+    this.born_ = Math.max(Date.now(), this.born_ + 1)
     await new Promise(resolve =>
       setTimeout(resolve, this.options_.downMs ?? DOWN_MS).unref()
     )
