--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -75,7 +75,8 @@
   playIncidents(draws: SoakDraws): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isHeld: box => this.frozen_.has(box) || box.suspendedFrom !== undefined,
-      isCalm: () => this.calm_
+      isCalm: () => this.calm_,
+      heldKey: () => this.organisations_?.heldKey
     })
     return faults.play()
   }
--- a/test/support/soak-incident-faults.ts
+++ b/test/support/soak-incident-faults.ts
@@ -34,6 +34,8 @@
   /** Whether the process of the box is stopped already. */
   readonly isHeld: (box: BedBox) => boolean
   readonly isCalm: () => boolean
+  /** A key that its organisation still holds; undefined: nobody needs one. */
+  readonly heldKey: () => string | undefined
 }
 
 export class IncidentFaults {
@@ -86,7 +88,9 @@
     while (performance.now() < end && !this.actions_.isCalm()) {
       const box = this.draws_.pick(this.bed_.boxes)
       const sentAt = performance.now()
-      const call = this.bed_.call(box, path, {body, ...adapter}).then(outcome => {
+      const key = this.actions_.heldKey()
+      const options = {body, ...adapter, ...(key === undefined ? {} : {key})}
+      const call = this.bed_.call(box, path, options).then(outcome => {
         this.record_.crashing.push({path, box: box.name, outcome, sentAt})
       })
       calls.push(call)
