--- a/src/events.ts
+++ b/src/events.ts
@@ -31,7 +31,7 @@
     text: "The process stood still for longer than a link may be silent; links are made anew."
   },
   suspended: {
-    number: 105,
+    number: 231,
     level: "warn",
     text: "The time of day went ahead of the steady clock: the machine was suspended, or its time was set; what is known is that much older."
   },
