--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,6 +11,14 @@
       "prefer-const": "error"
     }
   },
+  {
+    // The steady clock does not count the time in which a machine is suspended.
+    files: ["src/**/*.ts", "platform/**/*.ts"],
+    ignores: ["src/adapters/clock.ts"],
+    rules: {
+      "no-restricted-properties": ["error", {object: "performance", property: "now"}]
+    }
+  },
   {
     // The decision core is pure: no clock, no randomness, no I/O.
     files: ["src/core/**/*.ts", "src/plugins/**/*.ts"],
