A new leader hears of trials that it did not begin

Found by reading: followers told it of records with more crashes alone, so that it would have let a stopped request through again 5 s after the last crash.

--- a/src/core/crash-list.ts
+++ b/src/core/crash-list.ts
@@ -40,10 +40,6 @@
     return this.records_.size
   }
 
-  has(fingerprint: string): boolean {
-    return this.records_.has(fingerprint)
-  }
-
   fingerprints(): readonly string[] {
     return [...this.records_.keys()]
   }
@@ -108,12 +104,14 @@
     })
   }
 
-  /** The records that another box's whole list lacks, or has with fewer crashes. */
+  /** The records that another box's whole list lacks, or has with fewer crashes or trials. */
   tellMissing(theirs: readonly CrashNews[], now: number): CrashNews[] {
-    const known = new Map(theirs.map(({fingerprint, lives}) => [fingerprint, lives]))
-    return this.tell(now).filter(({fingerprint, lives}) => {
-      const told = known.get(fingerprint) ?? []
-      return told.length < CRASHES_TO_STOP && lives.some(life => !told.includes(life))
+    const known = new Map(theirs.map(record => [record.fingerprint, record]))
+    return this.tell(now).filter(({fingerprint, lives, trials}) => {
+      const told = known.get(fingerprint)
+      if (!told || trials > told.trials) return true
+      if (told.lives.length >= CRASHES_TO_STOP) return false
+      return lives.some(life => !told.lives.includes(life))
     })
   }
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -117,6 +117,19 @@
   t.ok(next.isStopped("f"))
 })
 
+// A new leader that did not hear of a trial would begin it again.
+t.test("a leader that has not heard of a trial is told of it", async t => {
+  const [follower, leader] = [new CrashList(), new CrashList()]
+  for (const crashes of [follower, leader]) {
+    for (const life of ["a", "b", "c"]) crashes.add("f", life, 0)
+  }
+  follower.noteTrial("f", TRIALS_MS[0])
+  for (const record of follower.tellMissing(leader.tell(6_000), 6_000)) {
+    leader.merge(record, 6_000)
+  }
+  t.ok(leader.trialInMs("f", 6_000) > 0)
+})
+
 t.test("what has the fewest crashes makes way", async t => {
   const crashes = new CrashList()
   for (const life of ["a", "b", "c"]) crashes.add("stopped", life, 0)
