--- /dev/null
+++ b/test/box-suspensions.test.ts
@@ -0,0 +1,65 @@
+/** Steps of the clock that may have been no suspension: what must not run out by them. */
+import t from "tap"
+import {createBoxServing} from "../src/core/box-state.js"
+import {takeNotice} from "../src/core/server-notices.js"
+import {stepRouted} from "../src/core/serving.js"
+import type {RoutedState} from "../src/core/serving-fleet.js"
+import {noteSuspended, runningMs} from "../src/core/suspensions.js"
+import {ROUTE, Subject} from "./support/box-subject.js"
+import {CONFIG, recordOf} from "./patterns/fleet.js"
+
+const STEP_MS = 5_000
+
+/** The clock of the subject steps: it counts a suspension. */
+function step(subject: Subject): void {
+  noteSuspended({serving: subject.box, fleet: undefined}, STEP_MS)
+  subject.now += STEP_MS
+}
+
+t.test("a request in progress has as long as before", async t => {
+  const subject = new Subject().arrive(ROUTE).start()
+  step(subject)
+  t.same(subject.pass(100).told(), [], "it is neither over nor silent")
+  t.same(subject.pass(4_000).told(), ["abort", "end timeout"])
+})
+
+t.test("a server's rest lasts as long as before", async t => {
+  const subject = new Subject()
+  for (const server of ["one", "two"]) {
+    const notice = {leaving: false, restMs: 3_000, unreadable: undefined}
+    takeNotice(subject.box, server, notice, subject.now)
+  }
+  step(subject)
+  t.same(subject.arrive(ROUTE).told(), ["end not-run"])
+})
+
+t.test("a budget over a window does not refill", async t => {
+  const {box, now} = new Subject()
+  noteSuspended({serving: box, fleet: undefined}, STEP_MS)
+  t.equal(runningMs(box, now + STEP_MS), now)
+})
+
+t.test(
+  "an engine that asked the leader for rest is neither ordered nor asked",
+  async t => {
+    const options = {
+      dataCentre: "a",
+      retry: {ratio: 0.2, slack: 60, windowMs: 10_000},
+      handoverMs: 0,
+      random: () => 0
+    }
+    const state: RoutedState = {serving: createBoxServing(options), fleet: undefined}
+    const sent = (now: number): string[] =>
+      stepRouted(state, {type: "tick", mayOrder: true}, now)
+        .effects.map(({type}) => type)
+        .filter(type => type === "ask" || type === "order")
+    stepRouted(state, {type: "config", config: CONFIG}, 0)
+    const reading = {source: "store", at: 0} as const
+    stepRouted(state, {type: "backends", records: [recordOf(0)], reading}, 0)
+    stepRouted(state, {type: "lead"}, 0)
+    const notice = {leaving: false, restMs: 2_000, unreadable: undefined}
+    stepRouted(state, {type: "server-says", backend: recordOf(0).id, notice}, 0)
+    for (let now = 10; now < 2_000; now += 10) t.same(sent(now), [])
+    t.same(sent(2_010), ["ask"])
+  }
+)
