A box whose reading for another one differs asks its leader for all

Callers got 503 for 4 s after a drill whose copy was empty, from one box of three, while the others served. Cause: the box read the store for its leader, which was turned away; the copy held no server yet, so that its servers lapsed 2 s later. Its leader had seen them come back, and tells differences to what it told before: there was none. Boxes ask for all as they stop following the store themselves, but these had not begun. Ruled out: the stand-in (entries are back 600 ms after the return), the wait for a settled era (it ends at 5 s), a first try of the mend in the reading itself, which missed boxes that check the era first.

--- a/src/adapters/news-source.ts
+++ b/src/adapters/news-source.ts
@@ -182,6 +182,8 @@
       const listed = this.reader_.readBackends(entries)
       this.told_.compare(listed.records)
       post({type: "backends", ...listed, reading: {source: "store", at: askedAt}})
+      // Read for another box. The leader tells differences alone: what it took away here is not told again.
+      if (!this.follower_ && this.told_.strayed) this.options_.askAll()
     } else {
       this.operator_.takeEntries(entries)
       this.noteConfigRead(askedAt)
--- a/test/news-source.test.ts
+++ b/test/news-source.test.ts
@@ -4,6 +4,7 @@
 import {createBoxServing} from "../src/core/box-state.js"
 import {stepRouted} from "../src/core/serving.js"
 import type {RoutedState} from "../src/core/serving-fleet.js"
+import {clockNow} from "../src/adapters/clock.js"
 import {type NewsOptions, NewsSource} from "../src/adapters/news-source.js"
 import {StoreEras} from "../src/adapters/era-source.js"
 import {SettledEra} from "../src/adapters/settled-era.js"
@@ -364,3 +365,22 @@
   news.choose(false, 2_010)
   t.equal(asked, 1, "what was in doubt may be gone for it alone")
 })
+
+// Seen after drills: the reading for another box found no server yet, and what lapsed by it was never told again.
+t.test("a box whose reading for another one differs asks its leader for all", async t => {
+  let asked = 0
+  const list = (): Promise<unknown> => Promise.resolve({entries: [], revision: 1})
+  const get = (): Promise<unknown> => Promise.resolve(undefined)
+  const news = createSource({list, get}, {startedAt: 0, askAll: () => asked++})
+  news.heardLeader(5_000, 5_000, clockNow())
+  news.takeNews({
+    t: "backends",
+    records: [SERVER],
+    whole: true,
+    gone: [],
+    ageMs: 5_000,
+    sentAt: 0
+  })
+  await news.refresh(0)
+  t.equal(asked, 1)
+})
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -11,7 +11,6 @@
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {StandInStore} from "./stand-ins/platform-store.js"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
-import {passOverIfRed} from "./support/known-red.js"
 import {until} from "./support/wait.js"
 
 /** Writes that make later revisions much higher than the copy's. */
@@ -113,30 +112,26 @@
   await Promise.allSettled([running, ...late])
 })
 
-if (!passOverIfRed("store-era 3")) {
-  t.test("the fences of orders never fall, and loads go on", async t => {
-    const bed = await PlatformBed.start({boxes: 3, engines: 2, plain: 0})
-    t.teardown(() => bed.stop())
-    await sleep(1_500)
-    const first = bed.leader() as BedBox
-    raiseRevision(bed)
-    await first.child.end()
-    bed.restartBox(first)
-    await bed.ready()
-    t.ok(await isServed(bed, "a1"), "the second leader loads")
-    const seconds = bed.judge.orders.length
-    await bed.store.drill({copyAgeMs: 12_000, awayMs: 200})
-    // By then each box has noticed, and one leads by a claim that follows the copy's.
-    await sleep(2_000)
-    const served = await isServed(bed, "a7")
-    t.ok(served, "an adapter that no engine holds is served")
-    if (!served) t.comment(bed.logs())
-    const highest = Math.max(
-      ...bed.judge.orders.slice(0, seconds).map(({fence}) => fence)
-    )
-    for (const {fence} of bed.judge.orders.slice(seconds)) t.ok(fence >= highest)
-  })
-}
+t.test("the fences of orders never fall, and loads go on", async t => {
+  const bed = await PlatformBed.start({boxes: 3, engines: 2, plain: 0})
+  t.teardown(() => bed.stop())
+  await sleep(1_500)
+  const first = bed.leader() as BedBox
+  raiseRevision(bed)
+  await first.child.end()
+  bed.restartBox(first)
+  await bed.ready()
+  t.ok(await isServed(bed, "a1"), "the second leader loads")
+  const seconds = bed.judge.orders.length
+  await bed.store.drill({copyAgeMs: 12_000, awayMs: 200})
+  // By then each box has noticed, and one leads by a claim that follows the copy's.
+  await sleep(2_000)
+  const served = await isServed(bed, "a7")
+  t.ok(served, "an adapter that no engine holds is served")
+  if (!served) t.comment(bed.logs())
+  const highest = Math.max(...bed.judge.orders.slice(0, seconds).map(({fence}) => fence))
+  for (const {fence} of bed.judge.orders.slice(seconds)) t.ok(fence >= highest)
+})
 
 // It goes on serving without a word; a copy in which its entry stands does not bring it back.
 t.test("a server that had left gets nothing because the copy holds it", async t => {
