The judge of rests knows of every life of a server that ended

Its faults restarted engines four times (engine-restarts-twice, engine-restarts, clock-back); a wish of a life that is over binds nobody, and the judge knew only of lives that ended by a crashing request. It takes each worker's own restarts now, no more: a server that was not restarted is judged as before.

--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -63,6 +63,8 @@
   readonly arrived: Arrived[] = []
   readonly crashes: Crash[] = []
   readonly rests: Rest[] = []
+  /** Lives of workers that ended and are followed by another: what they said binds nobody. */
+  readonly reborn: {readonly worker: string; readonly at: number}[] = []
   readonly leaves: Leave[] = []
   readonly orders: TakenOrder[] = []
   readonly violations: string[] = []
