Red test: boxes don't keep to the rate that a server names for all of them together

Stand-in workers can name Server-Limit in all answers; judge-rates counts what the users' page counts (any span of 4 s from 3 s after the first naming, boxes told half a second before its end; also what was sent before the naming).

--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -1,4 +1,5 @@
 /** What all stand-in workers saw, for what is judged after a test. */
+import {NamedRates} from "./named-rates.js"
 
 /** One run of a request, for the judge. */
 export interface Run {
@@ -66,6 +67,7 @@
   /** Lives of workers that ended and are followed by another: what they said binds nobody. */
   readonly reborn: {readonly worker: string; readonly at: number}[] = []
   readonly leaves: Leave[] = []
+  readonly rates = new NamedRates()
   readonly orders: TakenOrder[] = []
   readonly violations: string[] = []
   /** Unloads ordered while requests ran: harmless here, since they wait, but of no use. */
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -33,6 +33,8 @@
   orderAnswerMs?: number
   /** Every answer is followed by a second one. */
   surplus?: boolean
+  /** The rate that its answers name, as the header stands there; more than one: it stands as often. */
+  rate?: string | readonly string[]
   /** Plain requests run and fail. */
   failing?: boolean
   /** Plain requests are answered so much later, milliseconds. */
@@ -85,7 +87,7 @@
 const AFTER_END_MS = 5
 
 export class StandInWorker {
-  faults: WorkerFaults = {}
+  private faults_: WorkerFaults = {}
   readonly id = `i-${randomUUID().slice(0, 8)}`
   readonly adapters = new Map<string, number>()
   /** Told in its entry in place of its own address: a proxy in front of it. */
@@ -136,6 +138,15 @@
     return worker
   }
 
+  get faults(): WorkerFaults {
+    return this.faults_
+  }
+
+  set faults(faults: WorkerFaults) {
+    this.faults_ = faults
+    this.judge_.rates.set(this.id, faults.rate)
+  }
+
   private createServer(): Server {
     const server = createServer((req, res) => void this.take(req, res))
     server.keepAliveTimeout = 60_000
@@ -204,8 +215,10 @@
     this.beat()
   }
 
-  /** A life ends: all that it held is lost. */
+  /** A life ends: all that it held is lost, and what it named binds nobody. */
   private forgetAll(): void {
+    this.judge_.rates.set(this.id, undefined)
+    this.judge_.rates.set(this.id, this.faults.rate)
     this.forget()
     for (const each of [this.adapters, this.pending_, this.leaving_, this.running_])
       each.clear()
@@ -336,18 +349,30 @@
     headers: Readonly<Record<string, string>>,
     text: string
   ): void {
-    const isSaid = this.state_ === "draining" && status !== 421
+    if (status === 421) return reply(res, status, headers, text)
     const id = headers["x-request-id"]
-    if (isSaid && id !== undefined) this.noteLeaving(id)
+    if (id !== undefined) this.noteSaid(id)
     reply(res, status, {...headers, ...this.notice()}, text)
   }
 
+  /** Its answer to the request says of it what `notice` holds. */
+  private noteSaid(id: string): void {
+    if (this.state_ === "draining") this.noteLeaving(id)
+    this.judge_.rates.told(this.id, id)
+  }
+
   private noteLeaving(id: string): void {
     this.judge_.leaves.push({id, worker: this.id, at: performance.now()})
   }
 
-  private notice(): Readonly<Record<string, string>> {
-    return this.state_ === "draining" ? {"server-leaving": "1"} : {}
+  private notice(): Readonly<Record<string, string | string[]>> {
+    const {rate} = this.faults
+    return {
+      ...(this.state_ === "draining" ? {"server-leaving": "1"} : {}),
+      ...(rate === undefined
+        ? {}
+        : {"server-limit": typeof rate === "string" ? rate : [...rate]})
+    }
   }
 
   private serve(
@@ -439,7 +464,7 @@
     const crash = crashMoment(body)
     if (crash === "before-head") return void this.crash(body)
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
-    if (this.state_ === "draining") this.noteLeaving(id)
+    this.noteSaid(id)
     res.writeHead(200, {
       "x-request-id": id,
       "content-type": "text/event-stream",
@@ -666,7 +691,7 @@
 function reply(
   res: ServerResponse,
   status: number,
-  headers: Readonly<Record<string, string>>,
+  headers: Readonly<Record<string, string | string[]>>,
   text: string
 ): void {
   res.writeHead(status, {...headers, "content-length": String(Buffer.byteLength(text))})
--- /dev/null
+++ b/test/support/judge-rates.ts
@@ -0,0 +1,57 @@
+/** Whether a server that named the rate it takes from all boxes together got more, as the servers saw it. */
+import type {Judge} from "../stand-ins/platform-judge.js"
+import type {NamedRate} from "../stand-ins/named-rates.js"
+import type {Excuse, NoticeRecord} from "./judge-notices.js"
+
+/** What counts is any span of this length that ends so long after the rate was named, milliseconds. */
+const SPAN_MS = 4_000
+const CONTACT_MS = 3_000
+
+/** A box is bound from so long after it passed on an answer that names the rate, milliseconds. */
+const TOLD_MS = 500
+
+/** What a server may get in a span: so many times what its rate allows, and so many requests more. */
+const ALLOWED_FACTOR = 1.5
+const ALLOWED_MORE = 5
+
+/** Of findings that are alike, those that are told. */
+const MOST_LINES = 3
+
+/** Returns what did not hold. */
+export function judgeRates(judge: Judge, record: NoticeRecord): string[] {
+  return judge.rates.all
+    .flatMap(rate => judgeRate(judge, record, rate).slice(0, 1))
+    .slice(0, MOST_LINES)
+}
+
+function judgeRate(judge: Judge, record: NoticeRecord, rate: NamedRate): string[] {
+  const {worker, perSecond, from, to, told} = rate
+  const allowed = (ALLOWED_FACTOR * SPAN_MS * perSecond) / 1_000 + ALLOWED_MORE
+  const boxOf = (id: string): string | undefined => record.calls.get(id)?.box
+  const toldAt = new Map<string, number>()
+  for (const {id, at} of told) {
+    const box = boxOf(id)
+    if (box !== undefined && !toldAt.has(box)) toldAt.set(box, at)
+  }
+  const arrived = judge.arrived.filter(each => each.worker === worker)
+  return arrived.flatMap(({at}) => {
+    if (at < from + CONTACT_MS || at >= to) return []
+    const count = arrived.filter(each => {
+      const box = boxOf(each.id)
+      if (box === undefined || each.at > at || each.at <= at - SPAN_MS) return false
+      if ((toldAt.get(box) ?? Infinity) > at - TOLD_MS) return false
+      return !isExcused(record.excuses, box, at)
+    }).length
+    if (count <= allowed) return []
+    const afterMs = Math.round(at - from)
+    return [
+      `${worker} takes ${perSecond} a second and got ${count} in 4 s, ${afterMs} ms after it said so`
+    ]
+  })
+}
+
+/** A box that was struck in the span, or so shortly before that it was not in touch as it began. */
+function isExcused(excuses: readonly Excuse[], box: string, to: number): boolean {
+  const from = to - SPAN_MS - CONTACT_MS
+  return excuses.some(each => each.box === box && each.at >= from && each.at <= to)
+}
