Soak: in each round servers name rates; rates are seen in explain, timeline and metrics

One engine names a rate from the begin of each round to its end, plain servers and engines for a while, zero, all engines at once and odd texts in turn, in a series of numbers of its own so that the other faults of a seed stay.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -350,6 +350,10 @@
     metrics.gauge("sedge_backend_servers", {}, () => serving.backends.known.size)
     metrics.gauge("sedge_unreadable_entries", {}, () => this.news_.unreadable)
     metrics.gauge("sedge_config_version", {}, () => this.news_.config?.version ?? 0)
+    metrics.gauge("sedge_paced_servers", {}, () => serving.rates.list().length)
+    const pacer = (): RoutedState["pacer"] => this.loop_.state().pacer
+    metrics.gauge("sedge_sends_allowed", {}, () => pacer()?.given ?? 0)
+    metrics.gauge("sedge_sends_not_allowed", {}, () => pacer()?.refused ?? 0)
     metrics.gauge("sedge_news_age_ms", {}, () =>
       Math.min(MAX_TOLD_AGE_MS, this.news_.ageMs(clockNow()))
     )
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -43,6 +43,9 @@
   suspect: 195,
   left: 196,
   oldBegun: 212,
+  rateNamed: 234,
+  rateEnded: 235,
+  paced: 236,
   load: 200,
   unload: 201,
   trouble: 202
@@ -66,6 +69,8 @@
   216,
   219,
   220,
+  EVENT.rateNamed,
+  EVENT.rateEnded,
   EVENT.suspect
 ])
 
@@ -85,6 +90,14 @@
       `attempt ${line["attempt"]} sent to ${line["backend"]} after ${line["waitedMs"]} ms` +
       ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}${replaced(line)}, places told ${line["newsMs"]} ms before)`
   ],
+  [
+    EVENT.paced,
+    line =>
+      `no allowance for ${line["backend"]}, which takes ${line["perSecond"]} requests a second ` +
+      `from all boxes together${waitsFor(line)}`
+  ],
+  [EVENT.rateNamed, line => `${line["backend"]} takes ${line["perSecond"]} a second`],
+  [EVENT.rateEnded, line => `${line["backend"]} names no rate any more`],
   [EVENT.again, line => `to be sent once more, since the attempt was ${line["after"]}`],
   [
     EVENT.refused,
@@ -115,6 +128,13 @@
   [EVENT.suspect, line => `${line["backend"]} failed or was silent`]
 ])
 
+/** That there is no room at once. */
+function waitsFor({fullForMs}: LogLine): string {
+  return typeof fullForMs === "number" && fullForMs > 0
+    ? `: the next may come in ${fullForMs} ms`
+    : ""
+}
+
 /** That a version was replaced, and how long before at most. */
 function replaced({oldForMs}: LogLine): string {
   if (typeof oldForMs !== "number" || oldForMs === 0) return ""
--- a/src/core/timeline.ts
+++ b/src/core/timeline.ts
@@ -52,7 +52,11 @@
   [217, "oddity"],
   [218, "prefix"],
   [219, "fence"],
-  [220, "era"]
+  [220, "era"],
+  [228, "backend"],
+  [229, "backend"],
+  [234, "backend"],
+  [235, "backend"]
 ])
 
 interface OpenEntry {
--- a/test/server-rates.test.ts
+++ b/test/server-rates.test.ts
@@ -5,6 +5,7 @@
  */
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
+import {explainRequest, type LogLine} from "../src/core/explain.js"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
 import {judgeRates} from "./support/judge-rates.js"
 import type {NoticedCall} from "./support/judge-notices.js"
@@ -79,6 +80,15 @@
 
 if (!passOverIfRed("server-rates")) playAll()
 
+/** The steps of a request, from the logs alone. */
+function explain(logs: string, request: string): string[] {
+  const whole = logs
+    .split("\n")
+    .filter(line => line.startsWith("{") && line.endsWith("}"))
+  const lines = whole.map(line => JSON.parse(line) as LogLine)
+  return explainRequest(lines, request)?.steps.map(({text}) => text) ?? []
+}
+
 type Teardown = Pick<typeof t, "teardown">
 
 async function open(t: Teardown, options: BedOptions): Promise<Subject> {
@@ -96,7 +106,7 @@
     const subject = await open(t, {boxes: 4, engines: 2, plain: 1})
     await subject.callFor(300, "/stream/x", "a1")
     const engine = subject.holder("a1")
-    engine.faults = {rate: "1.2"}
+    engine.nameRate("1.2")
     const outcomes = await subject.callFor(8_000, "/stream/x", "a1")
     t.same(subject.violations(), [])
     t.ok(subject.lately(engine) <= 6, `${subject.lately(engine)} in the last 4 s`)
@@ -110,7 +120,7 @@
       const subject = await open(t, {boxes: 4, engines: 1, plain: 1})
       const [worker] = subject.bed.plain as [StandInWorker]
       await subject.callFor(300, "/safe/x")
-      worker.faults = {rate: "2.5"}
+      worker.nameRate("2.5")
       await subject.callFor(4_500, "/safe/x")
       const outcomes = await subject.callFor(5_000, "/safe/x")
       t.same(subject.violations(), [])
@@ -128,15 +138,19 @@
         [],
         "and told when to come back"
       )
+      const {id = ""} = refused.at(-1) ?? {}
+      const story = (): string[] => explain(subject.bed.logs(), id)
+      await until("its end is logged", () => story().length > 1)
+      t.match(story().join("; "), /takes 2.5 requests a second from all boxes/)
     }
   )
 
   t.test("an answer that names none ends it everywhere", async t => {
     const subject = await open(t, {boxes: 3, engines: 1, plain: 1})
     const [worker] = subject.bed.plain as [StandInWorker]
-    worker.faults = {rate: "1"}
+    worker.nameRate("1")
     await subject.callFor(2_000, "/safe/x")
-    worker.faults = {}
+    worker.nameRate(undefined)
     await until("all is served", async () => {
       const outcomes = await Promise.all([1, 2, 3].map(() => subject.call("/safe/x")))
       return served(outcomes) === outcomes.length
@@ -148,10 +162,10 @@
   t.test("the next life of a server has named nothing", async t => {
     const subject = await open(t, {boxes: 2, engines: 1, plain: 1})
     const [worker] = subject.bed.plain as [StandInWorker]
-    worker.faults = {rate: "0"}
+    worker.nameRate("0")
     await subject.callFor(500, "/safe/x")
     t.equal(served(await subject.callFor(500, "/safe/x")), 0, "it takes nothing")
-    worker.faults = {}
+    worker.nameRate(undefined)
     await worker.restart()
     await until(
       "it is served",
@@ -166,12 +180,12 @@
     const subject = await open(t, {boxes: 1, engines: 1, plain: 1})
     const [worker] = subject.bed.plain as [StandInWorker]
     for (const rate of ["-1", "NaN", "1e9", "", "many", "9".repeat(400)]) {
-      worker.faults = {rate}
+      worker.nameRate(rate)
       const outcomes = await subject.callFor(200, "/safe/x")
       t.equal(served(outcomes), outcomes.length, `after "${rate.slice(0, 10)}"`)
     }
     t.match(subject.bed.logs(), /"event":230/, "the log tells it")
-    worker.faults = {rate: ["400", "0.5"]}
+    worker.nameRate(["400", "0.5"])
     await subject.callFor(500, "/safe/x")
     const outcomes = await subject.callFor(1_000, "/safe/x")
     t.ok(served(outcomes) < 3, "named twice, the lower one counts")
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -33,8 +33,6 @@
   orderAnswerMs?: number
   /** Every answer is followed by a second one. */
   surplus?: boolean
-  /** The rate that its answers name, as the header stands there; more than one: it stands as often. */
-  rate?: string | readonly string[]
   /** Plain requests run and fail. */
   failing?: boolean
   /** Plain requests are answered so much later, milliseconds. */
@@ -87,7 +85,7 @@
 const AFTER_END_MS = 5
 
 export class StandInWorker {
-  private faults_: WorkerFaults = {}
+  faults: WorkerFaults = {}
   readonly id = `i-${randomUUID().slice(0, 8)}`
   readonly adapters = new Map<string, number>()
   /** Told in its entry in place of its own address: a proxy in front of it. */
@@ -107,6 +105,7 @@
   private fence_ = 0
   private state_ = "ready"
   private held_ = false
+  private rate_: string | readonly string[] | undefined
   /** When this life of it began, milliseconds since 1970. */
   private born_ = Date.now()
   /** Orders and their answers that are on their way. */
@@ -138,13 +137,18 @@
     return worker
   }
 
-  get faults(): WorkerFaults {
-    return this.faults_
+  /**
+   * From now on its answers name a rate, as the header stands there; more than one: it stands as often; undefined:
+   * they name none.
+   */
+  nameRate(rate: string | readonly string[] | undefined): void {
+    this.rate_ = rate
+    this.judge_.rates.set(this.id, rate)
   }
 
-  set faults(faults: WorkerFaults) {
-    this.faults_ = faults
-    this.judge_.rates.set(this.id, faults.rate)
+  /** What its answers name; undefined: nothing. */
+  get rate(): string | readonly string[] | undefined {
+    return this.rate_
   }
 
   private createServer(): Server {
@@ -218,7 +222,7 @@
   /** A life ends: all that it held is lost, and what it named binds nobody. */
   private forgetAll(): void {
     this.judge_.rates.set(this.id, undefined)
-    this.judge_.rates.set(this.id, this.faults.rate)
+    this.judge_.rates.set(this.id, this.rate_)
     this.forget()
     for (const each of [this.adapters, this.pending_, this.leaving_, this.running_])
       each.clear()
@@ -366,7 +370,7 @@
   }
 
   private notice(): Readonly<Record<string, string | string[]>> {
-    const {rate} = this.faults
+    const rate = this.rate_
     return {
       ...(this.state_ === "draining" ? {"server-leaving": "1"} : {}),
       ...(rate === undefined
--- a/test/support/judge-rates.ts
+++ b/test/support/judge-rates.ts
@@ -28,19 +28,18 @@
   const {worker, perSecond, from, to, told} = rate
   const allowed = (ALLOWED_FACTOR * SPAN_MS * perSecond) / 1_000 + ALLOWED_MORE
   const boxOf = (id: string): string | undefined => record.calls.get(id)?.box
-  const toldAt = new Map<string, number>()
-  for (const {id, at} of told) {
-    const box = boxOf(id)
-    if (box !== undefined && !toldAt.has(box)) toldAt.set(box, at)
-  }
   const arrived = judge.arrived.filter(each => each.worker === worker)
   return arrived.flatMap(({at}) => {
     if (at < from + CONTACT_MS || at >= to) return []
     const count = arrived.filter(each => {
       const box = boxOf(each.id)
       if (box === undefined || each.at > at || each.at <= at - SPAN_MS) return false
-      if ((toldAt.get(box) ?? Infinity) > at - TOLD_MS) return false
-      return !isExcused(record.excuses, box, at)
+      const since = struckAt(record.excuses, box, at)
+      if (each.at < since) return false
+      const toldAt = told.find(
+        answer => answer.at > since && boxOf(answer.id) === box
+      )?.at
+      return toldAt !== undefined && toldAt <= at - TOLD_MS
     }).length
     if (count <= allowed) return []
     const afterMs = Math.round(at - from)
@@ -50,8 +49,8 @@
   })
 }
 
-/** A box that was struck in the span, or so shortly before that it was not in touch as it began. */
-function isExcused(excuses: readonly Excuse[], box: string, to: number): boolean {
-  const from = to - SPAN_MS - CONTACT_MS
-  return excuses.some(each => each.box === box && each.at >= from && each.at <= to)
+/** When a box was struck last: it has to be told anew, and what came from it before does not count. */
+function struckAt(excuses: readonly Excuse[], box: string, until: number): number {
+  const times = excuses.filter(each => each.box === box && each.at <= until)
+  return Math.max(-Infinity, ...times.map(({at}) => at))
 }
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -34,8 +34,9 @@
 /** A server that crashed is back after this, milliseconds. */
 const DOWN_MS = 900
 
-/** Turns the seed of a round into that of its second series of faults. */
+/** Turn the seed of a round into those of its second and third series of faults. */
 const SECOND_SEED = 0x5eed
+const THIRD_SEED = 0x1a7e
 
 /** Without faults, everything is served again within this. */
 const RECOVERY_LIMIT_MS = 20_000
@@ -112,7 +113,8 @@
     const end = performance.now() + this.options_.seconds * 1000
     const caller = setInterval(() => this.call(bed), CALL_MS)
     const incidents = faults.playIncidents(
-      new SoakDraws(this.options_.seed ^ SECOND_SEED)
+      new SoakDraws(this.options_.seed ^ SECOND_SEED),
+      new SoakDraws(this.options_.seed ^ THIRD_SEED)
     )
     try {
       while (performance.now() < end) {
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -8,6 +8,7 @@
   type SoakOrganisations
 } from "./soak-organisations.js"
 import {IncidentFaults} from "./soak-incident-faults.js"
+import {RateFaults} from "./soak-rate-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {NAMED_ADAPTERS, VersionFaults} from "./soak-version-faults.js"
 import {until} from "./wait.js"
@@ -49,6 +50,7 @@
   private readonly frozen_ = new Set<BedBox>()
   private readonly versionFaults_: VersionFaults
   private readonly drillFaults_: DrillFaults
+  private rates_: RateFaults | undefined
 
   constructor(
     private readonly bed_: PlatformBed,
@@ -72,18 +74,20 @@
   }
 
   /** What each round plays besides; resolves when its callers have their answers. */
-  playIncidents(draws: SoakDraws): Promise<void> {
+  async playIncidents(draws: SoakDraws, rateDraws: SoakDraws): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isHeld: box => this.frozen_.has(box) || box.suspendedFrom !== undefined,
       isCalm: () => this.calm_,
       heldKey: () => this.organisations_?.heldKey
     })
-    return faults.play()
+    this.rates_ = new RateFaults(this.bed_, rateDraws, this.record_, () => this.calm_)
+    await Promise.all([faults.play(), this.rates_.play()])
   }
 
   /** Ends all faults. */
   calm(): void {
     this.calm_ = true
+    this.rates_?.calm()
     for (const box of this.bed_.boxes) this.bed_.resume(box)
     const {store, workerProxies, boxes} = this.bed_
     store.faults = {}
--- a/test/support/soak-judge-incidents.ts
+++ b/test/support/soak-judge-incidents.ts
@@ -2,6 +2,7 @@
 import type {Judge} from "../stand-ins/platform-judge.js"
 import {judgeCrashes} from "./judge-crashes.js"
 import {judgeNotices, type NoticedCall} from "./judge-notices.js"
+import {judgeRates} from "./judge-rates.js"
 import type {CrashingCall, SoakRecord} from "./soak-record.js"
 
 /** A box is in touch once nothing has struck it or the store for so long, milliseconds. */
@@ -36,6 +37,7 @@
   return [
     ...judgeCrashes(judge, ({id, at}) => isInTouch(id, at)),
     ...judgeNotices(judge, {calls, excuses, reborn: judge.reborn}),
+    ...judgeRates(judge, {calls, excuses: record.excuses, reborn: judge.reborn}),
     ...record.crashing.flatMap(call => judgeCrashing(judge, call))
   ]
 }
