An older life that a copy of the store brings back is not the server's next one

Cause: after a rise of the era the entry that the copy holds has a later position than the one that is known, whatever life it is of. A box that knew only the later life took the copy's for the next one and held the life that goes on for ended. Class: a revision of another era is taken for an order in time. The change: for five seconds after a rise a life from a later era that says that it started before the known one is withheld, as entries of servers that had left are. A real restart is later by its clock and seen at once (store-eras asks for that); one whose clock stepped back as well is taken when it has outlasted the copy's entries. Ruled out: withholding every other life (a real restart would wait 5 s); the start alone (clocks step).

--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -3,8 +3,8 @@
  * lapsed though its server lives: it stays in doubt until the store has been back for a while.
  */
 import type {BackendRecord} from "../types/fleet.js"
-import {isOf, succeeds, tellsLife} from "./server-lives.js"
-import {mayBeCopied} from "./eras.js"
+import {isOf, mayPrecede, succeeds, tellsLife} from "./server-lives.js"
+import {isLater, mayBeCopied} from "./eras.js"
 
 /** How long after the store's return a vanished entry may still come back, milliseconds. */
 export const RETURN_MS = 2_000
@@ -53,7 +53,7 @@
    * those of the copy; -Infinity: it can.
    */
   readonly copiedUntil: number
-  /** Servers whose entries are there and may be the copy's: they had left, or may have. */
+  /** Servers whose entries are there and may be the copy's: they had left, or another life had followed, or may have. */
   readonly withheld: ReadonlyMap<string, BackendRecord>
 }
 
@@ -148,6 +148,11 @@
       continue
     }
     if (wasGone(gone, record, reading.at)) continue
+    if (last && isCopiedLife(list, record, last, now)) {
+      withheld.set(record.id, record)
+      known.set(last.record.id, last)
+      continue
+    }
     if (isWithheld(list, record, reading, now)) {
       withheld.set(record.id, record)
       continue
@@ -202,6 +207,16 @@
   return goneAt !== undefined && goneAt < risenAt
 }
 
+/** Whether it may be an earlier life than the known one, as a copy holds it. */
+function isCopiedLife(
+  {risenAt}: BackendList,
+  record: BackendRecord,
+  last: KnownBackend,
+  now: number
+): boolean {
+  return mayBeCopied(risenAt, now) && mayPrecede(record, last.record)
+}
+
 const NONE: ReadonlySet<string> = new Set()
 
 function indexServers({known}: BackendList): Map<string, KnownBackend> {
@@ -253,6 +268,9 @@
   for (const other of list.known.values()) {
     const {id, server} = other.record
     if (server !== record.server || id === record.id) continue
+    if (isCopiedLife(list, record, other, now)) {
+      return {...list, withheld: new Map(list.withheld).set(record.id, record)}
+    }
     if (succeeds(other.record, record)) return list
     ended.push(...endedBy(record, other))
     known.delete(id)
@@ -260,7 +278,13 @@
   }
   known.set(record.id, toKnown(record, left))
   forgetGone(gone, record)
-  return {...list, known, left, gone, ended: addEnded(list, ended)}
+  // What was written after it in the same era is no copy's.
+  const withheld = new Map(
+    [...list.withheld].filter(
+      ([, each]) => each.server !== record.server || isLater(each, record)
+    )
+  )
+  return {...list, known, left, gone, withheld, ended: addEnded(list, ended)}
 }
 
 function noteGone(gone: Map<string, number>, id: string, at: number): void {
@@ -324,13 +348,12 @@
   if (due.length === 0 && released.size === 0) return list
   const known = new Map(list.known)
   for (const [id] of due) known.delete(id)
-  const gone = new Map(list.gone)
+  const withheld = released.size > 0 ? NO_RECORDS : list.withheld
+  let next: BackendList = {...list, known, withheld}
   for (const record of released.values()) {
-    forgetGone(gone, record)
-    known.set(record.id, toKnown(record, list.left))
+    next = takeRecord(next, record, {source: "box", at: now}, now)
   }
-  const withheld = released.size > 0 ? NO_RECORDS : list.withheld
-  return {...list, known, gone, withheld}
+  return next
 }
 
 const NO_RECORDS: ReadonlyMap<string, BackendRecord> = new Map()
--- a/src/core/server-lives.ts
+++ b/src/core/server-lives.ts
@@ -28,6 +28,22 @@
   return id === name || server === name
 }
 
+/** When a life started by its server's clock; undefined: it does not tell. */
+function startOf({id, server}: BackendRecord): number | undefined {
+  if (id === server) return undefined
+  return Number.parseInt(id.slice(server.length + SEPARATOR.length), RADIX)
+}
+
+/**
+ * Whether `next` is of a life that says that it started before the known one, from a later era. Revisions tell
+ * nothing then: it may be the life before, which a copy of the service brought back.
+ */
+export function mayPrecede(next: BackendRecord, known: BackendRecord): boolean {
+  if (next.server !== known.server || (next.era ?? 0) <= (known.era ?? 0)) return false
+  const [start, knownStart] = [startOf(next), startOf(known)]
+  return start !== undefined && knownStart !== undefined && start < knownStart
+}
+
 /** Whether `next` is of another life of the same server, and newer. */
 export function succeeds(next: BackendRecord, known: BackendRecord): boolean {
   return next.server === known.server && next.id !== known.id && isLater(next, known)
--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -3,8 +3,10 @@
 import {
   type BackendList,
   createBackendList,
+  expireBackends,
   isUsable,
   listEndedLives,
+  noteRise,
   noteStoreTrouble,
   type Reading,
   takeBackend,
@@ -96,6 +98,39 @@
   t.ok(isUsable(takeBackend(leaving, "w", NEXT, byStore(20), 20), NEXT.id))
 })
 
+// Seen in a soak: a box took the life that a copy of the store held for the next one, and never sent to the server
+// again, which lived on in the one that it had known.
+t.test(
+  "an older life that a copy of the store brings back is not the next one",
+  async t => {
+    const known = {...recordOf(9_000, 50), era: 4}
+    const copied = {...recordOf(5_000, 20), era: 5}
+    const again = {...recordOf(9_000, 30), era: 5}
+    const risen = noteRise(listOf(known), 100, 100)
+    for (const read of [
+      (record: BackendRecord, list: BackendList, at: number): BackendList =>
+        takeBackends(list, [record], byStore(at), at),
+      (record: BackendRecord, list: BackendList, at: number): BackendList =>
+        takeBackend(list, "w", record, byStore(at), at)
+    ]) {
+      const after = read(copied, risen, 110)
+      t.same(ids(after), [known.id], "it is known in a later one")
+      const written = read(again, after, 400)
+      t.same(ids(written), [known.id], "which writes its entry again")
+      t.ok(isUsable(written, known.id))
+      t.same(ids(expireBackends(written, 6_000)), [known.id])
+      t.same(
+        ids(expireBackends(after, 6_000)),
+        [copied.id],
+        "what outlasts the copy's entries lives, whatever its clock says"
+      )
+      t.same(ids(read({...recordOf(9_500, 30), era: 5}, after, 400)), [
+        recordOf(9_500, 30).id
+      ])
+    }
+  }
+)
+
 t.test(
   "an entry that cannot be read is no lapse, and a good one counts again",
   async t => {
