A box that starts on a copy older than the first settled era doubts it, too

Cause: the key that says which era is settled was missing in the copy, and a box took that for the first start of all. The change: without the key only the first era (0 or 1) counts as settled. Ruled out: doubting each start without the key (all first starts would wait).

--- a/src/adapters/settled-era.ts
+++ b/src/adapters/settled-era.ts
@@ -3,7 +3,7 @@
  * older copy they are not for a while, and a box that starts then remembers no server that had left. So a
  * leader writes down which era is settled, and a box that starts reads it.
  */
-import {COPIED_ENTRY_MS} from "../core/eras.js"
+import {COPIED_ENTRY_MS, FIRST_ERA} from "../core/eras.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {StoreCaller} from "../types/store-calls.js"
@@ -63,9 +63,13 @@
     if (this.checked_) return true
     try {
       const entry = await this.as("era-check").get(this.options_.key)
-      // Without the key no leader has settled any era: this is the first start of all.
+      // Without the key no leader has settled any era, or the copy is older than the first time that one did.
       this.settled_ = entry ? Number(entry.value) : undefined
-      if (entry && this.settled_ !== eras.era) this.doubt()
+      const isSettled =
+        this.settled_ === undefined
+          ? (eras.era ?? FIRST_ERA) <= FIRST_ERA
+          : this.settled_ === eras.era
+      if (!isSettled) this.doubt()
     } catch (cause) {
       this.noteFailure(cause)
       return false
--- a/src/core/eras.ts
+++ b/src/core/eras.ts
@@ -24,6 +24,9 @@
 /** Revisions of one era are fewer: at 1,200 writes a second it would last for 29 years. */
 const REVISIONS_PER_ERA = 2 ** 40
 
+/** A service that tells a later era came back from an older copy at least once. */
+export const FIRST_ERA = 1
+
 /** Fences of a higher era would not be whole numbers that every reader of JSON keeps. */
 export const HIGHEST_ERA = 8_191
 
--- a/test/store-era-starts.test.ts
+++ b/test/store-era-starts.test.ts
@@ -27,6 +27,13 @@
 /** Processes may start slowly beside others; without faults all is served again within this, milliseconds. */
 const RECOVERY_MS = 20_000
 
+/** Where the settled era stands, and between its removal and the configuration that needs keys, milliseconds. */
+const SETTLED_KEY = "sedge/settled-era"
+const BEFORE_KEYS_MS = 400
+
+/** The leader stands still for so long: a box that starts is on its own, milliseconds. */
+const STILL_MS = 3_000
+
 /** The number of the event with which a box tells that it waits. */
 const DOUBTED = 221
 
@@ -80,3 +87,40 @@
     t.ok(doubtedMs < DOUBT_MS, `${doubtedMs} ms after the last box began to doubt`)
   }
 )
+
+// Seen in a soak: a box that started 2.6 s after a drill served by the copy's configuration, which needed no keys. The
+// copy was older than the key that tells which era is settled.
+t.test("a box that starts after a drill does not serve by the copy's rules", async t => {
+  const bed = await PlatformBed.start({boxes: 2, engines: 1, plain: 2})
+  t.teardown(() => bed.stop())
+  await until("an era is settled", () => bed.store.read(SETTLED_KEY) !== undefined)
+  bed.store.remove(SETTLED_KEY)
+  const copiedAt = performance.now()
+  await sleep(BEFORE_KEYS_MS)
+  bed.tenants = [{name: "org", apiKeys: ["key"]}]
+  bed.configure()
+  const [first, second] = bed.boxes as [BedBox, BedBox]
+  const isRefused = async (box: BedBox): Promise<boolean> =>
+    (await bed.call(box, "/safe/x")).status === 401
+  for (const box of bed.boxes) await until("keys are needed", () => isRefused(box))
+  const leader = bed.leader() ?? first
+  const other = leader === first ? second : first
+  await other.child.end("SIGKILL")
+  leader.child.signal("SIGSTOP")
+  const copyAgeMs = performance.now() - copiedAt - BEFORE_KEYS_MS / 2
+  await bed.store.drill({copyAgeMs, awayMs: 50})
+  bed.restartBox(other)
+  const statuses = new Set<number>()
+  const end = performance.now() + STILL_MS
+  while (performance.now() < end) {
+    const {status} = await bed.call(other, "/safe/x", {deadlineMs: 500})
+    statuses.add(status)
+    await sleep(20)
+  }
+  leader.child.signal("SIGCONT")
+  t.notOk(statuses.has(200), [...statuses].join())
+  bed.configure()
+  const isServed = async (): Promise<boolean> =>
+    (await bed.call(other, "/safe/x", {key: "key"})).status === 200
+  await until("it serves who holds a key", isServed, RECOVERY_MS)
+})
