Soak: a red case is kept as its list of faults with times, and a promise of service is judged

The judge of service: a plain request that may be sent again is served by a box that nothing struck for 3 s and that did not start on a copy, where nothing touches plain servers.

--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -8,6 +8,7 @@
 import {SoakOrganisations, USAGE_WINDOW_S} from "./soak-organisations.js"
 import {judgeIncidents} from "./soak-judge-incidents.js"
 import {judgeRound} from "./soak-judge.js"
+import {countPromised, judgeService} from "./soak-judge-service.js"
 import {type SoakCall, SoakDraws, SoakRecord} from "./soak-record.js"
 import {until} from "./wait.js"
 
@@ -25,6 +26,11 @@
   readonly seed: number
   readonly seconds: number
   readonly boxes?: number
+  /**
+   * Faults with their times, milliseconds from the begin of the round, in place of drawn ones: a case that was red is
+   * played as it was, whatever kinds come later.
+   */
+  readonly script?: readonly (readonly [name: string, at: number])[]
 }
 
 const ADAPTERS = 30
@@ -38,6 +44,9 @@
 const SECOND_SEED = 0x5eed
 const THIRD_SEED = 0x1a7e
 
+/** The same for its calls, where faults are given with their times. */
+const CALLS_SEED = 0xca11
+
 /** Without faults, everything is served again within this. */
 const RECOVERY_LIMIT_MS = 20_000
 
@@ -49,6 +58,7 @@
 
 class SoakRound {
   private readonly draws_: SoakDraws
+  private readonly callDraws_: SoakDraws
   private readonly record_ = new SoakRecord()
   private readonly calls_: Promise<void>[] = []
   private readonly notes_: string[] = []
@@ -57,6 +67,7 @@
 
   constructor(private readonly options_: SoakOptions) {
     this.draws_ = new SoakDraws(options_.seed)
+    this.callDraws_ = new SoakDraws(options_.seed ^ CALLS_SEED)
   }
 
   async run(): Promise<SoakResult> {
@@ -85,6 +96,8 @@
       await this.play(bed, faults)
       this.violations_.push(...judgeRound(bed.judge, this.record_))
       this.violations_.push(...judgeIncidents(bed.judge, this.record_))
+      this.violations_.push(...judgeService(this.record_))
+      this.notes_.push(`promised ${countPromised(this.record_)}`)
       if (organisations) {
         this.violations_.push(
           ...judgeOrganisations(bed.judge, this.record_, organisations)
@@ -112,13 +125,17 @@
   private async play(bed: PlatformBed, faults: SoakFaults): Promise<void> {
     const end = performance.now() + this.options_.seconds * 1000
     const caller = setInterval(() => this.call(bed), CALL_MS)
-    const incidents = faults.playIncidents(
-      new SoakDraws(this.options_.seed ^ SECOND_SEED),
-      new SoakDraws(this.options_.seed ^ THIRD_SEED)
-    )
+    const {script, seed} = this.options_
+    const incidents = script
+      ? Promise.resolve()
+      : faults.playIncidents(
+          new SoakDraws(seed ^ SECOND_SEED),
+          new SoakDraws(seed ^ THIRD_SEED)
+        )
     try {
+      if (script) await this.playScript(faults, script)
       while (performance.now() < end) {
-        await faults.disturb()
+        if (!script) await faults.disturb()
         await pause(FAULT_MS * (0.3 + this.draws_.draw()))
       }
       faults.calm()
@@ -131,6 +148,19 @@
     await Promise.all(this.calls_)
   }
 
+  /** What each fault draws depends on the seed and its place alone. */
+  private async playScript(
+    faults: SoakFaults,
+    script: NonNullable<SoakOptions["script"]>
+  ): Promise<void> {
+    const begun = performance.now()
+    for (const [place, [name, at]] of script.entries()) {
+      await pause(Math.max(0, begun + at - performance.now()))
+      this.draws_.restart(this.options_.seed + place)
+      await faults.play(name)
+    }
+  }
+
   private tell(logs: string): SoakResult {
     const {calls, faults} = this.record_
     return {
@@ -144,8 +174,9 @@
   }
 
   private call(bed: PlatformBed): void {
-    const box = this.draws_.pick(bed.boxes)
-    const kind = this.draws_.pick([
+    const draws = this.options_.script ? this.callDraws_ : this.draws_
+    const box = draws.pick(bed.boxes)
+    const kind = draws.pick([
       "stream",
       "stream",
       "once",
@@ -154,7 +185,7 @@
     ] as const satisfies readonly SoakCall["kind"][])
     const model = kind === "stream" || kind === "once"
     // Skewed: a few adapters are asked for most.
-    const adapter = `a${Math.floor(ADAPTERS * this.draws_.draw() ** 3)}`
+    const adapter = `a${Math.floor(ADAPTERS * draws.draw() ** 3)}`
     const key = this.organisations_?.pickKey()
     const options = {
       ...(model ? {adapter} : {}),
@@ -164,7 +195,8 @@
     const sentAt = performance.now()
     this.calls_.push(
       bed.call(box, `/${kind}/x`, options).then(outcome => {
-        this.record_.calls.push({kind, box: box.name, outcome, key, sentAt})
+        const answeredAt = performance.now()
+        this.record_.calls.push({kind, box: box.name, outcome, key, sentAt, answeredAt})
       })
     )
   }
--- a/test/support/soak-drill-faults.ts
+++ b/test/support/soak-drill-faults.ts
@@ -79,7 +79,11 @@
       reversed: this.draws_.draw() < 0.5
     }
     this.record_.trouble.begin()
-    await this.bed_.store.drill({...drill, returned: () => this.record_.trouble.end()})
+    const returned = (): void => {
+      this.record_.rises.push(performance.now())
+      this.record_.trouble.end()
+    }
+    await this.bed_.store.drill({...drill, returned})
     this.drilling_ = false
   }
 
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -101,7 +101,34 @@
 
   /** One fault, or the end of one. */
   async disturb(): Promise<void> {
-    const faults: Readonly<Record<string, () => unknown>> = {
+    const drawn = this.special() ?? this.usual()
+    await this.act(drawn, this.draws_.pick(Object.keys(drawn)))
+  }
+
+  /** A fault that is named. */
+  async play(name: string): Promise<void> {
+    const {versionFaults_, drillFaults_} = this
+    const all = {
+      ...this.usual(),
+      ...this.livesFaults(),
+      ...versionFaults_.all(),
+      ...drillFaults_.drills(),
+      ...drillFaults_.leads()
+    }
+    if (!(name in all)) throw new Error(`there is no fault ${name}`)
+    await this.act(all, name)
+  }
+
+  private async act(
+    faults: Readonly<Record<string, () => unknown>>,
+    name: string
+  ): Promise<void> {
+    this.record_.faults.push({name, at: performance.now()})
+    await faults[name]?.()
+  }
+
+  private usual(): Readonly<Record<string, () => unknown>> {
+    return {
       kill: () => this.restart(this.draws_.pick(this.bed_.boxes), "SIGKILL"),
       "kill-leader": () =>
         this.restart(this.bed_.leader() ?? this.draws_.pick(this.bed_.boxes), "SIGKILL"),
@@ -130,10 +157,6 @@
       // Last, and only where asked for: the seeds of rounds without them draw as they did.
       ...(this.options_.lives ? this.livesFaults() : {})
     }
-    const drawn = this.special() ?? faults
-    const name = this.draws_.pick(Object.keys(drawn))
-    this.record_.faults.push({name, at: performance.now()})
-    await drawn[name]?.()
   }
 
   /** Kinds that are drawn from only where asked for: the seeds of other rounds draw as they did. */
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -11,6 +11,8 @@
   /** Undefined: it had none. */
   readonly key?: string | undefined
   readonly sentAt: number
+  /** Undefined: not noted. */
+  readonly answeredAt?: number
 }
 
 /** A version that was named, and when the store acknowledged it. */
@@ -31,6 +33,11 @@
     this.random_ = createRandom(seed)
   }
 
+  /** The numbers of another seed from here on. */
+  restart(seed: number): void {
+    this.random_ = createRandom(seed)
+  }
+
   draw(): number {
     const [value, next] = uniformFloat64(this.random_)
     this.random_ = next
@@ -92,6 +99,8 @@
   /** When boxes were restarted, stood still or were cut off. */
   readonly excuses: {readonly box: string; readonly at: number}[] = []
   readonly trouble = new StoreTrouble()
+  /** When the store came back from an older copy. */
+  readonly rises: number[] = []
   readonly versions: SoakVersion[] = []
   /** Engines that were replaced. */
   readonly gone: LeftEngine[] = []
