--- a/src/core/box-pacing.ts
+++ b/src/core/box-pacing.ts
@@ -48,7 +48,7 @@
   request.paced = {server: open, since: request.paced?.since ?? now}
   if (open === undefined) return false
   askSends(box, now)
-  return !box.allowances.holds(open, now)
+  return true
 }
 
 function mayComeInTime(
--- a/src/core/server-notices.ts
+++ b/src/core/server-notices.ts
@@ -81,8 +81,8 @@
   }
   const word = {perSecond, sentAt: sentAt ?? now, heardAt: now}
   if (!box.rates.take(backend, word)) return
-  noteRate(box, backend, "answer", now)
   tellRate(box, backend, now)
+  noteRate(box, backend, "answer", now)
 }
 
 /** Takes what another box heard of servers' rates. */
@@ -96,10 +96,10 @@
     const {server} = each
     if (!box.backends.known.has(server)) continue
     const result = box.rates.takeNews(each, now)
-    if (result === "changed") noteRate(box, server, source, now)
     // All boxes hear of a change from their leader; a box that knows better tells the leader, which does not argue.
     const passes = source === "box" ? result === "changed" : result === "stands"
     if (passes) tellRate(box, server, now)
+    if (result === "changed") noteRate(box, server, source, now)
   }
 }
 
@@ -108,6 +108,7 @@
   if (news) box.effects.push({type: "rate-news", news})
 }
 
+/** After the rate itself was told: the leader counts nothing for a server of which it knows no rate. */
 function noteRate(
   box: BoxServing,
   backend: string,
--- a/test/server-rates-core.test.ts
+++ b/test/server-rates-core.test.ts
@@ -2,10 +2,18 @@
 import t from "tap"
 import {RatePacer} from "../src/core/rate-pacer.js"
 import {RecentSends} from "../src/core/recent-sends.js"
+import {takeNotice} from "../src/core/server-notices.js"
+import {Subject} from "./support/box-subject.js"
 import {SendAllowances} from "../src/core/send-allowances.js"
 import {ServerRates} from "../src/core/server-rates.js"
 
 const S = "s"
+const SAYS_NOTHING = {
+  leaving: false,
+  restMs: undefined,
+  perSecond: undefined,
+  unreadable: undefined
+}
 const NEED = {count: 1, rank: 1, waitMs: 200}
 
 /** A word on a request sent and answered then. */
@@ -64,6 +72,16 @@
   t.equal(pacer.ask("a", ask, 4_300).count, 1)
 })
 
+// The leader ignores what was sent to servers of which it knows no rate.
+t.test("a box tells the rate before it tells what it sent", async t => {
+  const {box, now} = new Subject()
+  box.recentSends.note(S, now)
+  box.effects = []
+  takeNotice(box, S, {...SAYS_NOTHING, perSecond: 2}, now, now)
+  const told = box.effects.map(({type}) => type).filter(type => type !== "note")
+  t.same(told, ["rate-news", "sent-lately"])
+})
+
 t.test("an urgent request is given in advance what others are not", async t => {
   const pacer = new RatePacer(() => 5)
   const ask = {server: S, ask: 1, count: 1, waitMs: 250}
