A server that a box did not know as the store came back from a copy is withheld for a while

Cause: a box that started after a server left has no memory of it, and reads lists without it; the copy then brings the entry back, and the box took it for a new server. Class: absence before a rise was no belief at all. The change: for five seconds after a rise servers that were not known are withheld unless another box vouches for them.

--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -153,7 +153,7 @@
       known.set(last.record.id, last)
       continue
     }
-    if (isWithheld(list, record, reading, now)) {
+    if (isWithheld(list, record, last !== undefined, reading, now)) {
       withheld.set(record.id, record)
       continue
     }
@@ -193,10 +193,14 @@
   return ids.length === 0 ? ended : new Set([...ended, ...ids].slice(-MAX_LEFT))
 }
 
-/** Whether its entry may be the copy's: it was known to be gone before the store came back. */
+/**
+ * Whether its entry may be the copy's: its server was known to be gone before the store came back, or not known, and
+ * may have left before this box first read.
+ */
 function isWithheld(
   {gone, risenAt, copiedUntil, known}: BackendList,
   {id, server}: BackendRecord,
+  isKnown: boolean,
   {source}: Reading,
   now: number
 ): boolean {
@@ -204,7 +208,8 @@
   if (now < copiedUntil && source === "store" && !known.has(id)) return true
   if (!mayBeCopied(risenAt, now)) return false
   const goneAt = gone.get(id) ?? gone.get(server)
-  return goneAt !== undefined && goneAt < risenAt
+  if (goneAt !== undefined && goneAt < risenAt) return true
+  return source === "store" && !isKnown
 }
 
 /** Whether it may be an earlier life than the known one, as a copy holds it. */
@@ -257,8 +262,10 @@
   reading: Reading,
   now: number
 ): BackendList {
+  const {server} = record
   if (list.ended.has(record.id)) return list
-  if (isWithheld(list, record, reading, now)) {
+  const isKnown = [...list.known.values()].some(each => each.record.server === server)
+  if (isWithheld(list, record, isKnown, reading, now)) {
     return {...list, withheld: new Map(list.withheld).set(record.id, record)}
   }
   const known = new Map(list.known)
@@ -266,8 +273,8 @@
   const left = noteLeaving(list, [record])
   const ended: string[] = []
   for (const other of list.known.values()) {
-    const {id, server} = other.record
-    if (server !== record.server || id === record.id) continue
+    const {id} = other.record
+    if (other.record.server !== server || id === record.id) continue
     if (isCopiedLife(list, record, other, now)) {
       return {...list, withheld: new Map(list.withheld).set(record.id, record)}
     }
--- a/test/store-eras.test.ts
+++ b/test/store-eras.test.ts
@@ -191,6 +191,25 @@
   }
 )
 
+// Found by the specification of copies: the box had started after the server left, and read no list that held it.
+t.test("a server that was not known as the era rose may have left before", async t => {
+  const at = (now: number): {source: "store"; at: number} => ({source: "store", at: now})
+  const copied = {...STARTED, era: 2}
+  const read = takeBackends(createBackendList(), [], at(1_000), 1_000)
+  const risen = noteRise(read, 2_000, 2_000)
+  for (const list of [
+    takeBackends(risen, [copied], at(2_010), 2_010),
+    takeBackend(risen, "w", copied, at(2_010), 2_010)
+  ]) {
+    t.notOk(isUsable(list, "w~1"))
+    t.ok(isUsable(expireBackends(list, 7_001), "w~1"), "its entry is still there")
+    const lapsed = takeBackend(list, "w", undefined, at(5_000), 5_000)
+    t.notOk(isUsable(expireBackends(lapsed, 7_001), "w~1"), "it is not")
+  }
+  const told = takeBackends(risen, [copied], {source: "box", at: 2_010}, 2_010)
+  t.ok(isUsable(told, "w~1"), "a box that remembers more vouches for it")
+})
+
 // Seen in a soak: plain requests were refused for 20 s by a box that had asked others for news as the era rose.
 t.test("that the store served others ends no doubt that the rise has set", async t => {
   const at = (now: number): {source: "store"; at: number} => ({source: "store", at: now})
