--- /dev/null
+++ b/src/adapters/request-body.ts
@@ -0,0 +1,21 @@
+/** Bodies of callers' requests. */
+import type {IncomingMessage} from "node:http"
+
+/** The whole body; callers' bodies are small, and a whole one can be sent again. */
+export async function readWholeBody(
+  req: IncomingMessage,
+  limit: number
+): Promise<Buffer | null | "too-large" | "gone"> {
+  const chunks: Buffer[] = []
+  let size = 0
+  try {
+    for await (const chunk of req) {
+      size += (chunk as Buffer).length
+      if (size > limit) return "too-large"
+      chunks.push(chunk as Buffer)
+    }
+  } catch {
+    return "gone"
+  }
+  return chunks.length === 0 ? null : Buffer.concat(chunks)
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -25,6 +25,7 @@
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {clockNow, clockSuspendedMs} from "./clock.js"
 import {BoxHub} from "./box-hub.js"
+import {BoxStrength} from "./box-strength.js"
 import {CrashStore} from "./crash-store.js"
 import {EngineDriver, orderPool} from "./engine-driver.js"
 import {LeaderElection} from "./leader-election.js"
@@ -36,7 +37,7 @@
 import {NewsHelp} from "./news-help.js"
 import {NewsSource} from "./news-source.js"
 import type {RunningProcess} from "./process.js"
-import {measureNote} from "./routed-metrics.js"
+import {measureBox, measureNote} from "./routed-metrics.js"
 import {RoutedRelay} from "./routed-relay.js"
 import {countStoreCalls} from "./store-counter.js"
 import {UsageStore} from "./usage-store.js"
@@ -49,23 +50,12 @@
 const PAUSED_MS = 1_200
 /** Off the lease of the leader: clock rates, and an order's way. */
 const LEASE_MARGIN_MS = 200
-/** The age of news that metrics tell at most; also where there is none. */
-const MAX_TOLD_AGE_MS = 3_600_000
 /** After a stop was asked for, new requests are still taken for this long. */
 const STOP_LISTEN_MS = 2_600
 
 /** A leader that stops waits so long at most for what it leaves to the next one, milliseconds. */
 const CLOSE_USAGE_MS = 150
 
-/** What the strongest box can do, as long as nobody has told, in cores. */
-const USUAL_CAPACITY = 1
-
-/** A weak leader gives the lead up to a stronger box that follows, after so long, milliseconds. */
-const WEAK_LEAD_MS = 2_000
-
-/** A box with less than this part of the strongest one's processor is weak. */
-const WEAK_SHARE = 0.6
-
 /** How often a box that stops looks whether it is done, milliseconds. */
 const STOP_TURN_MS = 50
 
@@ -108,10 +98,7 @@
   private callers_: Server | undefined
   private readonly servers_: Server[] = []
   private readonly startedAt_ = clockNow()
-  /** What processors can do, in cores: this box's, and the most of any. */
-  private readonly capacity_: number
-  private topCapacity_ = USUAL_CAPACITY
-  private leadsFrom_ = 0
+  private readonly strength_: BoxStrength
   /** When the processes of half of the boxes had started. */
   private medianStartAt_ = clockNow()
   /** The servers for which pools were kept last. */
@@ -127,7 +114,7 @@
   constructor(private readonly context_: RoutedContext) {
     const {settings, kv, eras, dialect, records, log} = context_
     const {share = 0, cores = 0} = settings.processor ?? {}
-    this.capacity_ = share * cores
+    this.strength_ = new BoxStrength(share * cores)
     this.self_ = {
       box: settings.box,
       incarnation: this.incarnation_,
@@ -210,8 +197,8 @@
     })
     this.session_ = new LeaderSession({
       self: this.self_,
-      capacity: this.capacity_,
-      strongest: capacity => (this.topCapacity_ = capacity),
+      capacity: this.strength_.capacity,
+      strongest: capacity => (this.strength_.top = capacity),
       startedAt: this.startedAt_,
       kv,
       news: this.news_,
@@ -283,7 +270,7 @@
         found: leader => this.session_.follow(leader),
         boxes: () => serving.boxes,
         medianAgeMs: now => now - this.medianStartAt_,
-        isWeak: () => this.isWeak,
+        isWeak: () => this.strength_.isWeak,
         renewElsewhere: lease => this.renewElsewhere(lease),
         helped: helped => log(helped ? "lease-helped" : "lease-own")
       }
@@ -311,7 +298,12 @@
         return {status: ready ? 200 : 503, text: ready ? "ready\n" : "not ready\n"}
       })
     )
-    this.measureState()
+    measureBox(metrics, {
+      state: this.loop_.state,
+      news: this.news_,
+      era: () => this.context_.eras.era,
+      openRequests: () => this.relay_.open
+    })
     if (settings.metrics !== undefined) {
       this.servers_.push(
         await serveText(settings.metrics, "/metrics", () => ({
@@ -326,7 +318,7 @@
         state: this.loop_.state,
         post: this.loop_.post,
         news: this.news_,
-        capacity: this.capacity_,
+        capacity: this.strength_.capacity,
         leadership: this.election_.leadership,
         eras: this.context_.eras,
         settled: this.settled_,
@@ -339,26 +331,6 @@
     log("started", {callers: settings.callers, boxes: settings.boxes})
   }
 
-  /** What a box believes, for its metrics. */
-  private measureState(): void {
-    const {metrics, eras} = this.context_
-    const {serving} = this.loop_.state()
-    metrics.gauge("sedge_store_era", {}, () => eras.era ?? 0)
-    metrics.gauge("sedge_open_requests", {}, () => this.relay_.open)
-    metrics.gauge("sedge_leads", {}, () => (this.leading ? 1 : 0))
-    metrics.gauge("sedge_boxes", {}, () => serving.boxes)
-    metrics.gauge("sedge_backend_servers", {}, () => serving.backends.known.size)
-    metrics.gauge("sedge_unreadable_entries", {}, () => this.news_.unreadable)
-    metrics.gauge("sedge_config_version", {}, () => this.news_.config?.version ?? 0)
-    metrics.gauge("sedge_paced_servers", {}, () => serving.rates.list().length)
-    const pacer = (): RoutedState["pacer"] => this.loop_.state().pacer
-    metrics.gauge("sedge_sends_allowed", {}, () => pacer()?.given ?? 0)
-    metrics.gauge("sedge_sends_not_allowed", {}, () => pacer()?.refused ?? 0)
-    metrics.gauge("sedge_news_age_ms", {}, () =>
-      Math.min(MAX_TOLD_AGE_MS, this.news_.ageMs(clockNow()))
-    )
-  }
-
   /** Ends in order: not ready at once, the lead handed over, what is in progress ended. */
   async stop(): Promise<void> {
     if (this.stopping_) return
@@ -409,8 +381,8 @@
       this.settled_.settleIfDue(now)
       this.hub_?.pingIfDue(now)
       this.medianStartAt_ = this.hub_?.medianStartAt ?? this.medianStartAt_
-      this.topCapacity_ = this.hub_?.topCapacity ?? 0
-      if (this.isWeak && now - this.leadsFrom_ > WEAK_LEAD_MS) this.election_.resign()
+      this.strength_.top = this.hub_?.topCapacity ?? 0
+      if (this.strength_.leadsTooLong(now)) this.election_.resign()
     }
     return mayOrder(this.election_.leadership, now)
   }
@@ -452,7 +424,7 @@
     const {orderFrom} = this.election_.leadership
     const waitMs = Math.round(orderFrom - clockNow())
     this.context_.log("leading", {fence, waitMs})
-    this.leadsFrom_ = clockNow()
+    this.strength_.beginLead(clockNow())
     this.session_.close()
     this.loop_.post({type: "lead"})
     this.loop_.post({type: "orders", led: true, inMs: Math.max(0, waitMs)})
@@ -515,10 +487,6 @@
     this.loop_.post({type: "probed", backend: id, up})
   }
 
-  private get isWeak(): boolean {
-    return this.capacity_ > 0 && this.capacity_ < WEAK_SHARE * this.topCapacity_
-  }
-
   private get leading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
--- a/src/adapters/routed-metrics.ts
+++ b/src/adapters/routed-metrics.ts
@@ -1,7 +1,43 @@
 /** Counters and histograms of a routed box, from the events of its decisions. */
 import type {BoxNote, NoteFields} from "../core/box-state.js"
 import type {FleetNote} from "../core/placement-state.js"
+import type {RoutedState} from "../core/serving-fleet.js"
+import {clockNow} from "./clock.js"
 import type {Metrics} from "./metrics.js"
+import type {NewsSource} from "./news-source.js"
+
+/** The age of news that metrics tell at most; also where there is none. */
+const MAX_TOLD_AGE_MS = 3_600_000
+
+/** Where a box's beliefs are read for its metrics. */
+export interface MeasuredBox {
+  readonly state: () => RoutedState
+  readonly news: NewsSource
+  /** Of the key-value service; undefined: it tells none. */
+  readonly era: () => number | undefined
+  readonly openRequests: () => number
+}
+
+/** Gauges of what a box believes. */
+export function measureBox(
+  metrics: Metrics,
+  {state, news, era, openRequests}: MeasuredBox
+): void {
+  const {serving} = state()
+  metrics.gauge("sedge_store_era", {}, () => era() ?? 0)
+  metrics.gauge("sedge_open_requests", {}, openRequests)
+  metrics.gauge("sedge_leads", {}, () => (state().fleet === undefined ? 0 : 1))
+  metrics.gauge("sedge_boxes", {}, () => serving.boxes)
+  metrics.gauge("sedge_backend_servers", {}, () => serving.backends.known.size)
+  metrics.gauge("sedge_unreadable_entries", {}, () => news.unreadable)
+  metrics.gauge("sedge_config_version", {}, () => news.config?.version ?? 0)
+  metrics.gauge("sedge_paced_servers", {}, () => serving.rates.list().length)
+  metrics.gauge("sedge_sends_allowed", {}, () => state().pacer?.given ?? 0)
+  metrics.gauge("sedge_sends_not_allowed", {}, () => state().pacer?.refused ?? 0)
+  metrics.gauge("sedge_news_age_ms", {}, () =>
+    Math.min(MAX_TOLD_AGE_MS, news.ageMs(clockNow()))
+  )
+}
 
 /** Counts an event, and records the times of an answered request by its route. */
 export function measureNote(
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -17,6 +17,7 @@
 import {BackendPools} from "./backend-pools.js"
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, stripHop} from "./relay-exchange.js"
+import {readWholeBody} from "./request-body.js"
 
 const END_STATUS: Readonly<Record<EndReason, number>> = {
   "not-run": 503,
@@ -80,7 +81,7 @@
     const {table} = this.options_.serving()
     const facts = this.options_.dialect.readRequest(req.headers)
     const limit = table?.config.limits.maxBodyBytes ?? Infinity
-    const body = await readBody(req, limit)
+    const body = await readWholeBody(req, limit)
     if (body === "gone") return
     await this.awaitNews()
     if (res.destroyed) return
@@ -322,22 +323,3 @@
 function problem(code: string): object {
   return {error: {code}}
 }
-
-/** The whole body; callers' bodies are small, and a whole one can be sent again. */
-async function readBody(
-  req: IncomingMessage,
-  limit: number
-): Promise<Buffer | null | "too-large" | "gone"> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of req) {
-      size += (chunk as Buffer).length
-      if (size > limit) return "too-large"
-      chunks.push(chunk as Buffer)
-    }
-  } catch {
-    return "gone"
-  }
-  return chunks.length === 0 ? null : Buffer.concat(chunks)
-}
--- a/src/core/backend-list.ts
+++ b/src/core/backend-list.ts
@@ -3,7 +3,8 @@
  * lapsed though its server lives: it stays in doubt until the store has been back for a while.
  */
 import type {BackendRecord} from "../types/fleet.js"
-import {isOf, mayPrecede, succeeds, tellsLife} from "./server-lives.js"
+import {isCopiedLife, isWithheld} from "./copied-entries.js"
+import {isOf, succeeds, tellsLife} from "./server-lives.js"
 import {isLater, mayBeCopied} from "./eras.js"
 
 /** How long after the store's return a vanished entry may still come back, milliseconds. */
@@ -193,38 +194,10 @@
   return ids.length === 0 ? ended : new Set([...ended, ...ids].slice(-MAX_LEFT))
 }
 
-/**
- * Whether its entry may be the copy's: its server was known to be gone before the store came back, or not known, and
- * may have left before this box first read.
- */
-function isWithheld(
-  {gone, risenAt, copiedUntil, known}: BackendList,
-  {id, server}: BackendRecord,
-  isKnown: boolean,
-  {source}: Reading,
-  now: number
-): boolean {
-  // Another box that lists it remembers more than this one.
-  if (now < copiedUntil && source === "store" && !known.has(id)) return true
-  if (!mayBeCopied(risenAt, now)) return false
-  const goneAt = gone.get(id) ?? gone.get(server)
-  if (goneAt !== undefined && goneAt < risenAt) return true
-  return source === "store" && !isKnown
-}
-
-/** Whether it may be an earlier life than the known one, as a copy holds it. */
-function isCopiedLife(
-  {risenAt}: BackendList,
-  record: BackendRecord,
-  last: KnownBackend,
-  now: number
-): boolean {
-  return mayBeCopied(risenAt, now) && mayPrecede(record, last.record)
-}
-
 const NONE: ReadonlySet<string> = new Set()
 
-function indexServers({known}: BackendList): Map<string, KnownBackend> {
+/** The servers of a list, by name. */
+export function indexServers({known}: BackendList): Map<string, KnownBackend> {
   return new Map([...known.values()].map(each => [each.record.server, each]))
 }
 
@@ -379,46 +352,6 @@
   return until > now ? {...backend, goneAt: until} : undefined
 }
 
-/** A life that is over, since its server started again. */
-export interface EndedLife {
-  readonly id: string
-  /** The life that followed. */
-  readonly next: string
-}
-
-/** The lives of one list whose servers are in another life in the next. */
-export function listEndedLives(before: BackendList, after: BackendList): EndedLife[] {
-  if (before.known === after.known) return []
-  const servers = indexServers(after)
-  return [...before.known.values()].flatMap(({record}) => {
-    const next = servers.get(record.server)?.record.id
-    return next === undefined || next === record.id ? [] : [{id: record.id, next}]
-  })
-}
-
-/** Backend servers whose usability differs between two lists. */
-export interface UsableChange {
-  readonly backend: string
-  readonly usable: boolean
-}
-
-/** What became usable or stopped being so from one list to the next. */
-export function diffUsable(before: BackendList, after: BackendList): UsableChange[] {
-  if (before.known === after.known) return []
-  const changes: UsableChange[] = []
-  for (const backend of after.known.keys()) {
-    if (isUsable(after, backend) && !isUsable(before, backend)) {
-      changes.push({backend, usable: true})
-    }
-  }
-  for (const backend of before.known.keys()) {
-    if (isUsable(before, backend) && !isUsable(after, backend)) {
-      changes.push({backend, usable: false})
-    }
-  }
-  return changes
-}
-
 /** Whether requests may be sent to the backend server. */
 export function isUsable({known}: BackendList, id: string): boolean {
   const backend = known.get(id)
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -1,9 +1,8 @@
 /** The decisions of a routed box as one transition function: events in, effects out. */
+import {diffUsable, listEndedLives} from "./backend-changes.js"
 import {
   type BackendList,
-  diffUsable,
   expireBackends,
-  listEndedLives,
   noteCopy,
   noteRise,
   noteStoreBack,
--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -1,11 +1,11 @@
 /** What is believed of a backend server that started again under its name, in the core alone. */
 import t from "tap"
+import {listEndedLives} from "../src/core/backend-changes.js"
 import {
   type BackendList,
   createBackendList,
   expireBackends,
   isUsable,
-  listEndedLives,
   noteRise,
   noteStoreTrouble,
   type Reading,
