--- a/test/dialect.test.ts
+++ b/test/dialect.test.ts
@@ -119,6 +119,15 @@
   for (const text of ["-1", "NaN", "1e9", "", "1,", "Infinity", "99999999"]) {
     t.same(rate(text), {...SAYS_NOTHING, unreadable: {of: "rate", text}}, text)
   }
+  const both = new Map([
+    ["server-limit", "some"],
+    ["retry-after", "soon"]
+  ])
+  t.match(
+    platformDialect.readNotice(503, both),
+    {unreadable: {of: "rate"}},
+    "a rate that cannot be read ends none"
+  )
   const long = rate("9".repeat(400)) as {unreadable: {text: string}}
   t.equal(long.unreadable.text.length, 40)
 })
