An allowance that is used late counts for a span after its use

Cause: an allowance could be used 500 ms after it was given for and was counted for 4 s from then, so that a span could hold one more. Class: a bound that counts from the giving and not from the use. The change: an allowance lapses after 250 ms and counts for a span, that, and the step in which it is counted.

--- a/src/core/rate-pacer.ts
+++ b/src/core/rate-pacer.ts
@@ -7,6 +7,7 @@
  */
 import type {SendAsk, SendGrant, SentLately} from "../types/rate-messages.js"
 import {SENT_STEP_MS, SPAN_MS} from "./recent-sends.js"
+import {USE_MS} from "./send-allowances.js"
 
 /** Of the rate, the part that is given out; the time over which it may be saved up, seconds, and how much at least. */
 const GIVEN_SHARE = 0.92
@@ -25,6 +26,9 @@
 /** Allowances and sends are counted together in steps of this length, milliseconds. */
 const STEP_MS = 100
 
+/** An allowance that is used late, and counted with one a step before, still counts for a span after its use. */
+const COUNTED_MS = SPAN_MS + USE_MS + STEP_MS
+
 /** Requests of this rank and beyond are given nothing in advance: what comes belongs to more urgent ones. */
 const RANKS = 10
 
@@ -109,7 +113,7 @@
     bucket.tokens = Math.min(most, bucket.tokens + gained)
     bucket.filledAt = now
     const {counted} = bucket
-    while (counted[0] && counted[0].at <= now - SPAN_MS) counted.shift()
+    while (counted[0] && counted[0].at <= now - COUNTED_MS) counted.shift()
     return bucket
   }
 
@@ -126,7 +130,7 @@
     for (const {at, count} of bucket.counted) {
       if (over <= 0) break
       over -= count
-      bySpan = at + SPAN_MS - now
+      bySpan = at + COUNTED_MS - now
     }
     return Math.ceil(Math.max(1, byTokens, bySpan))
   }
--- a/src/core/send-allowances.ts
+++ b/src/core/send-allowances.ts
@@ -5,7 +5,7 @@
 import type {SendAsk, SendGrant} from "../types/rate-messages.js"
 
 /** An allowance is of use for so long after it was asked for, milliseconds. */
-export const USE_MS = 500
+export const USE_MS = 250
 
 /** The leader's answer takes no longer than this, milliseconds. */
 const ANSWER_MS = 150
