--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -29,6 +29,9 @@
 /** A fault comes about so often, milliseconds. */
 export const FAULT_MS = 700
 
+/** What a box logs as it begins to listen. */
+const LISTENS = '"event":100,'
+
 export interface FaultOptions {
   /** Servers start again under their names, too, and other writers leave entries. */
   readonly lives?: boolean
@@ -231,9 +234,18 @@
       if (box.child !== child || this.over) return
       this.record_.excuse(box.name)
       this.bed_.restartBox(box)
+      this.excuseStart(box)
     })
   }
 
+  /** A process that starts beside many takes seconds until it listens: it is struck until then. */
+  private excuseStart(box: BedBox): void {
+    const {child} = box
+    const listens = (): boolean => child.ended || child.output.includes(LISTENS)
+    const excuse = (): void => this.record_.excuse(box.name)
+    void until("the box listens", listens).then(excuse, excuse)
+  }
+
   /**
    * A process that has not begun to run its program yet is ended by SIGHUP, which no program can
    * change: as the platform does, it is started again. Any other end of its own stays an end.
