Log which backend servers a box reaches

Change: events 239 and 240 (a path goes down, with the evidence and how many servers of the service are reached; it is up again); event 192 names the last failure and the retries left. Paths are tested after broken, refused and quiet connections. Nothing decides by them yet.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -502,6 +502,8 @@
         return void this.leaderChannel_.perform(effect)
       case "probe":
         return void this.probe(effect.backend)
+      case "check-path":
+        return void this.checkPath(effect.backend)
       case "order":
       case "ask":
         return this.driver_.perform(effect)
@@ -515,6 +517,11 @@
     this.loop_.post({type: "probed", backend: id, up})
   }
 
+  private async checkPath({id, address}: BackendRecord): Promise<void> {
+    const accepted = await probeServer(address)
+    this.loop_.post({type: "path-checked", backend: id, accepted})
+  }
+
   private get isLeading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
--- a/src/adapters/server-probe.ts
+++ b/src/adapters/server-probe.ts
@@ -16,7 +16,8 @@
       socket.destroy()
       resolve(accepted)
     }
-    const timer = setTimeout(() => finish(undefined), TIMEOUT_MS)
+    // After a pause of the process the result may be waiting behind this timer.
+    const timer = setTimeout(() => setImmediate(finish, undefined), TIMEOUT_MS)
     socket.once("connect", () => finish(true))
     socket.on("error", (cause: NodeJS.ErrnoException) =>
       finish(cause.code === "ECONNREFUSED" ? false : undefined)
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -18,6 +18,7 @@
 import {isRetryable, canRetry, endPossibleRun, retryRequest} from "./box-retries.js"
 import {sendOrWait} from "./box-requests.js"
 import {refundCharge} from "./box-charges.js"
+import {checkPath, recordConnectFailure} from "./box-paths.js"
 import {
   type Attempt,
   type BoxRequest,
@@ -61,6 +62,7 @@
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
   attempt.lastByteAt = now
+  box.reach.recordHeard(attempt.backend, now)
   box.suspectUntil.delete(attempt.backend)
   box.clearedRequests.recordAlive(attempt.backend, now)
   if (attempt.firstByteAt !== undefined) return
@@ -148,7 +150,10 @@
     if (failure === "broken" && !attempt.aborted)
       recordIncompleteAttempt(box, request, now)
     suspectCrash(box, attempt.backend, now)
+    if (failure === "not-sent") recordConnectFailure(box, attempt.backend, now)
+    else checkPath(box, attempt.backend, now)
   }
+  request.lastFailure = failure
   if (mayHaveRun) {
     if (canRetry(box, request, now)) return retryRequest(box, request, failure, now)
     if (!isRetryable(request) || !canRequestRetry(box)) {
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -6,6 +6,7 @@
 import {isSnapshotStale} from "./box-snapshot-age.js"
 import {sendOrWait} from "./box-requests.js"
 import {checkSilence} from "./box-silence.js"
+import {checkQuietPath} from "./box-paths.js"
 import {requestUsageAllowances, expireAllowanceWait} from "./box-usage.js"
 import {requestSendAllowances} from "./box-pacing.js"
 import {abortIfOutdated} from "./box-outdated-attempts.js"
@@ -46,6 +47,7 @@
   if (endIfIncarnationEnded(box, request, attempt, now)) return
   if (endIfQuarantined(box, request, attempt, now)) return
   if (abortIfOutdated(box, request, attempt, now)) return
+  checkQuietPath(box, attempt, now)
   checkSilence(box, request, attempt, now)
 }
 
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -2,7 +2,14 @@
 import type {EngineUseDelta} from "../types/box-messages.js"
 import {adapterKey} from "../types/fleet.js"
 import {refundCharge} from "./box-charges.js"
-import {type BoxRequest, type BoxServing, type EndReason, logEvent} from "./box-state.js"
+import {
+  type BoxRequest,
+  type BoxServing,
+  type EndReason,
+  retryBudgetOf,
+  logEvent
+} from "./box-state.js"
+import {runningMs} from "./suspensions.js"
 
 /** Default time after which refused callers may retry. */
 const RETRY_AFTER_MS = 400
@@ -34,6 +41,13 @@
     attempts: request.attempts,
     adapter: request.arrival.weights?.adapter ?? "",
     waitedFor,
+    after: request.lastFailure ?? "",
+    retriesLeft: Math.floor(
+      retryBudgetOf(box, request.arrival.service).remaining(
+        runningMs(box, now),
+        box.boxCount
+      )
+    ),
     hasLeader: box.hasLeader,
     retryAfterMs
   })
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -42,6 +42,7 @@
     attempts: 0,
     runs: 0,
     refusals: 0,
+    lastFailure: undefined,
     avoided: new Map(),
     failedBackends: new Set(),
     weightsRequested: false,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -3,6 +3,7 @@
 import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
 import type {AdapterVersions} from "./adapter-versions.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
+import type {AttemptFailure} from "./box-attempt-failures.js"
 import type {EngineView} from "./box-engines.js"
 import {PrefixHistory} from "./prefix-history.js"
 import {INITIAL_PREFILL_RATE} from "./prefill-rate.js"
@@ -15,6 +16,7 @@
 import {RecentSends} from "./recent-sends.js"
 import {SendAllowances} from "./send-allowances.js"
 import {ServerRates} from "./server-rates.js"
+import {ServerReach} from "./server-reach.js"
 import {CrashList} from "./crash-list.js"
 import {CrashWatch} from "./crash-watch.js"
 import type {CrashUpdate} from "../types/crash-messages.js"
@@ -110,6 +112,8 @@
   runs: number
   /** Attempts that backend servers refused without running them. */
   refusals: number
+  /** How its last attempt failed. Undefined if none did. */
+  lastFailure: AttemptFailure | undefined
   /** Backend servers that are not retried before these times. */
   readonly avoided: Map<string, number>
   /** Backend servers that failed it, except those whose weights were only late. */
@@ -209,6 +213,8 @@
   readonly sendAllowances: SendAllowances
   /** Recent sends of this box to each backend server. */
   readonly recentSends: RecentSends
+  /** Which backend servers this box reaches. */
+  readonly reach: ServerReach
   /** Requests that crash backend servers, as reported by all boxes. */
   readonly crashes: CrashList
   readonly crashWatch: CrashWatch
@@ -301,6 +307,8 @@
     }
   /** Tests whether the server's address accepts a connection. */
   | {readonly type: "probe"; readonly backend: BackendRecord}
+  /** As above, to find out whether this box reaches the server. */
+  | {readonly type: "check-path"; readonly backend: BackendRecord}
   /** Reports requests that crash servers to other boxes. */
   | {readonly type: "crashes"; readonly changes: CrashUpdate}
   | {readonly type: "note"; readonly event: BoxLogEvent; readonly fields: LogFields}
@@ -334,6 +342,8 @@
   | "request-stopped"
   | "request-tried"
   | "request-cleared"
+  | "server-unreached"
+  | "server-reached"
 
 export type LogFields = Readonly<Record<string, string | number | boolean>>
 
@@ -362,6 +372,7 @@
     unreadableNotices: new Map(),
     sendAllowances: new SendAllowances(),
     recentSends: new RecentSends(),
+    reach: new ServerReach(),
     crashes: new CrashList(),
     crashWatch: new CrashWatch(),
     clearedRequests: new ClearedRequests(),
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -137,6 +137,12 @@
       readonly backend: string
       readonly up: boolean | undefined
     }
+  /** As above, for the path from this box to the server. */
+  | {
+      readonly type: "path-checked"
+      readonly backend: string
+      readonly accepted: boolean | undefined
+    }
   /** Updates from other processes about requests that crash servers. */
   | {
       readonly type: "crashes"
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -27,6 +27,7 @@
   handleAnswerBytes,
   handleAttemptStart
 } from "./box-attempts.js"
+import {handlePathProbe, tickPaths} from "./box-paths.js"
 import {requestUsageAllowances} from "./box-usage.js"
 import {
   admit,
@@ -158,6 +159,9 @@
     case "probed":
       handleProbeResult(serving, event.backend, event.up, now)
       return tickRequests(serving, now)
+    case "path-checked":
+      handlePathProbe(serving, event.backend, event.accepted, now)
+      return tickRequests(serving, now)
     case "crashes":
       applyCrashChanges(serving, event.changes, event.source, now)
       return tickRequests(serving, now)
@@ -343,6 +347,7 @@
     removeGoneServers(serving)
   }
   tickCrashes(serving, now)
+  tickPaths(serving, now)
   tickRequests(serving, now)
   if (fleet) planFleet(fleet, mayOrder, now)
   state.ledger?.tick(runningMs(serving, now))
--- a/src/events.ts
+++ b/src/events.ts
@@ -439,6 +439,16 @@
     level: "info",
     text: "A backend server does not answer a request, and this box's retry budget is used up or the request may not run again; `asked`: the leader was asked for a retry."
   },
+  "server-unreached": {
+    number: 239,
+    level: "warn",
+    text: "This box cannot connect to a backend server; `heardMs`: time since it last heard from it; `reached` of `of` servers of the service are still reached."
+  },
+  "server-reached": {
+    number: 240,
+    level: "info",
+    text: "This box reaches a backend server again, after `downMs`."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
