A box cut off from all servers serves no caller: a failing test

Change: a bed whose boxes can be cut off from servers, one by one, while callers, the store and other boxes reach them: open connections hang or are reset, or live on while new ones are refused. The process replaces its own connections, as a proxy accepts a connection that a cut link would leave unanswered.

--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -12,6 +12,7 @@
 import {Child} from "./child.js"
 import {FaultProxy} from "./fault-proxy.js"
 import {freePort} from "./ports.js"
+import type {CutKind, ServerCut} from "./server-cuts.js"
 import {until} from "./wait.js"
 
 export const MODEL = "base"
@@ -48,6 +49,8 @@
    * its time of day was set forward.
    */
   readonly clocksFile: string
+  /** File with the servers that the box is cut off from. Empty if there are none. */
+  readonly cutsFile: string
   suspendedMs: number
   /** Start of the current suspension. Undefined if the machine is not suspended. */
   suspendedFrom: number | undefined
@@ -87,6 +90,8 @@
   readonly bundled?: boolean
   /** The machines of boxes can be suspended. `bundled` is ignored then. */
   readonly suspendable?: boolean
+  /** Boxes can be cut off from backend servers, as `suspendable` ones always can. */
+  readonly cuttable?: boolean
   /** Limit of connections to a plain worker, over all boxes. */
   readonly plainConnections?: number
   /** Every third engine runs queued requests even if their connection has closed. */
@@ -210,11 +215,14 @@
     writeFileSync(settingsFile, JSON.stringify(settings))
     const clocksFile = join(dirname(settingsFile), "clocks")
     writeFileSync(clocksFile, "")
-    const child = this.startBox({settingsFile, clocksFile})
+    const cutsFile = join(dirname(settingsFile), "cuts")
+    writeFileSync(cutsFile, "")
+    const child = this.startBox({settingsFile, clocksFile, cutsFile})
     const box = {
       name,
       settingsFile,
       clocksFile,
+      cutsFile,
       suspendedMs: 0,
       suspendedFrom: undefined,
       steppedMs: 0,
@@ -240,13 +248,16 @@
 
   private startBox({
     settingsFile,
-    clocksFile
-  }: Pick<BedBox, "settingsFile" | "clocksFile">): Child {
+    clocksFile,
+    cutsFile
+  }: Pick<BedBox, "settingsFile" | "clocksFile" | "cutsFile">): Child {
     const args = ["--settings", settingsFile]
     if (this.options_.suspendable) {
-      const env = {CLOCKS_FILE: clocksFile}
+      const env = {CLOCKS_FILE: clocksFile, CUTS_FILE: cutsFile}
       return new Child("test/support/suspendable-box.js", args, env)
     }
+    if (this.options_.cuttable)
+      return new Child("test/support/cut-box.js", args, {CUTS_FILE: cutsFile})
     const program = this.options_.bundled ? "../target/box.mjs" : "platform/start.js"
     return new Child(program, args)
   }
@@ -276,6 +287,24 @@
     setClocks(box)
   }
 
+  /** Cuts a box off from these servers and from no others. */
+  cut(box: BedBox, servers: readonly StandInWorker[], how: CutKind): void {
+    const ports = servers.map(({announcedAddress, address}) =>
+      portOf(announcedAddress ?? address)
+    )
+    this.writeCut(box, {ports, how})
+  }
+
+  /** Ends the cut of a box. */
+  heal(box: BedBox): void {
+    this.writeCut(box, {ports: [], how: "hang"})
+  }
+
+  private writeCut(box: BedBox, cut: ServerCut): void {
+    writeFileSync(box.cutsFile, JSON.stringify(cut))
+    box.child.signal("SIGUSR2")
+  }
+
   /** Restarts a box whose process has ended. */
   restartBox(box: BedBox): void {
     this.earlierOutput_.push(box.child.output)
--- a/test/support/suspendable-box.ts
+++ b/test/support/suspendable-box.ts
@@ -5,6 +5,7 @@
  * clock subtracts it. The wall clock continues, as it does on a suspended machine.
  */
 import {openSync, readSync} from "node:fs"
+import {installServerCuts} from "./server-cuts.js"
 
 const file = openSync(process.env["CLOCKS_FILE"] ?? "", "r")
 const bytes = Buffer.alloc(64)
@@ -23,4 +24,5 @@
 })
 Object.defineProperty(Date, "now", {value: () => wallClockNow() + readOffsets()[1]})
 
+installServerCuts()
 await import("../../platform/start.js")
