A box that does not reach a server has another box send the request

What callers saw: boxes whose links to all servers were cut refused nearly all first tries, though the other boxes reached the servers. Cause: a box knew no way to a server but its own link. Failed connections were taken as failures of the server and paid from the retry budget, which ran out at once. Change: each box tracks which servers it reaches (tested connections, hysteresis for links that flap); a request that was not sent goes over one hop to a box that reaches the server. The first box decides everything; the second passes bytes on and says truthfully whether it sent them. Attempts that reached no server are neither retries nor count towards maxAttempts. With these extra sends, boxes with full crash lists reported evicted records to each other forever (crashing-requests hung): a removed crash is not added again.

--- a/src/adapters/backend-pools.ts
+++ b/src/adapters/backend-pools.ts
@@ -26,6 +26,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 900
+/** A request that waits longer for a new connection is sent over another path. */
+export const CONNECT_PATIENCE_MS = 250
 const KEEP_ALIVE_MS = 8_000
 /** Subtracted from the keep-alive timeout that a backend server advertises. */
 const KEEP_ALIVE_MARGIN_MS = 600
@@ -56,6 +58,15 @@
     )
   }
 
+  /**
+   * Whether a request that has not started waits for a new connection, and not for one
+   * of the pool's connections to become free.
+   */
+  isConnecting(id: string, connections: number): boolean {
+    const pool = this.pools_.get(id)
+    return pool !== undefined && pool.stats.connected < connections
+  }
+
   /** Closes the pools of all other backend servers after their requests in progress. */
   retainOnly(ids: ReadonlySet<string>): void {
     for (const [id, pool] of this.pools_) {
--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -3,6 +3,7 @@
  * backend servers, versions, slots and loads of engines, and receives weights requests
  * and usage deltas.
  */
+import type {RequestListener} from "node:http"
 import {newestVersionOf} from "../core/adapter-versions.js"
 import type {BoxServing} from "../core/box-state.js"
 import type {Leadership} from "../core/leadership.js"
@@ -59,6 +60,8 @@
   readonly leader: () => LeaderRecord | undefined
   /** Called with addresses at which other boxes accept links. */
   readonly addressesLearned: (addresses: readonly string[]) => void
+  /** Handles requests of other boxes that are no links. */
+  readonly request: RequestListener
   readonly log: Log
 }
 
@@ -157,6 +160,7 @@
     this.pingAt_ = now + pingMs(this.boxCount)
     this.links_.closeSilent(FOLLOWER_SILENCE_MS)
     this.links_.broadcast(this.createPing(now))
+    this.options_.addressesLearned(this.links_.drawAddresses(ADDRESSES_PER_PING))
     this.options_.post({type: "boxes", boxes: this.boxCount})
   }
 
@@ -183,8 +187,9 @@
   }
 
   private linkEvents(): ConstructorParameters<typeof LinkHub>[1] {
-    const {log, post, leadership} = this.options_
+    const {log, post, leadership, request} = this.options_
     return {
+      request,
       acceptsFollowers: () => leadership.fence !== undefined,
       readSnapshot: ask => this.readSnapshot(ask),
       up: (box, configVersion, follower) => {
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -1,4 +1,5 @@
 /** WebSocket links between boxes and their leader, with `msgpackr` messages. */
+import {createServer, type RequestListener, type Server} from "node:http"
 import {WebSocket, WebSocketServer} from "ws"
 import {parseToLeader} from "../types/box-frames.js"
 import type {
@@ -21,6 +22,9 @@
 /** A connection without a `hello` in this time is closed: its peer is not a box. */
 const HELLO_TIMEOUT_MS = 2_000
 
+/** How long an idle connection for requests of other boxes is kept open. */
+const REQUEST_KEEP_ALIVE_MS = 15_000
+
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
   heardAt = clockNow()
@@ -88,6 +92,8 @@
   readonly up: (box: string, configVersion: number, follower: Follower) => void
   readonly down: (box: string) => void
   readonly message: (box: string, message: ToLeader) => void
+  /** Handles requests of other boxes that are no links. */
+  readonly request: RequestListener
 }
 
 /**
@@ -95,6 +101,7 @@
  * but answers requests for store snapshots.
  */
 export class LinkHub {
+  private readonly http_: Server
   private readonly server_: WebSocketServer
   private readonly followers_ = new Map<string, Follower>()
   /** Start time of each box's process, by the clock of this box. */
@@ -111,15 +118,17 @@
     failed: (cause: Error) => void
   ) {
     const {host, port} = splitAddress(address)
+    this.http_ = createServer(events_.request)
+    this.http_.keepAliveTimeout = REQUEST_KEEP_ALIVE_MS
     this.server_ = new WebSocketServer({
-      host,
-      port,
+      server: this.http_,
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false
     })
     this.server_.on("connection", socket => this.accept(socket))
     this.server_.on("listening", listening)
     this.server_.on("error", failed)
+    this.http_.listen({host, port})
   }
 
   get size(): number {
@@ -179,6 +188,8 @@
   close(): void {
     this.closeLinks()
     this.server_.close()
+    this.http_.close()
+    this.http_.closeAllConnections()
   }
 
   private accept(socket: WebSocket): void {
--- /dev/null
+++ b/src/adapters/carrier.ts
@@ -0,0 +1,216 @@
+/**
+ * Sends requests to backend servers on behalf of boxes that do not reach them. The other
+ * box decides everything about the request; this one only passes bytes on, and reports
+ * truthfully whether it sent them.
+ */
+import type {IncomingMessage, ServerResponse} from "node:http"
+import {type CarryObstacle, findCarryObstacle} from "../core/carry-checks.js"
+import type {BoxServing} from "../core/box-state.js"
+import {hasNotice} from "../core/server-notices.js"
+import type {ServingEvent} from "../core/serving-events.js"
+import type {Dialect} from "../ports/fleet-ports.js"
+import type {BackendRecord} from "../types/fleet.js"
+import {CONNECT_PATIENCE_MS, type BackendPools} from "./backend-pools.js"
+import {
+  CARRY_HEADER,
+  type CarryFacts,
+  NOT_CARRIED_HEADER,
+  PROBE_HEADER,
+  unpackCarryFacts
+} from "./carry-headers.js"
+import {clockNow} from "./clock.js"
+import type {Log} from "./log.js"
+import {mapHeaders, stripHop} from "./relay-exchange.js"
+import {readWholeBody} from "./request-body.js"
+import {serverConnections} from "./server-connections.js"
+import {probeServer} from "./server-probe.js"
+
+/** Requests of other boxes in progress; more are left to other boxes. */
+const MAX_CARRIED = 100
+
+/** Headers of this box's own protocol, which no server may see or set. */
+const OWN_HEADERS = new Set([CARRY_HEADER, NOT_CARRIED_HEADER, PROBE_HEADER])
+
+/** Why a request was not sent. */
+type NotCarried = CarryObstacle | "busy" | "stopping" | "not-sent" | "unreadable"
+
+export interface CarrierOptions {
+  readonly dialect: Dialect
+  readonly pools: BackendPools
+  readonly post: (event: ServingEvent) => void
+  readonly serving: () => BoxServing
+  readonly isStopping: () => boolean
+  readonly log: Log
+}
+
+export class Carrier {
+  private inProgress_ = 0
+
+  constructor(private readonly options_: CarrierOptions) {}
+
+  get openRequests(): number {
+    return this.inProgress_
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const probed = req.headers[PROBE_HEADER]
+    if (typeof probed === "string") return this.probe(probed, res)
+    const text = req.headers[CARRY_HEADER]
+    const facts = typeof text === "string" ? unpackCarryFacts(text) : undefined
+    if (!facts) return refuse(res, "unreadable")
+    const receivedAt = clockNow()
+    const {table} = this.options_.serving()
+    const body = await readWholeBody(req, table?.config.limits.maxBodyBytes ?? Infinity)
+    if (body === "gone") return
+    if (body === "too-large") return refuse(res, "unreadable")
+    this.send(req, res, facts, body, receivedAt)
+  }
+
+  private send(
+    req: IncomingMessage,
+    res: ServerResponse,
+    facts: CarryFacts,
+    body: Buffer | null,
+    receivedAt: number
+  ): void {
+    const {pools, serving, post, dialect} = this.options_
+    const backend = serving().backends.known.get(facts.server)?.record
+    const obstacle = this.findObstacle(facts)
+    if (obstacle || !backend) return this.refuse(req, res, facts, obstacle ?? "unusable")
+    const requestId = dialect.readRequest(req.headers).requestId
+    let abort: (() => void) | undefined
+    let hasStarted = false
+    let hasEnded = false
+    this.inProgress_++
+    const end = (): boolean => {
+      if (hasEnded) return false
+      hasEnded = true
+      clearTimeout(timer)
+      this.inProgress_--
+      return true
+    }
+    const refuseOnce = (reason: NotCarried): void => {
+      if (end()) this.refuse(req, res, facts, reason)
+    }
+    const timer = setTimeout(() => {
+      if (hasStarted) return
+      post({type: "connect-failed", backend: backend.id})
+      refuseOnce("not-sent")
+    }, CONNECT_PATIENCE_MS)
+    res.on("close", () => {
+      if (end()) abort?.()
+    })
+    const heldMs = clockNow() - receivedAt
+    const {method = "GET", url: path = "/"} = req
+    const headers = this.writeHeaders(req, facts, backend, heldMs)
+    const connections = serverConnections(serving(), backend.service)
+    pools.send(
+      backend.id,
+      backend.address,
+      connections,
+      {method, path, headers, body},
+      {
+        started: abortSend => {
+          if (hasEnded) return false
+          const late = this.findObstacle(facts)
+          if (late) {
+            refuseOnce(late)
+            return false
+          }
+          abort = abortSend
+          hasStarted = true
+          this.options_.log("carried", {
+            request: requestId,
+            box: facts.box,
+            backend: backend.id
+          })
+          return true
+        },
+        head: (status, raw) => {
+          if (hasEnded) return
+          post({type: "server-heard", backend: backend.id})
+          const {notice} = dialect.readAnswer(status, mapHeaders(raw))
+          if (notice && hasNotice(notice)) {
+            post({type: "server-says", backend: backend.id, notice})
+          }
+          res.writeHead(status, stripOwn(stripHop(raw)))
+          res.flushHeaders()
+        },
+        data: chunk => {
+          if (!hasEnded) res.write(chunk)
+        },
+        done: () => {
+          if (end()) res.end()
+        },
+        failed: () => {
+          if (hasStarted) {
+            // The request may have run, and a partial answer must not look complete.
+            if (end()) req.socket.destroy()
+            return
+          }
+          post({type: "connect-failed", backend: backend.id})
+          refuseOnce("not-sent")
+        }
+      }
+    )
+  }
+
+  private writeHeaders(
+    req: IncomingMessage,
+    facts: CarryFacts,
+    {server}: BackendRecord,
+    heldMs: number
+  ): string[] {
+    const {deadlineMs, priority, expectedVersion, lastEventId, organisation} = facts
+    return this.options_.dialect.writeRequest(stripOwn(stripHop(req.rawHeaders)), {
+      server,
+      deadlineMs: Math.max(1, Math.round(deadlineMs - heldMs)),
+      priority,
+      expectedVersion,
+      lastEventId,
+      organisation
+    })
+  }
+
+  private findObstacle(facts: CarryFacts): NotCarried | undefined {
+    if (this.options_.isStopping()) return "stopping"
+    if (this.inProgress_ > MAX_CARRIED) return "busy"
+    return findCarryObstacle(this.options_.serving(), facts, clockNow())
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    {box, server}: CarryFacts,
+    reason: NotCarried
+  ): void {
+    const request = this.options_.dialect.readRequest(req.headers).requestId
+    this.options_.log("not-carried", {request, box, backend: server, reason})
+    refuse(res, reason)
+  }
+
+  /** Answers whether the server accepts a connection: `up`, `refused` or `silent`. */
+  private async probe(server: string, res: ServerResponse): Promise<void> {
+    const record = this.options_.serving().backends.known.get(server)?.record
+    const accepted = record ? await probeServer(record.address) : undefined
+    const text = accepted === undefined ? "silent" : accepted ? "up" : "refused"
+    res.writeHead(200, {"content-length": String(text.length)})
+    res.end(text)
+  }
+}
+
+function refuse(res: ServerResponse, reason: NotCarried): void {
+  if (res.headersSent || res.destroyed) return
+  res.writeHead(503, {[NOT_CARRIED_HEADER]: reason, "content-length": "0"})
+  res.end()
+}
+
+/** Returns flat headers without those of the protocol between boxes. */
+function stripOwn(headers: readonly string[]): string[] {
+  const kept: string[] = []
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string
+    if (!OWN_HEADERS.has(name.toLowerCase())) kept.push(name, headers[i + 1] as string)
+  }
+  return kept
+}
--- /dev/null
+++ b/src/adapters/carry-headers.ts
@@ -0,0 +1,47 @@
+/**
+ * The headers by which a box has another box send a request to a backend server, and by
+ * which that box reports that it did not. Boxes use the address of their links for it.
+ */
+import * as z from "zod"
+
+/** Header of a request that is to be sent on. */
+export const CARRY_HEADER = "sedge-carry"
+
+/** Header of an answer: the request was not sent, for the given reason. */
+export const NOT_CARRIED_HEADER = "sedge-not-carried"
+
+/** Header of a request that asks whether the named server accepts a connection. */
+export const PROBE_HEADER = "sedge-probe"
+
+const schema = z.object({
+  /** Id of the server's incarnation. */
+  server: z.string(),
+  /** Name of the box that the caller is connected to, for logs. */
+  box: z.string(),
+  /** Time left when the box sent it, milliseconds. */
+  deadlineMs: z.number().min(0),
+  priority: z.number(),
+  expectedVersion: z.number().optional(),
+  /** Key of the adapter. Undefined if none is requested. */
+  adapter: z.string().optional(),
+  lastEventId: z.string().optional(),
+  organisation: z.string().optional(),
+  /** Whether the box holds an allowance for a rate-limited server. */
+  isAllowed: z.boolean()
+})
+
+export type CarryFacts = z.infer<typeof schema>
+
+export function packCarryFacts(facts: CarryFacts): string {
+  return Buffer.from(JSON.stringify(facts)).toString("base64url")
+}
+
+/** Returns undefined if the text is not from a box of the system. */
+export function unpackCarryFacts(text: string): CarryFacts | undefined {
+  try {
+    const value: unknown = JSON.parse(Buffer.from(text, "base64url").toString())
+    return schema.safeParse(value).data
+  } catch {
+    return undefined
+  }
+}
--- a/src/adapters/peer-snapshots.ts
+++ b/src/adapters/peer-snapshots.ts
@@ -24,13 +24,16 @@
 
   constructor(
     private readonly ownAddress_: string,
-    private readonly request_: typeof requestStoreSnapshot = requestStoreSnapshot
+    private readonly request_: typeof requestStoreSnapshot = requestStoreSnapshot,
+    /** Called with addresses of other boxes. */
+    private readonly added_: (addresses: readonly string[]) => void = () => undefined
   ) {}
 
   /** Adds addresses at which other boxes accept links. */
   addAddresses(addresses: readonly string[]): void {
-    for (const address of addresses) {
-      if (address === this.ownAddress_) continue
+    const others = addresses.filter(address => address !== this.ownAddress_)
+    if (others.length > 0) this.added_(others)
+    for (const address of others) {
       this.addresses_.delete(address)
       this.addresses_.add(address)
     }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -29,6 +29,8 @@
 import type {RoutedSettings} from "../types/routed-settings.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {clockNow, clockSuspendedMs} from "./clock.js"
+import {Carrier} from "./carrier.js"
+import {requestStoreSnapshot} from "./box-links.js"
 import {BoxHub, type BoxHubOptions} from "./box-hub.js"
 import {BoxStrength} from "./box-strength.js"
 import {CrashStore} from "./crash-store.js"
@@ -92,6 +94,7 @@
   private readonly incarnation_ = randomUUID()
   private readonly loop_
   private readonly relay_: RoutedRelay
+  private readonly carrier_: Carrier
   private readonly snapshotSource_: SnapshotSource
   private readonly settledEra_: SettledEra
   private readonly driver_: EngineDriver
@@ -131,7 +134,11 @@
       incarnation: this.incarnation_,
       address: settings.boxes
     }
-    this.peerSnapshots_ = new PeerSnapshots(settings.boxes)
+    this.peerSnapshots_ = new PeerSnapshots(
+      settings.boxes,
+      requestStoreSnapshot,
+      addresses => this.loop_.post({type: "peers", addresses})
+    )
     const draw = (): number => {
       const [value, next] = uniformFloat64(this.random_)
       this.random_ = next
@@ -172,6 +179,7 @@
     this.ended = Promise.race([this.stopped_, this.loop_.ended])
     const {post} = this.loop_
     this.relay_ = new RoutedRelay({
+      box: settings.box,
       dialect,
       post,
       serving: () => serving,
@@ -179,6 +187,14 @@
       log,
       isStopping: () => this.stopping_
     })
+    this.carrier_ = new Carrier({
+      dialect,
+      pools: this.relay_.pools,
+      post,
+      serving: () => serving,
+      isStopping: () => this.stopping_,
+      log
+    })
     this.settledEra_ = new SettledEra({
       kv,
       key: `${settings.store.prefix}settled-era`,
@@ -313,7 +329,7 @@
       state: this.loop_.state,
       snapshotSource: this.snapshotSource_,
       era: () => this.context_.eras.era,
-      openRequests: () => this.relay_.openRequests
+      openRequests: () => this.openRequests
     })
     if (settings.metrics !== undefined) {
       this.servers_.push(
@@ -336,6 +352,7 @@
         leader: () => (this.isLeading ? this.self_ : this.session_.leader),
         addressesLearned: (addresses: readonly string[]) =>
           this.peerSnapshots_.addAddresses(addresses),
+        request: (req, res) => void this.carrier_.handle(req, res),
         log
       }
       this.hub_ = new BoxHub(options, resolve, reject)
@@ -352,7 +369,7 @@
     this.stopping_ = true
     const {log, settings} = this.context_
     const deadline = clockNow() + settings.graceS * 900
-    log("stopping", {open: this.relay_.openRequests})
+    log("stopping", {open: this.openRequests})
     this.loop_.post({type: "stop"})
     const listenUntil = clockNow() + Math.min(STOP_LISTEN_MS, settings.graceS * 500)
     // Stays leader while it accepts requests, so that loads go on: the next leader has to
@@ -365,7 +382,7 @@
     await this.usageStore_.waitForSaves(MAX_USAGE_SAVE_MS)
     await this.election_.stop()
     while (clockNow() < deadline) {
-      const idle = this.relay_.openRequests === 0 && clockNow() >= listenUntil
+      const idle = this.openRequests === 0 && clockNow() >= listenUntil
       if (clockNow() >= listenUntil) this.closeIdle()
       if (idle) break
       await new Promise(resolve => setTimeout(resolve, STOP_CHECK_MS))
@@ -373,7 +390,7 @@
     this.snapshotSource_.stopFollowing()
     this.session_.close()
     this.hub_?.close()
-    log("stopped", {open: this.relay_.openRequests})
+    log("stopped", {open: this.openRequests})
     this.resolveStopped_()
   }
 
@@ -522,6 +539,11 @@
     this.loop_.post({type: "path-checked", backend: id, accepted})
   }
 
+  /** Requests of callers and of other boxes. */
+  private get openRequests(): number {
+    return this.relay_.openRequests + this.carrier_.openRequests
+  }
+
   private get isLeading(): boolean {
     return this.loop_.state().fleet !== undefined
   }
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -5,19 +5,22 @@
 import type {AttemptFailure} from "../core/box-attempt-failures.js"
 import {findSendObstacle} from "../core/box-send-checks.js"
 import {isConfigCurrent, isSnapshotStale} from "../core/box-snapshot-age.js"
-import type {BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
+import type {Arrival, BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {LOWEST_RANK} from "../core/request-ranks.js"
 import {drawService, findRoute} from "../core/route-table.js"
 import {hasNotice, type ServerNotice} from "../core/server-notices.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
+import {adapterKey} from "../types/fleet.js"
 import {fingerprintRequest} from "../utils/fingerprint.js"
 import {pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
-import {BackendPools} from "./backend-pools.js"
+import {BackendPools, CONNECT_PATIENCE_MS} from "./backend-pools.js"
+import {CARRY_HEADER, NOT_CARRIED_HEADER, packCarryFacts} from "./carry-headers.js"
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, stripHop} from "./relay-exchange.js"
 import {readWholeBody} from "./request-body.js"
+import {serverConnections} from "./server-connections.js"
 
 const END_STATUS: Readonly<Record<EndReason, number>> = {
   "not-run": 503,
@@ -61,6 +64,8 @@
 const NO_CONFIG_RETRY_S = 0.5
 
 export interface RelayOptions {
+  /** Name of this box. */
+  readonly box: string
   readonly dialect: Dialect
   readonly post: (event: ServingEvent) => void
   readonly serving: () => BoxServing
@@ -73,10 +78,26 @@
   readonly isStopping: () => boolean
 }
 
+/** Connections to another box that sends requests on behalf of this one. */
+const PEER_CONNECTIONS = 32
+
+/** How an attempt gets to its server. */
+interface SendPath {
+  readonly pools: BackendPools
+  /** Name of the pool of connections. */
+  readonly name: string
+  readonly address: string
+  readonly connections: number
+  readonly headers: string[]
+  /** Whether an answer says that another box did not send the request. */
+  readonly isRefusal: (headers: string[]) => boolean
+}
+
 type SendEffect = Extract<BoxEffect, {type: "send"}>
 
 export class RoutedRelay {
   readonly pools = new BackendPools()
+  private readonly peerPools_ = new BackendPools()
   private readonly exchanges_ = new Map<string, RelayExchange>()
 
   constructor(private readonly options_: RelayOptions) {}
@@ -226,28 +247,12 @@
   }
 
   private send(exchange: RelayExchange, effect: SendEffect): void {
-    const {id, attempt, backend, expectedVersion, deadlineMs} = effect
-    // The last event that was sent to the caller: a stream resumes after it. The core's
-    // value may be older.
-    const {lastEventId} = exchange
+    const {id, attempt, backend} = effect
     const {dialect, post, serving} = this.options_
-    const {table, boxCount: boxes} = serving()
     exchange.startAttempt(attempt)
     const current = (): boolean => exchange.attempt === attempt
     const arrival = serving().requests.get(id)?.arrival
-    const headers = dialect.writeRequest(stripHop(exchange.req.rawHeaders), {
-      server: backend.server,
-      deadlineMs,
-      priority: arrival?.rank ?? LOWEST_RANK,
-      organisation: arrival?.organisation,
-      expectedVersion,
-      lastEventId
-    })
-    const maxConnections = table?.services.get(backend.service)?.maxConnections ?? 1
-    const connections = Math.max(
-      2,
-      Math.floor((maxConnections * 0.8) / Math.max(1, boxes))
-    )
+    const path = this.pathOf(exchange, effect, arrival)
     const {method = "GET", url = "/"} = exchange.req
     let reportedAt = 0
     const fail = (failure: AttemptFailure): void => {
@@ -257,15 +262,21 @@
       const last = exchange.lastEventId
       post({type: "failed", id, attempt, failure, lastEventId: last})
     }
+    const unsent = effect.via === undefined ? "not-sent" : "not-carried"
     let started = false
     let sentAt = 0
-    this.pools.send(
-      backend.id,
-      backend.address,
+    const {pools, name, connections, headers} = path
+    const patience = setTimeout(() => {
+      if (!started && pools.isConnecting(name, connections)) fail(unsent)
+    }, CONNECT_PATIENCE_MS)
+    pools.send(
+      name,
+      path.address,
       connections,
       {method, path: url, headers, body: exchange.body},
       {
         started: abort => {
+          clearTimeout(patience)
           if (!current()) return false
           // The server may have become unusable while the request waited for a
           // connection.
@@ -282,6 +293,7 @@
         },
         head: (status, raw) => {
           if (!current()) return
+          if (path.isRefusal(raw)) return fail("not-carried")
           const answer = dialect.readAnswer(status, mapHeaders(raw))
           const {abort} = exchange
           if (answer.requestId !== exchange.facts.requestId) {
@@ -318,11 +330,56 @@
           exchange.complete(this.options_.isStopping())
           post({type: "done", id, attempt})
         },
-        failed: () => fail(started ? "broken" : "not-sent")
+        failed: () => {
+          clearTimeout(patience)
+          fail(started ? "broken" : unsent)
+        }
       }
     )
   }
 
+  /** Returns how the attempt gets to the server: directly, or through another box. */
+  private pathOf(
+    exchange: RelayExchange,
+    {backend, via, deadlineMs, expectedVersion, id}: SendEffect,
+    arrival: Arrival | undefined
+  ): SendPath {
+    const {dialect, serving, box} = this.options_
+    const headers = stripHop(exchange.req.rawHeaders)
+    // The last event that was sent to the caller: a stream resumes after it. The core's
+    // value may be older.
+    const {lastEventId} = exchange
+    const facts = {
+      deadlineMs,
+      priority: arrival?.rank ?? LOWEST_RANK,
+      organisation: arrival?.organisation,
+      expectedVersion,
+      lastEventId
+    }
+    if (via === undefined) {
+      return {
+        pools: this.pools,
+        name: backend.id,
+        address: backend.address,
+        connections: serverConnections(serving(), backend.service),
+        headers: dialect.writeRequest(headers, {...facts, server: backend.server}),
+        isRefusal: () => false
+      }
+    }
+    const {weights} = arrival ?? {}
+    const adapter = weights?.adapter && adapterKey(weights.model, weights.adapter)
+    const isAllowed = serving().requests.get(id)?.attempt?.allowedUntil !== undefined
+    const carried = {...facts, server: backend.id, box, adapter, isAllowed}
+    return {
+      pools: this.peerPools_,
+      name: via,
+      address: via,
+      connections: PEER_CONNECTIONS,
+      headers: [...headers, CARRY_HEADER, packCarryFacts(carried)],
+      isRefusal: raw => mapHeaders(raw).has(NOT_CARRIED_HEADER)
+    }
+  }
+
   /**
    * Reports a server's notice. An answer without a notice ends the advertised rate limit.
    */
--- a/src/core/box-attempt-failures.ts
+++ b/src/core/box-attempt-failures.ts
@@ -5,6 +5,8 @@
 /** How an attempt ended without a complete answer. */
 export type AttemptFailure =
   | "not-sent"
+  /** The box that was to send it did not. */
+  | "not-carried"
   /** The backend server reported that it did not run it. */
   | "refused"
   /** As above, because it does not hold the weights or is not the expected server. */
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -18,7 +18,7 @@
 import {isRetryable, canRetry, endPossibleRun, retryRequest} from "./box-retries.js"
 import {sendOrWait} from "./box-requests.js"
 import {refundCharge} from "./box-charges.js"
-import {checkPath, recordConnectFailure} from "./box-paths.js"
+import {checkPath, choosePeer, recordConnectFailure} from "./box-paths.js"
 import {
   type Attempt,
   type BoxRequest,
@@ -62,7 +62,7 @@
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
   attempt.lastByteAt = now
-  box.reach.recordHeard(attempt.backend, now)
+  if (attempt.via === undefined) box.reach.recordHeard(attempt.backend, now)
   box.suspectUntil.delete(attempt.backend)
   box.clearedRequests.recordAlive(attempt.backend, now)
   if (attempt.firstByteAt !== undefined) return
@@ -137,6 +137,10 @@
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
+  request.lastFailure = failure
+  if (failure === "not-sent" || failure === "not-carried") {
+    return handleUnsentAttempt(box, request, attempt, failure, now)
+  }
   const mayHaveRun = attempt.started && (failure === "broken" || failure === "overtaken")
   if (attempt.started && failure === "broken")
     logBrokenAttempt(box, request, attempt, now)
@@ -145,15 +149,11 @@
   // An overtaken attempt is no failure of the engine.
   if (!areWeightsLate && failure !== "overtaken")
     request.failedBackends.add(attempt.backend)
-  if (failure === "broken" || failure === "not-sent") {
-    markSuspect(box, attempt.backend, now)
-    if (failure === "broken" && !attempt.aborted)
-      recordIncompleteAttempt(box, request, now)
+  if (failure === "broken") {
+    if (!attempt.aborted) recordIncompleteAttempt(box, request, now)
+    recordBrokenPath(box, attempt, now)
     suspectCrash(box, attempt.backend, now)
-    if (failure === "not-sent") recordConnectFailure(box, attempt.backend, now)
-    else checkPath(box, attempt.backend, now)
   }
-  request.lastFailure = failure
   if (mayHaveRun) {
     if (canRetry(box, request, now)) return retryRequest(box, request, failure, now)
     if (!isRetryable(request) || !canRequestRetry(box)) {
@@ -163,11 +163,23 @@
     return requestRetry(box, request, now)
   }
   refundCharge(box, request)
+  const maxRefusals = areWeightsLate ? MAX_LATE_REFUSALS : MAX_REFUSALS
+  retryRefused(box, request, attempt, failure, maxRefusals, now)
+}
+
+/** Retries a request that no server ran, unless it was refused too often. */
+function retryRefused(
+  box: BoxServing,
+  request: BoxRequest,
+  {backend}: Attempt,
+  failure: AttemptFailure,
+  maxRefusals: number,
+  now: number
+): void {
   request.refusals++
   // Pauses double: late weights may stay late, and the number of refusals is limited.
   const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
-  request.avoided.set(attempt.backend, now + pauseMs)
-  const maxRefusals = areWeightsLate ? MAX_LATE_REFUSALS : MAX_REFUSALS
+  request.avoided.set(backend, now + pauseMs)
   const isBudgetSpent =
     retryBudgetOf(box, request.arrival.service).remaining(
       runningMs(box, now),
@@ -182,6 +194,45 @@
   sendOrWait(box, request, now)
 }
 
+/**
+ * Handles an attempt that reached no backend server. It may be sent again at once over
+ * another path, and takes nothing from the retry budget.
+ */
+function handleUnsentAttempt(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  failure: "not-sent" | "not-carried",
+  now: number
+): void {
+  const {backend, via} = attempt
+  refundCharge(box, request)
+  request.unsent++
+  if (via === undefined) {
+    request.failedPaths.add(backend)
+    markSuspect(box, backend, now)
+    suspectCrash(box, backend, now)
+    recordConnectFailure(box, backend, now)
+  } else {
+    request.peerRefusals++
+    box.peers.recordUnreached(via, backend, now)
+  }
+  if (choosePeer(box, request, backend, now) === undefined) {
+    request.failedBackends.add(backend)
+    return retryRefused(box, request, attempt, failure, MAX_REFUSALS, now)
+  }
+  logEvent(box, "route-again", {request: request.arrival.name, after: failure})
+  endAttempt(box, request)
+  sendOrWait(box, request, now)
+}
+
+/** Attributes a broken connection to the server, or to the box that sent the request. */
+function recordBrokenPath(box: BoxServing, {backend, via}: Attempt, now: number): void {
+  if (via !== undefined) return box.peers.recordFailure(via, now)
+  markSuspect(box, backend, now)
+  checkPath(box, backend, now)
+}
+
 function logBrokenAttempt(
   box: BoxServing,
   {arrival}: BoxRequest,
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -23,6 +23,12 @@
 /** Cost of a backend server in another data centre, as equivalent prompt tokens. */
 const REMOTE_COST_TOKENS = 300
 
+/**
+ * The same for a backend server that only other boxes reach: servers that this box
+ * reaches are preferred, unless they are suspect.
+ */
+const UNREACHED_COST_TOKENS = 50_000
+
 /** Jitter that breaks ties among similar loads. */
 const JITTER_TOKENS = 10
 /**
@@ -223,7 +229,12 @@
   now: number
 ): boolean {
   const listed = box.backends.known.get(id)?.expiresAt === undefined
-  return listed && (box.suspectUntil.get(id) ?? 0) <= now && !avoided.has(id)
+  return (
+    listed &&
+    box.reach.reaches(id) &&
+    (box.suspectUntil.get(id) ?? 0) <= now &&
+    !avoided.has(id)
+  )
 }
 
 /**
@@ -245,7 +256,11 @@
 ): number {
   const remoteCost =
     backend.dataCentre === box.options.dataCentre ? 0 : REMOTE_COST_TOKENS
-  const suspectCost = (box.suspectUntil.get(backend.id) ?? 0) > now ? 1e6 : 0
+  // Failures on a path that is down say nothing about the server.
+  const isReached = box.reach.reaches(backend.id)
+  const isSuspect = isReached && (box.suspectUntil.get(backend.id) ?? 0) > now
+  const suspectCost = isSuspect ? 1e6 : 0
+  const pathCost = isReached ? 0 : UNREACHED_COST_TOKENS
   const unlistedCost =
     box.backends.known.get(backend.id)?.expiresAt === undefined ? 0 : 1e5
   const failedCost = request.avoided.has(backend.id) ? 1e5 : 0
@@ -257,5 +272,13 @@
     ? JITTER_TOKENS
     : MANY_BOXES_JITTER_TOKENS
   const jitter = box.options.random() * jitterTokens
-  return waitingTokens + remoteCost + suspectCost + unlistedCost + failedCost + jitter
+  return (
+    waitingTokens +
+    remoteCost +
+    pathCost +
+    suspectCost +
+    unlistedCost +
+    failedCost +
+    jitter
+  )
 }
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -113,7 +113,8 @@
 export function countAttempt(box: BoxServing, request: BoxRequest, change: 1 | -1): void {
   const {attempt} = request
   if (!attempt) return
-  const {backend} = attempt
+  const {backend, via} = attempt
+  if (via !== undefined) box.peers.count(via, change)
   box.inProgress.set(backend, Math.max(0, (box.inProgress.get(backend) ?? 0) + change))
   const uncachedTokens = attempt.firstByteAt === undefined ? attempt.uncachedTokens : 0
   const begun = change > 0 ? 1 : 0
--- a/src/core/box-paths.ts
+++ b/src/core/box-paths.ts
@@ -1,11 +1,34 @@
 /** Updates and logs which backend servers this box reaches. */
 import {isUsable} from "./backend-list.js"
-import {type Attempt, type BoxServing, logEvent} from "./box-state.js"
+import {type Attempt, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
 import type {PathChange, PathEvidence} from "./server-reach.js"
 
 /** Time without any byte after which the path of an attempt is tested. */
 const QUIET_MS = 400
 
+/** Other boxes that are asked to send the same request. */
+const MAX_PEER_REFUSALS = 5
+
+/**
+ * Returns the address of the box that is to send the request to the server. Undefined if
+ * this box reaches the server itself, or knows no box that may.
+ */
+export function choosePeer(
+  box: BoxServing,
+  {failedPaths, peerRefusals}: BoxRequest,
+  server: string,
+  now: number
+): string | undefined {
+  if (box.reach.reaches(server) && !failedPaths.has(server)) return undefined
+  if (peerRefusals >= MAX_PEER_REFUSALS) return undefined
+  return box.peers.choose(server, now, box.options.random)
+}
+
+/** Whether the attempt was sent over a path of this box that is down now. */
+export function isOnDownPath(box: BoxServing, {backend, via}: Attempt): boolean {
+  return via === undefined && !box.reach.reaches(backend)
+}
+
 /** Records a connection for a request that could not be opened. */
 export function recordConnectFailure(box: BoxServing, server: string, now: number): void {
   if (!isUsable(box.backends, server)) return
@@ -24,10 +47,10 @@
 /** Has the path tested if the attempt and its server have been quiet for some time. */
 export function checkQuietPath(
   box: BoxServing,
-  {backend, started, lastByteAt, sentAt}: Attempt,
+  {backend, via, started, lastByteAt, sentAt}: Attempt,
   now: number
 ): void {
-  if (!started || now - (lastByteAt ?? sentAt) < QUIET_MS) return
+  if (!started || via !== undefined || now - (lastByteAt ?? sentAt) < QUIET_MS) return
   if (box.reach.isQuiet(backend, now)) checkPath(box, backend, now)
 }
 
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -24,6 +24,8 @@
 import {waitForUsageAllowance, refuseIfOverLimit} from "./box-usage.js"
 import {waitForSendAllowance, recordSendDemand} from "./box-pacing.js"
 import {computeHoldUntil, STOP_HOLD_MS, requestWeightsOrWait} from "./box-waits.js"
+import {choosePeer} from "./box-paths.js"
+import {countSentAttempts} from "./box-retries.js"
 import {runningMs} from "./suspensions.js"
 
 /** How long after a stop request new requests are still sent to backend servers. */
@@ -40,6 +42,9 @@
     holdUntil: computeHoldUntil(box, arrival, limitMs, now),
     attempt: undefined,
     attempts: 0,
+    unsent: 0,
+    peerRefusals: 0,
+    failedPaths: new Set(),
     runs: 0,
     refusals: 0,
     lastFailure: undefined,
@@ -100,9 +105,11 @@
   if (!charge) return waitForUsageAllowance(box, request, now)
   request.allowanceRequestedAt = undefined
   if (request.weightsRequested) withdrawWeightsRequest(box, request)
-  if (request.attempts > 0) spendRetry(box, request, now)
+  // Attempts that reached no server are no retries.
+  if (countSentAttempts(request) > 0) spendRetry(box, request, now)
   request.attempts++
-  request.attempt = createAttempt(request.attempts, candidate, now)
+  const via = choosePeer(box, request, candidate.backend.id, now)
+  request.attempt = createAttempt(request.attempts, candidate, via, now)
   if (charge !== "free") request.attempt.charge = charge
   const server = candidate.backend.id
   if (box.advertisedRates.of(server) !== undefined) {
@@ -115,6 +122,7 @@
     id: request.arrival.id,
     attempt: request.attempts,
     backend: candidate.backend,
+    via,
     expectedVersion: candidate.version,
     deadlineMs: Math.max(1, Math.round(request.deadlineAt - now))
   })
@@ -140,11 +148,13 @@
 function createAttempt(
   number: number,
   {backend, version, uncachedTokens}: Candidate,
+  via: string | undefined,
   now: number
 ): Attempt {
   return {
     number,
     backend: backend.id,
+    via,
     sentAt: now,
     version,
     uncachedTokens,
@@ -170,6 +180,7 @@
     request: arrival.name,
     attempt: attempts,
     backend: backend.id,
+    via: attempt?.via ?? "",
     fingerprint: arrival.fingerprint ?? "",
     waitedMs: Math.round(now - arrivedAt),
     adapter: arrival.weights?.adapter ?? "",
--- a/src/core/box-retries.ts
+++ b/src/core/box-retries.ts
@@ -2,6 +2,7 @@
  * Retries of requests that may have run: whether a retry is safe and within the budget.
  */
 import {endAttempt} from "./box-ends.js"
+import {isOnDownPath} from "./box-paths.js"
 import {sendOrWait} from "./box-requests.js"
 import {type BoxRequest, type BoxServing, retryBudgetOf, logEvent} from "./box-state.js"
 import {isRetryableRoute} from "./route-table.js"
@@ -22,15 +23,21 @@
 }
 
 /** Whether the request may run again, regardless of the retry budget. */
-export function isRetryable({
-  arrival: {route},
-  attempts,
-  answerStarted
-}: BoxRequest): boolean {
-  if (!isRetryableRoute(route) || attempts >= route.maxAttempts) return false
+export function isRetryable(request: BoxRequest): boolean {
+  const {
+    arrival: {route},
+    answerStarted
+  } = request
+  if (!isRetryableRoute(route) || countSentAttempts(request) >= route.maxAttempts)
+    return false
   return !answerStarted || route.kind === "streaming"
 }
 
+/** Returns the number of attempts that reached a backend server, or may have. */
+export function countSentAttempts({attempts, unsent}: BoxRequest): number {
+  return attempts - unsent
+}
+
 /** Retries a request that may have run. */
 export function retryRequest(
   box: BoxServing,
@@ -50,9 +57,11 @@
   now: number
 ): void {
   const {attempt, arrival} = request
-  if (attempt) {
-    request.avoided.set(attempt.backend, now + FAILED_PAUSE_MS)
-    if (after !== "overtaken") request.failedBackends.add(attempt.backend)
+  if (attempt && !isOnDownPath(box, attempt)) {
+    const {backend} = attempt
+    const avoidedUntil = request.avoided.get(backend) ?? -Infinity
+    request.avoided.set(backend, Math.max(avoidedUntil, now + FAILED_PAUSE_MS))
+    if (after !== "overtaken") request.failedBackends.add(backend)
   }
   request.runs++
   logEvent(box, "route-again", {
--- a/src/core/box-silence.ts
+++ b/src/core/box-silence.ts
@@ -2,6 +2,7 @@
 import {SUSPECT_MS, markSuspect} from "./box-attempt-failures.js"
 import {chooseBackend} from "./box-choose.js"
 import {abortAttempt} from "./box-ends.js"
+import {isOnDownPath} from "./box-paths.js"
 import {canRetry, isRetryable, retryRequest} from "./box-retries.js"
 import {canRequestRetry} from "./box-retry-requests.js"
 import {type Attempt, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
@@ -31,8 +32,9 @@
   attempt: Attempt,
   now: number
 ): void {
-  if (!isSilent(request, attempt, now)) return
-  markSuspect(box, attempt.backend, now)
+  if (!isSilent(box, request, attempt, now)) return
+  if (attempt.via === undefined) markSuspect(box, attempt.backend, now)
+  else box.peers.recordFailure(attempt.via, now)
   if (canRetry(box, request, now)) moveRequest(box, request, attempt, now)
   else requestMove(box, request, attempt, now)
 }
@@ -45,18 +47,20 @@
   now: number
 ): void {
   // The server may have begun to answer since.
-  if (!isSilent(request, attempt, now)) return
+  if (!isSilent(box, request, attempt, now)) return
   request.hasRetryGrant = true
   moveRequest(box, request, attempt, now)
 }
 
 function isSilent(
+  box: BoxServing,
   {arrival: {route}}: BoxRequest,
   attempt: Attempt,
   now: number
 ): boolean {
   if (attempt.headReceived && route.kind !== "streaming") return false
   const silentMs = now - (attempt.lastByteAt ?? attempt.sentAt)
+  if (isOnDownPath(box, attempt)) return silentMs >= MIN_FIRST_SILENCE_MS
   const limitMs = attempt.headReceived
     ? STREAM_SILENCE_MS
     : Math.max(MIN_FIRST_SILENCE_MS, route.targetMs * FIRST_SILENCE_FACTOR)
@@ -72,17 +76,18 @@
   if (!canMove(box, request, attempt, now)) return
   abortAttempt(box, request, now)
   retryRequest(box, request, "silent", now)
-  request.avoided.set(attempt.backend, now + SUSPECT_MS)
 }
 
 /** Whether another server can take the request now, or can load its weights in time. */
 function canMove(
   box: BoxServing,
   request: BoxRequest,
-  {backend}: Attempt,
+  attempt: Attempt,
   now: number
 ): boolean {
-  request.avoided.set(backend, now + SUSPECT_MS)
+  if (!isOnDownPath(box, attempt)) {
+    request.avoided.set(attempt.backend, now + SUSPECT_MS)
+  }
   if (chooseBackend(box, request, now)) return true
   return request.deadlineAt - now >= MIN_MOVE_MS
 }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -16,6 +16,7 @@
 import {RecentSends} from "./recent-sends.js"
 import {SendAllowances} from "./send-allowances.js"
 import {ServerRates} from "./server-rates.js"
+import {PeerPaths} from "./peer-paths.js"
 import {ServerReach} from "./server-reach.js"
 import {CrashList} from "./crash-list.js"
 import {CrashWatch} from "./crash-watch.js"
@@ -61,6 +62,11 @@
 export interface Attempt {
   readonly number: number
   readonly backend: string
+  /**
+   * Address of the box that sends it on behalf of this one. Undefined if this box sends
+   * it over its own connection.
+   */
+  readonly via: string | undefined
   sentAt: number
   /** Adapter version to run on. Undefined if no adapter is requested, 0 if not known. */
   readonly version: number | undefined
@@ -108,6 +114,12 @@
   holdUntil: number
   attempt: Attempt | undefined
   attempts: number
+  /** Attempts that are known not to have reached a backend server. */
+  unsent: number
+  /** Other boxes that did not send it on. */
+  peerRefusals: number
+  /** Backend servers to which this box could not open a connection for it. */
+  readonly failedPaths: Set<string>
   /** Attempts that may have run. */
   runs: number
   /** Attempts that backend servers refused without running them. */
@@ -215,6 +227,8 @@
   readonly recentSends: RecentSends
   /** Which backend servers this box reaches. */
   readonly reach: ServerReach
+  /** Other boxes that can send requests to servers that this box does not reach. */
+  readonly peers: PeerPaths
   /** Requests that crash backend servers, as reported by all boxes. */
   readonly crashes: CrashList
   readonly crashWatch: CrashWatch
@@ -262,6 +276,8 @@
       readonly id: string
       readonly attempt: number
       readonly backend: BackendRecord
+      /** Address of the box that is to send it. Undefined means this box. */
+      readonly via: string | undefined
       readonly expectedVersion: number | undefined
       readonly deadlineMs: number
     }
@@ -373,6 +389,7 @@
     sendAllowances: new SendAllowances(),
     recentSends: new RecentSends(),
     reach: new ServerReach(),
+    peers: new PeerPaths(),
     crashes: new CrashList(),
     crashWatch: new CrashWatch(),
     clearedRequests: new ClearedRequests(),
--- /dev/null
+++ b/src/core/carry-checks.ts
@@ -0,0 +1,44 @@
+/** Whether a box may send a request on behalf of another box, checked right before it. */
+import {isTooOldToSend} from "./adapter-versions.js"
+import {isUsable} from "./backend-list.js"
+import {isSnapshotStale} from "./box-snapshot-age.js"
+import type {BoxServing} from "./box-state.js"
+import {backoffRemainingMs} from "./server-notices.js"
+
+/** Properties of the request that the box which received it decided on. */
+export interface CarriedSend {
+  /** Id of the server's incarnation. */
+  readonly server: string
+  /** Key of the adapter. Undefined if none is requested. */
+  readonly adapter?: string | undefined
+  readonly expectedVersion?: number | undefined
+  /** Whether that box holds an allowance for a rate-limited server. */
+  readonly isAllowed: boolean
+}
+
+export type CarryObstacle =
+  /** This box reaches the server no more than the other one. */
+  | "unreached"
+  /** The server is unknown here, leaves, or must get no request now. */
+  | "unusable"
+  | "old-version"
+  | "stale-snapshot"
+
+/**
+ * Returns why the request must not be sent now, or undefined if it may be. What only the
+ * other box knows (the key, its limits, the retry budget) was checked there.
+ */
+export function findCarryObstacle(
+  box: BoxServing,
+  {server, adapter, expectedVersion, isAllowed}: CarriedSend,
+  now: number
+): CarryObstacle | undefined {
+  if (!isUsable(box.backends, server)) return "unusable"
+  if (isSnapshotStale(box, now)) return "stale-snapshot"
+  if (!box.reach.reaches(server)) return "unreached"
+  if (backoffRemainingMs(box, server, now) > 0) return "unusable"
+  if (box.advertisedRates.of(server) !== undefined && !isAllowed) return "unusable"
+  if (adapter === undefined || !expectedVersion) return undefined
+  const announced = box.versions.get(adapter) ?? []
+  return isTooOldToSend(announced, expectedVersion, now) ? "old-version" : undefined
+}
--- a/src/core/crash-list.ts
+++ b/src/core/crash-list.ts
@@ -33,6 +33,9 @@
  */
 const MAX_RECORDS = 512
 
+/** Crashes of removed records that are remembered. */
+const MAX_REMOVED = 4_096
+
 interface CrashRecord {
   /**
    * Incarnations of crashed servers: the newest `CRASHES_TO_QUARANTINE`, oldest first.
@@ -46,6 +49,11 @@
 
 export class CrashList {
   private readonly records_ = new Map<string, CrashRecord>()
+  /**
+   * Crashes of removed records. Boxes with full lists remove different records, and would
+   * report these to each other forever.
+   */
+  private readonly removed_ = new Set<string>()
   private triedAt_ = -Infinity
 
   get size(): number {
@@ -63,6 +71,7 @@
   add(fingerprint: string, incarnation: string, at: number): boolean {
     const known = this.records_.get(fingerprint)
     if (known?.incarnations.includes(incarnation)) return false
+    if (this.removed_.has(toCrashKey(fingerprint, incarnation))) return false
     const incarnations = [...(known?.incarnations ?? []), incarnation].slice(
       -CRASHES_TO_QUARANTINE
     )
@@ -163,6 +172,18 @@
       fewest = incarnations.length
       removed = fingerprint
     }
-    if (removed !== undefined) this.records_.delete(removed)
+    if (removed === undefined) return
+    for (const incarnation of this.records_.get(removed)?.incarnations ?? []) {
+      this.removed_.add(toCrashKey(removed, incarnation))
+    }
+    for (const oldest of this.removed_) {
+      if (this.removed_.size <= MAX_REMOVED) break
+      this.removed_.delete(oldest)
+    }
+    this.records_.delete(removed)
   }
 }
+
+function toCrashKey(fingerprint: string, incarnation: string): string {
+  return `${fingerprint} ${incarnation}`
+}
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -143,6 +143,12 @@
       readonly backend: string
       readonly accepted: boolean | undefined
     }
+  /** A connection for a request of another box could not be opened. */
+  | {readonly type: "connect-failed"; readonly backend: string}
+  /** A server answered a request of another box. */
+  | {readonly type: "server-heard"; readonly backend: string}
+  /** Addresses at which other boxes accept links. */
+  | {readonly type: "peers"; readonly addresses: readonly string[]}
   /** Updates from other processes about requests that crash servers. */
   | {
       readonly type: "crashes"
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -27,7 +27,7 @@
   handleAnswerBytes,
   handleAttemptStart
 } from "./box-attempts.js"
-import {handlePathProbe, tickPaths} from "./box-paths.js"
+import {handlePathProbe, recordConnectFailure, tickPaths} from "./box-paths.js"
 import {requestUsageAllowances} from "./box-usage.js"
 import {
   admit,
@@ -162,6 +162,12 @@
     case "path-checked":
       handlePathProbe(serving, event.backend, event.accepted, now)
       return tickRequests(serving, now)
+    case "connect-failed":
+      return recordConnectFailure(serving, event.backend, now)
+    case "server-heard":
+      return serving.reach.recordHeard(event.backend, now)
+    case "peers":
+      return serving.peers.add(event.addresses)
     case "crashes":
       applyCrashChanges(serving, event.changes, event.source, now)
       return tickRequests(serving, now)
--- a/src/events.ts
+++ b/src/events.ts
@@ -449,6 +449,16 @@
     level: "info",
     text: "This box reaches a backend server again, after `downMs`."
   },
+  carried: {
+    number: 241,
+    level: "info",
+    text: "This box sends a request to a backend server on behalf of another box, which does not reach it."
+  },
+  "not-carried": {
+    number: 242,
+    level: "info",
+    text: "Another box asked this one to send a request to a backend server; it was not sent, for the given reason."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/test/patterns/crashing-requests.ts
+++ b/test/patterns/crashing-requests.ts
@@ -246,6 +246,13 @@
           this.step(box, {type: "probed", backend: id, up})
         )
       }
+      case "check-path": {
+        const {id, server} = effect.backend
+        const accepted = this.serverOf(server).up
+        return this.agenda_.schedule(2 * LINK_MS, () =>
+          this.step(box, {type: "path-checked", backend: id, accepted})
+        )
+      }
       case "crashes":
         return this.sendCrashReport(box, effect.changes)
       case "end":
--- a/test/versions-sends.test.ts
+++ b/test/versions-sends.test.ts
@@ -49,6 +49,7 @@
     now: () => performance.now()
   })
   const relay: RoutedRelay = new RoutedRelay({
+    box: "box",
     dialect: platformDialect,
     post: loop.post,
     serving: () => serving,
