--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -17,6 +17,7 @@
 cli.option("--no-drills", "The store is never restored from an older backup")
 cli.option("--no-leads", "No versions are named while the leadership changes")
 cli.option("--no-organisations", "Callers have no keys, and there are no limits")
+cli.option("--no-cuts", "No box is cut off from backend servers")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -33,7 +34,8 @@
     versions: options["versions"] !== false,
     drills: options["drills"] !== false,
     leads: options["leads"] !== false,
-    organisations: options["organisations"] !== false
+    organisations: options["organisations"] !== false,
+    cuts: options["cuts"] !== false
   })
   rounds++
   if (result.violations.length > 0) failedRounds++
--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -95,7 +95,7 @@
   readonly boxCount: () => number
   /** The last known median age of the boxes' processes, milliseconds. */
   readonly medianAgeMs: (now: number) => number
-  /** Whether this box has much less processor capacity than others. */
+  /** Whether other boxes should lead rather than this one. */
   readonly isWeak: () => boolean
   /** Has other boxes renew the lease. Rejects if none could. */
   readonly renewByOthers: (lease: string) => Promise<boolean>
@@ -172,11 +172,11 @@
         .catch(() => undefined)
   }
 
-  /** Ends the leadership in favour of a stronger box. */
-  resign(): void {
+  /** Ends the leadership in favour of another box. */
+  resign(reason: string): void {
     const {lease} = this.leadership
     if (lease === undefined) return
-    this.loseLeadership("a stronger box is there")
+    this.loseLeadership(reason)
     void this.storeAs("lease-end")
       .revokeLease(lease)
       .catch(() => undefined)
--- a/src/core/box-paths.ts
+++ b/src/core/box-paths.ts
@@ -116,3 +116,25 @@
     .filter(({record}) => record.service === service && !record.leaving)
     .map(({record}) => record.id)
 }
+
+/**
+ * Whether this box reaches less than half of the engines. As the leader it could order
+ * most loads nowhere.
+ */
+export function isCutFromEngines(box: BoxServing): boolean {
+  const engines = listEngines(box)
+  const reached = engines.filter(each => box.reach.reaches(each))
+  return engines.length > 0 && reached.length * 2 < engines.length
+}
+
+/** Returns the engines that this box does not reach. */
+export function listUnreachedEngines(box: BoxServing): string[] {
+  return listEngines(box).filter(each => !box.reach.reaches(each))
+}
+
+function listEngines({backends, table}: BoxServing): string[] {
+  return [...backends.known.values()]
+    .filter(({record}) => !record.leaving)
+    .filter(({record}) => table?.services.get(record.service)?.engine !== undefined)
+    .map(({record}) => record.id)
+}
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -71,6 +71,7 @@
   const {kind, box, sentAt, answeredAt: end = sentAt + CALLER_TIMEOUT_MS} = call
   if (kind !== "safe" || isRefusedByStart(record, call)) return false
   if (isExemptWithin(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
+  if (isCutOff(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (hasUnconfirmedServers(record, box, sentAt)) return false
   return !record.faults.some(
     ({name, at}) => SERVER_FAULTS.has(name) && at > sentAt - SERVER_FAULT_MS && at < end
@@ -102,6 +103,14 @@
   )
 }
 
+/**
+ * Whether the box was cut off from servers: it then depends on other boxes, which may
+ * have faults of their own. Its first tries are judged in `soak-judge-cuts.ts`.
+ */
+function isCutOff({cuts}: SoakRecord, box: string, from: number, to: number): boolean {
+  return cuts.some(cut => cut.boxes.includes(box) && cut.from < to && cut.to > from)
+}
+
 /**
  * Whether the box may have started with restored entries and not have confirmed its
  * servers yet. A further restore before the confirmation starts the wait again.
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -107,6 +107,16 @@
   readonly mayLead: boolean
 }
 
+/** Boxes that were cut off from backend servers. */
+export interface BoxCut {
+  readonly boxes: readonly string[]
+  /** Whether they were cut off from all servers, all the time. */
+  readonly isFromAll: boolean
+  readonly from: number
+  /** Infinity while it lasts. */
+  to: number
+}
+
 export class SoakRecord {
   readonly calls: SoakCall[] = []
   readonly crashing: CrashingCall[] = []
@@ -121,6 +131,7 @@
   readonly restores: number[] = []
   readonly versions: SoakVersion[] = []
   readonly replacedEngines: ReplacedEngine[] = []
+  readonly cuts: BoxCut[] = []
   readonly faults: {readonly name: string; readonly at: number}[] = []
 
   /** Records that a box is restarted, suspended, disconnected or removed. */
@@ -130,6 +141,16 @@
     this.exemptions.push({box, at: performance.now(), mayLead})
   }
 
+  /** Records that boxes are cut off from servers. Returns a function that ends it. */
+  beginCut(boxes: readonly {readonly name: string}[], isFromAll: boolean): () => void {
+    const names = boxes.map(({name}) => name)
+    const cut = {boxes: names, isFromAll, from: performance.now(), to: Infinity}
+    this.cuts.push(cut)
+    return () => {
+      cut.to = performance.now()
+    }
+  }
+
   /** Records that a box's process starts. Returns a function that records its end. */
   beginStart(box: string): () => void {
     const start = {box, from: performance.now(), until: Infinity}
