--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -17,6 +17,7 @@
 cli.option("--no-drills", "The store is never restored from an older backup")
 cli.option("--no-leads", "No versions are named while the leadership changes")
 cli.option("--no-organisations", "Callers have no keys, and there are no limits")
+cli.option("--sparse", "Other faults than cuts come seldom", {default: false})
 cli.option("--no-cuts", "No box is cut off from backend servers")
 const {options} = cli.parse()
 
@@ -35,6 +36,7 @@
     drills: options["drills"] !== false,
     leads: options["leads"] !== false,
     organisations: options["organisations"] !== false,
+    sparse: options["sparse"] === true,
     cuts: options["cuts"] !== false
   })
   rounds++
--- a/src/core/server-notices.ts
+++ b/src/core/server-notices.ts
@@ -11,6 +11,12 @@
 /** Upper limit of the back-off that a server may request. */
 export const MAX_BACKOFF_MS = 300_000
 
+/** Part of the refusals that a server bears which all boxes together cause at most. */
+const USED_REFUSAL_SHARE = 0.5
+
+/** Longest pause of a box after one such refusal. */
+const MAX_REFUSAL_PAUSE_MS = 10_000
+
 const MAX_REMEMBERED_SERVERS = 2_000
 
 /** Notices in the headers of one response. */
@@ -18,6 +24,11 @@
   readonly leaving: boolean
   /** Back-off requested from this box. Undefined if none. */
   readonly restMs: number | undefined
+  /**
+   * Set in a refusal for lack of room: how many of these all boxes together may cause in a
+   * second before the server fails. Undefined if it names no such limit.
+   */
+  readonly refusalsPerSecond: number | undefined
   /** Rate limit for all boxes together. Undefined if it advertises no valid one. */
   readonly perSecond: number | undefined
   /** An invalid back-off or rate limit, shortened. Undefined if none. */
@@ -25,8 +36,9 @@
 }
 
 export function hasNotice(notice: ServerNotice): boolean {
-  const {leaving, restMs, perSecond, unreadable} = notice
-  return leaving || [restMs, perSecond, unreadable].some(each => each !== undefined)
+  const {leaving, restMs, refusalsPerSecond, perSecond, unreadable} = notice
+  const values = [restMs, refusalsPerSecond, perSecond, unreadable]
+  return leaving || values.some(each => each !== undefined)
 }
 
 /**
@@ -42,10 +54,11 @@
   sentAt: number | undefined,
   now: number
 ): boolean {
-  const {leaving, restMs: backoffMs} = notice
+  const {leaving, restMs = 0, refusalsPerSecond} = notice
   logUnreadable(box, backend, notice)
   applyAdvertisedRate(box, backend, notice, sentAt, now)
-  if (backoffMs !== undefined && backoffMs > 0) startBackoff(box, backend, backoffMs, now)
+  const backoffMs = Math.max(restMs, refusalPauseMs(box, refusalsPerSecond))
+  if (backoffMs > 0) startBackoff(box, backend, backoffMs, now)
   if (!leaving) return false
   const backends = recordLeaving(box.backends, backend)
   if (backends === box.backends) return false
@@ -54,6 +67,19 @@
   return true
 }
 
+/**
+ * Returns how long this box sends a server nothing after a refusal, so that all boxes
+ * together stay below the refusals that it bears.
+ */
+function refusalPauseMs(
+  {boxCount}: BoxServing,
+  refusalsPerSecond: number | undefined
+): number {
+  if (refusalsPerSecond === undefined) return 0
+  const usable = Math.max(1, refusalsPerSecond) * USED_REFUSAL_SHARE
+  return Math.min(MAX_REFUSAL_PAUSE_MS, (1_000 * boxCount) / usable)
+}
+
 /** Logs an invalid notice once for each server and text. */
 function logUnreadable(
   box: BoxServing,
--- a/test/box-suspensions.test.ts
+++ b/test/box-suspensions.test.ts
@@ -22,6 +22,7 @@
 const SAYS_NOTHING: ServerNotice = {
   leaving: false,
   restMs: undefined,
+  refusalsPerSecond: undefined,
   perSecond: undefined,
   unreadable: undefined
 }
--- a/test/server-incarnations.test.ts
+++ b/test/server-incarnations.test.ts
@@ -370,7 +370,13 @@
     })
     box.backends = listOf(OLD)
     const state: RoutedState = {serving: box, fleet: undefined}
-    const notice = {leaving: false, restMs: 60_000, perSecond: 2, unreadable: undefined}
+    const notice = {
+      leaving: false,
+      restMs: 60_000,
+      refusalsPerSecond: undefined,
+      perSecond: 2,
+      unreadable: undefined
+    }
     const heard = {type: "server-says" as const, backend: OLD.id, notice, sentAt: 90}
     stepRouted(state, heard, 100)
     const reading = byStore(200)
--- a/test/server-rates-core.test.ts
+++ b/test/server-rates-core.test.ts
@@ -15,6 +15,7 @@
 const SAYS_NOTHING = {
   leaving: false,
   restMs: undefined,
+  refusalsPerSecond: undefined,
   perSecond: undefined,
   unreadable: undefined
 }
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -42,6 +42,9 @@
 
 const CALL_INTERVAL_MS = 25
 
+/** Approximate interval between faults of a sparse round. */
+const SPARSE_FAULT_MS = 6_000
+
 /** Time after which a crashed server is back. */
 const WORKER_DOWN_MS = 900
 
@@ -159,7 +162,7 @@
       if (script) await this.playScript(faults, script)
       while (performance.now() < end) {
         if (!script) await faults.injectRandom()
-        await pause(FAULT_MS * (0.3 + this.draws_.draw()))
+        await pause(this.gapMs() * (0.3 + this.draws_.draw()))
       }
       faults.endFaults()
       this.organisations_?.restoreLimits()
@@ -171,6 +174,10 @@
     await Promise.all(this.pendingCalls_)
   }
 
+  private gapMs(): number {
+    return this.options_.sparse ? SPARSE_FAULT_MS : FAULT_MS
+  }
+
   /**
    * Plays scripted faults. The draws of each depend only on the seed and its position.
    */
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -50,6 +50,11 @@
   readonly leads?: boolean
   /** Boxes are cut off from backend servers, and first tries there are judged. */
   readonly cuts?: boolean
+  /**
+   * Other faults come seldom and without incidents, so that boxes that no fault struck
+   * show how often those that were cut off should serve.
+   */
+  readonly sparse?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -111,9 +116,9 @@
       this.record_,
       () => this.haveFaultsEnded_
     )
+    const {sparse = false} = this.options_
     await Promise.all([
-      faults.play(),
-      this.rates_.play(),
+      ...(sparse ? [] : [faults.play(), this.rates_.play()]),
       this.options_.cuts ? cuts.play() : undefined
     ])
   }
