--- a/test/server-paths-core.test.ts
+++ b/test/server-paths-core.test.ts
@@ -50,14 +50,14 @@
 })
 
 t.test("attempts that reached no server are no retries", async t => {
-  const subject = new Subject(3)
+  const subject = new Subject(2)
   subject.box.peers.add([PEER, "10.0.0.8:7000", "10.0.0.7:7000"])
   const safe = {...ROUTE, kind: "safe" as const, maxAttempts: 2}
   subject.arrive(safe).fail("not-sent").fail("not-sent", 2).fail("not-carried", 3)
   t.equal(sendOf(subject.effects).attempt, 4)
   // The whole budget is left for the first failure that may have run.
   subject.start(4).fail("broken", 4)
-  t.notMatch(subject.summarizeEffects().join(), "end")
+  t.equal(sendOf(subject.effects).attempt, 5)
 })
 
 t.test("without a box that reaches the server the request ends as not run", async t => {
