sedgectl explain tells both boxes of a request; tests of both hops

Change: explain names the box that a request went through, what that box did, and which servers a box reached meanwhile. Boxes accept headers of other boxes that are larger than a caller's, and close connections to boxes that are gone.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -22,6 +22,9 @@
 /** A connection without a `hello` in this time is closed: its peer is not a box. */
 const HELLO_TIMEOUT_MS = 2_000
 
+/** More than a caller may send, and the headers that a box adds. */
+const MAX_HEADER_BYTES = 64 << 10
+
 /** How long an idle connection for requests of other boxes is kept open. */
 const REQUEST_KEEP_ALIVE_MS = 15_000
 
@@ -118,7 +121,7 @@
     failed: (cause: Error) => void
   ) {
     const {host, port} = splitAddress(address)
-    this.http_ = createServer(events_.request)
+    this.http_ = createServer({maxHeaderSize: MAX_HEADER_BYTES}, events_.request)
     this.http_.keepAliveTimeout = REQUEST_KEEP_ALIVE_MS
     this.server_ = new WebSocketServer({
       server: this.http_,
--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -121,7 +121,7 @@
           hasStarted = true
           this.options_.log("carried", {
             request: requestId,
-            box: facts.box,
+            asker: facts.asker,
             backend: backend.id
           })
           return true
@@ -181,11 +181,11 @@
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
-    {box, server}: CarryFacts,
+    {asker, server}: CarryFacts,
     reason: NotCarried
   ): void {
     const request = this.options_.dialect.readRequest(req.headers).requestId
-    this.options_.log("not-carried", {request, box, backend: server, reason})
+    this.options_.log("not-carried", {request, asker, backend: server, reason})
     refuse(res, reason)
   }
 
--- a/src/adapters/carry-headers.ts
+++ b/src/adapters/carry-headers.ts
@@ -17,7 +17,7 @@
   /** Id of the server's incarnation. */
   server: z.string(),
   /** Name of the box that the caller is connected to, for logs. */
-  box: z.string(),
+  asker: z.string(),
   /** Time left when the box sent it, milliseconds. */
   deadlineMs: z.number().min(0),
   priority: z.number(),
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -485,6 +485,7 @@
     if (known === this.pooledFor_) return
     this.pooledFor_ = known
     const ids = [...known.keys()]
+    this.relay_.retainPeers(this.loop_.state().serving.peers.addresses)
     this.relay_.pools.retainOnly(new Set([...ids, ...ids.map(orderPool)]))
   }
 
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -106,6 +106,11 @@
     return this.exchanges_.size
   }
 
+  /** Closes connections to other boxes that are no longer known. */
+  retainPeers(addresses: ReadonlySet<string>): void {
+    this.peerPools_.retainOnly(addresses)
+  }
+
   /** Reads a caller's request, checks its route and key, and hands it to the core. */
   async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {table} = this.options_.serving()
@@ -369,7 +374,7 @@
     const {weights} = arrival ?? {}
     const adapter = weights?.adapter && adapterKey(weights.model, weights.adapter)
     const isAllowed = serving().requests.get(id)?.attempt?.allowedUntil !== undefined
-    const carried = {...facts, server: backend.id, box, adapter, isAllowed}
+    const carried = {...facts, server: backend.id, asker: box, adapter, isAllowed}
     return {
       pools: this.peerPools_,
       name: via,
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -48,7 +48,11 @@
   paced: 236,
   load: 200,
   unload: 201,
-  orderFailed: 202
+  orderFailed: 202,
+  unreached: 239,
+  reached: 240,
+  carried: 241,
+  notCarried: 242
 } as const
 
 const PLACEMENT_EVENTS: ReadonlySet<number> = new Set([
@@ -78,7 +82,9 @@
   220,
   EVENT.rateAdvertised,
   EVENT.rateEnded,
-  EVENT.suspect
+  EVENT.suspect,
+  EVENT.unreached,
+  EVENT.reached
 ])
 
 /** How far before the first line of a request other lines are considered. */
@@ -93,7 +99,7 @@
   [
     EVENT.sent,
     line =>
-      `attempt ${line["attempt"]} sent to ${line["backend"]} after ${line["waitedMs"]} ms` +
+      `attempt ${line["attempt"]} sent to ${line["backend"]}${describePath(line)} after ${line["waitedMs"]} ms` +
       ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}${describeReplacement(line)}, slots last updated ${line["newsMs"]} ms before${describeAccess(line)})`
   ],
   [
@@ -143,9 +149,23 @@
     EVENT.orderFailed,
     line => `${line["operation"]} at ${line["engine"]}: ${line["result"]}`
   ],
-  [EVENT.suspect, line => `${line["backend"]} failed or stopped responding`]
+  [EVENT.suspect, line => `${line["backend"]} failed or stopped responding`],
+  [
+    EVENT.unreached,
+    line =>
+      `does not reach ${line["backend"]} (${line["evidence"]}): ${line["reached"]} of ` +
+      `${line["of"]} servers of ${line["service"]} are reached`
+  ],
+  [EVENT.reached, line => `reaches ${line["backend"]} again after ${line["downMs"]} ms`],
+  [EVENT.carried, line => `sent to ${line["backend"]} on behalf of ${line["asker"]}`],
+  [EVENT.notCarried, line => `not sent on behalf of ${line["asker"]}: ${line["reason"]}`]
 ])
 
+/** The box that an attempt was sent through, if it was. */
+function describePath({via}: LogLine): string {
+  return via ? ` through the box at ${via}` : ""
+}
+
 /** Describes when the next request can be sent, if not at once. */
 function describeWait({fullForMs}: LogLine): string {
   return typeof fullForMs === "number" && fullForMs > 0
--- a/src/core/peer-paths.ts
+++ b/src/core/peer-paths.ts
@@ -62,6 +62,10 @@
     return [...addresses.slice(first), ...addresses.slice(0, first)].slice(0, count)
   }
 
+  get addresses(): ReadonlySet<string> {
+    return new Set(this.peers_.keys())
+  }
+
   /** Counts a request in or out at a box. */
   count(address: string, change: 1 | -1): void {
     const peer = this.peers_.get(address)
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -2,7 +2,7 @@
  * A test deployment on the stand-in of the users' platform. Boxes are real processes;
  * callers run in the test's process.
  */
-import {mkdtempSync, writeFileSync} from "node:fs"
+import {mkdtempSync, renameSync, writeFileSync} from "node:fs"
 import {tmpdir} from "node:os"
 import {dirname, join} from "node:path"
 import {Agent, request} from "undici"
@@ -301,8 +301,10 @@
   }
 
   private writeCut(box: BedBox, cut: ServerCut): void {
-    writeFileSync(box.cutsFile, JSON.stringify(cut))
-    box.child.signal("SIGUSR2")
+    // Renamed into place, as the box may read the file at any moment.
+    const next = `${box.cutsFile}.next`
+    writeFileSync(next, JSON.stringify(cut))
+    renameSync(next, box.cutsFile)
   }
 
   /** Restarts a box whose process has ended. */
--- a/test/support/server-cuts.ts
+++ b/test/support/server-cuts.ts
@@ -1,11 +1,13 @@
 /**
  * Cuts a box's process off from backend servers, as its own links would: loaded by the
  * program of a box, it replaces connections of this process only. The cut is read from a
- * file when the process gets SIGUSR2.
+ * file, which the process reads again and again.
  */
 import {readFileSync} from "node:fs"
 import {Socket} from "node:net"
 
+const READ_INTERVAL_MS = 20
+
 /** What happens to the connections of a box to the servers at these ports. */
 export interface ServerCut {
   readonly ports: readonly number[]
@@ -46,8 +48,16 @@
 /** Replaces the connections of this process. Does nothing without a `CUTS_FILE`. */
 export function installServerCuts(): void {
   if (file === undefined) return
-  process.on("SIGUSR2", () => applyCut(readCut()))
-  cut = readCut()
+  let known = readFileSync(file, "utf8")
+  cut = parseCut(known)
+  // A signal would end a process that has not started to listen for it.
+  const timer = setInterval(() => {
+    const text = readFileSync(file, "utf8")
+    if (text === known) return
+    known = text
+    applyCut(parseCut(text))
+  }, READ_INTERVAL_MS)
+  timer.unref()
   const connect = Socket.prototype.connect as unknown as Connect
   const replacement: Connect = function (this: Socket, ...args) {
     const port = portOf(args)
@@ -62,8 +72,7 @@
   Socket.prototype.connect = replacement as unknown as typeof Socket.prototype.connect
 }
 
-function readCut(): ServerCut {
-  const text = readFileSync(file ?? "", "utf8")
+function parseCut(text: string): ServerCut {
   return text === "" ? {ports: [], how: "hang"} : (JSON.parse(text) as ServerCut)
 }
 
