--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -9,7 +9,7 @@
 import {judgeOrganisations} from "./soak-judge-organisations.js"
 import {SoakOrganisations, USAGE_WINDOW_S} from "./soak-organisations.js"
 import {judgeIncidents} from "./soak-judge-incidents.js"
-import {judgeCuts, listCutTries} from "./soak-judge-cuts.js"
+import {describeCutTries, judgeCuts, listCutTries} from "./soak-judge-cuts.js"
 import {judgeRound} from "./soak-judge.js"
 import {countGuaranteedCalls, judgeService} from "./soak-judge-service.js"
 import {type SoakCall, SoakDraws, SoakRecord} from "./soak-record.js"
@@ -112,8 +112,8 @@
       this.violations_.push(...judgeRound(bed.judge, this.record_))
       this.violations_.push(...judgeIncidents(bed.judge, this.record_))
       this.violations_.push(...judgeCuts(this.record_))
-      const {atCut} = listCutTries(this.record_)
-      if (this.options_.cuts) this.notes_.push(`judged at cut boxes ${atCut.length}`)
+      if (this.options_.cuts)
+        this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
         this.violations_.push(...judgeService(this.record_))
         this.guaranteed_ = countGuaranteedCalls(this.record_)
--- a/test/support/soak-judge-cuts.ts
+++ b/test/support/soak-judge-cuts.ts
@@ -52,6 +52,14 @@
   ]
 }
 
+/** Describes how many first tries were served at cut boxes and at the others. */
+export function describeCutTries({atCut, atOthers}: CutTries): string {
+  return (
+    `cut boxes served ${countServed(atCut)} of ${atCut.length}, ` +
+    `others ${countServed(atOthers)} of ${atOthers.length}`
+  )
+}
+
 function countServed(calls: readonly SoakCall[]): number {
   return calls.filter(({outcome}) => outcome.status === 200 && !outcome.broken).length
 }
