A server that breaks connections is not blamed on the box that sent the request

A server broke connections; the cut box took that for failures of the boxes that had sent for it, had none left to ask, and refused. Change: the sending box reports that the server broke the connection, so that the first one suspects the server; and a box that did not answer comes last rather than never.

--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -12,6 +12,7 @@
 import type {BackendRecord} from "../types/fleet.js"
 import {CONNECT_PATIENCE_MS, type BackendPools} from "./backend-pools.js"
 import {
+  BROKEN_HEADER,
   CARRY_HEADER,
   type CarryFacts,
   NOT_CARRIED_HEADER,
@@ -29,7 +30,12 @@
 const MAX_CARRIED = 100
 
 /** Headers of this box's own protocol, which no server may see or set. */
-const OWN_HEADERS = new Set([CARRY_HEADER, NOT_CARRIED_HEADER, PROBE_HEADER])
+const OWN_HEADERS = new Set([
+  BROKEN_HEADER,
+  CARRY_HEADER,
+  NOT_CARRIED_HEADER,
+  PROBE_HEADER
+])
 
 /** Why a request was not sent. */
 type NotCarried = CarryObstacle | "busy" | "stopping" | "not-sent" | "unreadable"
@@ -144,8 +150,7 @@
         },
         failed: () => {
           if (hasStarted) {
-            // The request may have run, and a partial answer must not look complete.
-            if (end()) req.socket.destroy()
+            if (end()) reportBroken(req, res)
             return
           }
           post({type: "connect-failed", backend: backend.id})
@@ -199,6 +204,16 @@
   }
 }
 
+/**
+ * Reports that the server broke the connection: the request may have run. A partial
+ * answer must not look complete.
+ */
+function reportBroken(req: IncomingMessage, res: ServerResponse): void {
+  if (res.headersSent) return void req.socket.destroy()
+  res.writeHead(502, {[BROKEN_HEADER]: "1", "content-length": "0"})
+  res.end()
+}
+
 function refuse(res: ServerResponse, reason: NotCarried): void {
   if (res.headersSent || res.destroyed) return
   res.writeHead(503, {[NOT_CARRIED_HEADER]: reason, "content-length": "0"})
--- a/src/adapters/carry-headers.ts
+++ b/src/adapters/carry-headers.ts
@@ -10,6 +10,9 @@
 /** Header of an answer: the request was not sent, for the given reason. */
 export const NOT_CARRIED_HEADER = "sedge-not-carried"
 
+/** Header of an answer: the request was sent, and the server broke the connection. */
+export const BROKEN_HEADER = "sedge-broken"
+
 /** Header of a request that asks whether the named server accepts a connection. */
 export const PROBE_HEADER = "sedge-probe"
 
--- a/src/core/box-attempt-failures.ts
+++ b/src/core/box-attempt-failures.ts
@@ -13,6 +13,8 @@
   | "misplaced"
   /** The connection broke or the answer was invalid. */
   | "broken"
+  /** The same between the server and the box that sent the request for this one. */
+  | "broken-beyond"
   /**
    * The conditions of the send no longer hold and the engine did nothing wrong: for
    * example its version was replaced or the snapshot is stale. The connection was closed
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -141,17 +141,18 @@
   if (failure === "not-sent" || failure === "not-carried") {
     return handleUnsentAttempt(box, request, attempt, failure, now)
   }
-  const mayHaveRun = attempt.started && (failure === "broken" || failure === "overtaken")
-  if (attempt.started && failure === "broken")
-    logBrokenAttempt(box, request, attempt, now)
+  const isBroken = failure === "broken" || failure === "broken-beyond"
+  const mayHaveRun = attempt.started && (isBroken || failure === "overtaken")
+  if (attempt.started && isBroken) logBrokenAttempt(box, request, attempt, now)
   const areWeightsLate =
     isRefusal(failure) && handleSlotRefusal(box, request, attempt, failure, now)
   // An overtaken attempt is no failure of the engine.
   if (!areWeightsLate && failure !== "overtaken")
     request.failedBackends.add(attempt.backend)
-  if (failure === "broken") {
+  if (isBroken) {
     if (!attempt.aborted) recordIncompleteAttempt(box, request, now)
-    recordBrokenPath(box, attempt, now)
+    if (failure === "broken") recordBrokenPath(box, attempt, now)
+    else markSuspect(box, attempt.backend, now)
     suspectCrash(box, attempt.backend, now)
   }
   if (mayHaveRun) {
--- a/src/core/peer-paths.ts
+++ b/src/core/peer-paths.ts
@@ -6,7 +6,7 @@
 /** Addresses kept. Enough for some to be valid after many boxes were replaced. */
 const MAX_PEERS = 24
 
-/** How long a box that did not answer is not asked. */
+/** How long a box that did not answer comes last. */
 const PEER_FAILURE_MS = 2_000
 
 /** How long a box that does not reach a server is not asked for it again. */
@@ -43,11 +43,12 @@
   /** Returns a box that may reach the server. Undefined if none is known. */
   choose(server: string, now: number, random: () => number): string | undefined {
     const able = [...this.peers_].filter(
-      ([, {failedUntil, unreachedUntil}]) =>
-        failedUntil <= now && (unreachedUntil.get(server) ?? 0) <= now
+      ([, {unreachedUntil}]) => (unreachedUntil.get(server) ?? 0) <= now
     )
-    const preferred = able.filter(([, peer]) => peer.lessPreferredUntil <= now)
-    const peers = preferred.length > 0 ? preferred : able
+    const answering = able.filter(([, {failedUntil}]) => failedUntil <= now)
+    const preferred = answering.filter(([, peer]) => peer.lessPreferredUntil <= now)
+    // A box that did not answer is better than none.
+    const peers = [preferred, answering, able].find(({length}) => length > 0) ?? []
     const [first, second] = [drawOne(peers, random), drawOne(peers, random)]
     if (!first || !second) return undefined
     return first[1].inProgress <= second[1].inProgress ? first[0] : second[0]
