--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -234,6 +234,11 @@
     this.fence_ = 0
   }
 
+  /** Whether it listens at no address now. */
+  get isClosed(): boolean {
+    return this.server_.address() === null
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.server_.address() as AddressInfo).port}`
   }
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -289,9 +289,9 @@
 
   /** Cuts a box off from these servers and from no others. */
   cut(box: BedBox, servers: readonly StandInWorker[], how: CutKind): void {
-    const ports = servers.map(({announcedAddress, address}) =>
-      portOf(announcedAddress ?? address)
-    )
+    const ports = servers
+      .filter(server => !server.isClosed)
+      .map(server => portOf(server.announcedAddress ?? server.address))
     this.writeCut(box, {ports, how})
   }
 
