Log how the bytes of an answer ended

What: events 194 and 223 name the framing of the answer (length, chunks, connection), the bytes after the last complete event of a stream, and the error code of the connection; explain tells them. They tell the hypotheses of the incident apart (framing connection with partial bytes, a reset, or framing by the server). No decision changes.

--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -1,10 +1,12 @@
 /** A caller's request: its body, its attempts at backend servers and its answer. */
 import type {IncomingMessage, ServerResponse} from "node:http"
+import type {AnswerEnd, AnswerFraming} from "../core/answer-end.js"
 import type {RequestFacts} from "../ports/fleet-ports.js"
 
 export interface AnswerHead {
   readonly status: number
   readonly headers: readonly string[]
+  readonly framing: AnswerFraming
 }
 
 const HOP_HEADERS = new Set([
@@ -63,7 +65,16 @@
   }
 
   setHead(status: number, headers: readonly string[]): void {
-    this.head_ = {status, headers: stripHop(headers)}
+    this.head_ = {status, headers: stripHop(headers), framing: readFraming(headers)}
+  }
+
+  /** Describes how the bytes of the attempt's answer ended. `cause` is an error code. */
+  describeEnd(cause: string): AnswerEnd {
+    return {
+      framing: this.head_?.framing,
+      partialBytes: this.partialEvent_.length,
+      cause
+    }
   }
 
   /** Whether events are sent to the caller as they arrive. */
@@ -141,6 +152,13 @@
   }
 }
 
+function readFraming(headers: readonly string[]): AnswerFraming {
+  const names = headers.filter((_, index) => index % 2 === 0)
+  const has = (name: string): boolean => names.some(each => each.toLowerCase() === name)
+  if (has("transfer-encoding")) return "chunks"
+  return has("content-length") ? "length" : "connection"
+}
+
 /** Returns flat headers without hop-by-hop headers. */
 export function stripHop(headers: readonly string[]): string[] {
   const kept: string[] = []
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -338,11 +338,16 @@
         done: () => {
           if (!current()) return
           this.exchanges_.delete(id)
+          post({type: "answer-ended", id, attempt, end: exchange.describeEnd("")})
           exchange.complete(this.options_.isStopping())
           post({type: "done", id, attempt})
         },
-        failed: () => {
+        failed: cause => {
           clearTimeout(patience)
+          if (started && current()) {
+            const end = exchange.describeEnd(errorCode(cause))
+            post({type: "answer-ended", id, attempt, end})
+          }
           fail(started ? "broken" : unsent)
         }
       }
@@ -423,6 +428,10 @@
   }
 }
 
+function errorCode(cause: NodeJS.ErrnoException): string {
+  return cause.code ?? cause.name
+}
+
 function problem(code: string): object {
   return {error: {code}}
 }
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -1,4 +1,5 @@
 /** Handles the events of an attempt: start, first bytes, head, end and failure. */
+import {type AnswerEnd, toLogFields} from "./answer-end.js"
 import {requestRetry, canRequestRetry} from "./box-retry-requests.js"
 import {
   type AttemptFailure,
@@ -100,6 +101,17 @@
   box.effects.push({type: "pass", id, attempt: number})
 }
 
+/** Records how the bytes of the attempt's answer ended, for the log. */
+export function recordAnswerEnd(
+  box: BoxServing,
+  id: string,
+  number: number,
+  end: AnswerEnd
+): void {
+  const attempt = findAttempt(box, id, number)
+  if (attempt) attempt.answerEnd = end
+}
+
 /** Handles the end of an answer that was forwarded completely. */
 export function handleAnswerEnd(
   box: BoxServing,
@@ -118,7 +130,8 @@
     targetMs: Math.round(request.arrival.route.targetMs),
     sentMs: Math.round(attempt.sentAt - request.arrivedAt),
     firstMs: Math.round((attempt.firstByteAt ?? now) - request.arrivedAt),
-    totalMs: Math.round(now - request.arrivedAt)
+    totalMs: Math.round(now - request.arrivedAt),
+    ...toLogFields(attempt.answerEnd)
   })
   recordCompleteAnswer(box, request, attempt, now)
   removeRequest(box, request)
@@ -237,7 +250,7 @@
 function logBrokenAttempt(
   box: BoxServing,
   {arrival}: BoxRequest,
-  {backend, headReceived, sentAt}: Attempt,
+  {backend, headReceived, sentAt, answerEnd}: Attempt,
   now: number
 ): void {
   logEvent(box, "attempt-broken", {
@@ -245,7 +258,8 @@
     fingerprint: arrival.fingerprint ?? "",
     backend,
     headed: headReceived,
-    afterMs: Math.round(now - sentAt)
+    afterMs: Math.round(now - sentAt),
+    ...toLogFields(answerEnd)
   })
 }
 
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -165,6 +165,7 @@
     moveRequestedAt: undefined,
     aborted: false,
     charge: undefined,
+    answerEnd: undefined,
     allowedUntil: undefined
   }
 }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -3,6 +3,7 @@
 import type {BackendRecord, Route, SharedPrefix, Weights} from "../types/fleet.js"
 import type {AdapterVersions} from "./adapter-versions.js"
 import {createBackendList, type BackendList} from "./backend-list.js"
+import type {AnswerEnd} from "./answer-end.js"
 import type {AttemptFailure} from "./box-attempt-failures.js"
 import type {EngineView} from "./box-engines.js"
 import {PrefixHistory} from "./prefix-history.js"
@@ -87,6 +88,8 @@
    * charge was refunded.
    */
   charge: Charge | undefined
+  /** How the bytes of its answer ended. Undefined until they have. */
+  answerEnd: AnswerEnd | undefined
   /**
    * Latest time to send its bytes under the allowance of a rate-limited server. Undefined
    * if the server advertised no rate limit.
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -40,6 +40,7 @@
   refused: 192,
   cut: 193,
   ended: 194,
+  broken: 223,
   suspect: 195,
   callerDisconnected: 196,
   oldVersionStarted: 212,
@@ -124,7 +125,13 @@
     EVENT.ended,
     line =>
       `answered completely by ${line["backend"]}: sent after ${line["sentMs"]} ms, first byte after ` +
-      `${line["firstMs"]} ms, end after ${line["totalMs"]} ms`
+      `${line["firstMs"]} ms, end after ${line["totalMs"]} ms${describeFraming(line)}`
+  ],
+  [
+    EVENT.broken,
+    line =>
+      `the answer of ${line["backend"]} broke off after ${line["afterMs"]} ms` +
+      `${describeFraming(line)}${line["cause"] ? ` (${line["cause"]})` : ""}`
   ],
   [
     EVENT.oldVersionStarted,
@@ -161,6 +168,16 @@
   [EVENT.notCarried, line => `not sent on behalf of ${line["asker"]}: ${line["reason"]}`]
 ])
 
+/** What marks the end of an answer, and what came after the last event of a stream. */
+function describeFraming({framing, partialBytes}: LogLine): string {
+  if (!framing) return ""
+  const partial =
+    typeof partialBytes === "number" && partialBytes > 0
+      ? `, ${partialBytes} bytes into an event`
+      : ""
+  return `; framed by ${framing}${partial}`
+}
+
 /** The box that an attempt was sent through, if it was. */
 function describePath({via}: LogLine): string {
   return via ? ` through the box at ${via}` : ""
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -8,6 +8,7 @@
 } from "../types/box-messages.js"
 import type {CrashUpdate} from "../types/crash-messages.js"
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
+import type {AnswerEnd} from "./answer-end.js"
 import type {StoreRead} from "./backend-list.js"
 import type {CrashSource} from "./box-crashes.js"
 import type {AttemptFailure} from "./box-attempt-failures.js"
@@ -39,6 +40,13 @@
       readonly attempt: number
       readonly head: {readonly failed: boolean; readonly streamed: boolean}
     }
+  /** Comes right before `done` or `failed`. */
+  | {
+      readonly type: "answer-ended"
+      readonly id: string
+      readonly attempt: number
+      readonly end: AnswerEnd
+    }
   | {readonly type: "done"; readonly id: string; readonly attempt: number}
   | {
       readonly type: "failed"
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -25,7 +25,8 @@
   handleAttemptFailure,
   handleAnswerHead,
   handleAnswerBytes,
-  handleAttemptStart
+  handleAttemptStart,
+  recordAnswerEnd
 } from "./box-attempts.js"
 import {handlePathProbe, recordConnectFailure, tickPaths} from "./box-paths.js"
 import {requestUsageAllowances} from "./box-usage.js"
@@ -117,6 +118,8 @@
       return handleAnswerBytes(serving, event.id, event.attempt, now)
     case "head":
       return handleAnswerHead(serving, event.id, event.attempt, event.head, now)
+    case "answer-ended":
+      return recordAnswerEnd(serving, event.id, event.attempt, event.end)
     case "done":
       return handleAnswerEnd(serving, event.id, event.attempt, now)
     case "failed":
