A stream that ends inside an event reaches its caller as complete: failing test

Change: the stand-in's engines can answer without a length or chunks; stream-ends breaks such a stream inside an event.

--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -21,6 +21,8 @@
   retryAfter?: string
   /** Streams break after this many events, so their last events are missing. */
   cutAfterEvents?: number
+  /** Answers have neither a length nor chunks and end with their connections. */
+  unframed?: boolean
   /** Number of requests that run while their connections are reset. */
   loseAnswers?: number
   /** Number of orders that are executed but not answered. */
@@ -481,6 +483,7 @@
     if (crash === "before-head") return void this.crash(body)
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
     this.recordNotices(id)
+    if (this.faults.unframed) res.removeHeader("transfer-encoding")
     res.writeHead(200, {
       "x-request-id": id,
       "content-type": "text/event-stream",
