Log the software version of servers and where a stream goes on

What: event 190 names the version of the server's software, the event after which a stream goes on and the request that began it, and explain tells them. Boxes read the version from a server's entry and the Resumes header of callers. Stand-ins have versions. No decision changes.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -186,6 +186,7 @@
       key,
       prefix,
       lastEventId,
+      resumes,
       deadlineMs
     } = facts
     this.options_.post({
@@ -204,7 +205,8 @@
         rank: currentTable.rankOf(organisation?.priority, route.priority),
         prefix,
         deadlineMs,
-        lastEventId
+        lastEventId,
+        resumes
       }
     })
   }
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -57,6 +57,8 @@
   readonly deadlineMs: number
   /** Resumes the stream of an earlier request after this event. */
   readonly lastEventId?: string
+  /** Name of the request that brought the first event of that stream, if it is known. */
+  readonly resumes?: string
 }
 
 /** One send of a request to a backend server. */
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -101,7 +101,7 @@
     EVENT.sent,
     line =>
       `attempt ${line["attempt"]} sent to ${line["backend"]}${describePath(line)} after ${line["waitedMs"]} ms` +
-      ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}${describeReplacement(line)}, slots last updated ${line["newsMs"]} ms before${describeAccess(line)})`
+      ` (adapter ${line["adapter"] || "none"}, version ${line["version"]}${describeReplacement(line)}${describeStream(line)}, slots last updated ${line["newsMs"]} ms before${describeAccess(line)})`
   ],
   [
     EVENT.paced,
@@ -168,6 +168,14 @@
   [EVENT.notCarried, line => `not sent on behalf of ${line["asker"]}: ${line["reason"]}`]
 ])
 
+/** The server's software, and after which event of which request a stream goes on. */
+function describeStream({software, lastEventId, resumes}: LogLine): string {
+  const server = software ? `, software ${software}` : ""
+  if (!lastEventId) return server
+  const begun = resumes ? ` of the stream that ${resumes} began` : ""
+  return `${server}, continues after event ${lastEventId}${begun}`
+}
+
 /** What marks the end of an answer, and what came after the last event of a stream. */
 function describeFraming({framing, partialBytes}: LogLine): string {
   if (!framing) return ""
--- a/src/ports/fleet-ports.ts
+++ b/src/ports/fleet-ports.ts
@@ -23,6 +23,8 @@
   readonly key?: string
   readonly prefix?: SharedPrefix
   readonly lastEventId?: string
+  /** Id of the earlier request that brought the first event of the resumed stream. */
+  readonly resumes?: string
 }
 
 /** Data that a box adds to a request to a backend server. */
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -114,6 +114,8 @@
   /** IP address and port. */
   readonly address: string
   readonly dataCentre: string
+  /** Version of its software. Undefined if it is not known. */
+  readonly software?: string
   readonly leaving: boolean
   readonly models: readonly LoadedModel[]
 }
--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -7,6 +7,8 @@
   readonly worker: string
   readonly adapter: string
   readonly version: number
+  /** Version of the worker's software. Undefined if not recorded. */
+  readonly software?: string
   /** The `last-event-id` of a resuming request, or empty. */
   readonly from: string
   /** When the request reached the worker. */
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -62,6 +62,8 @@
   readonly dataCentre: string
   /** Undefined for a plain service. */
   readonly model?: string
+  /** Version of its software. Defaults to `DEFAULT_SOFTWARE`. */
+  readonly version?: string
   readonly maxAdapters?: number
   readonly events?: number
   readonly gapMs?: number
@@ -72,6 +74,9 @@
   readonly downMs?: number
 }
 
+/** Software version of a worker whose options name none. */
+export const DEFAULT_SOFTWARE = "v1"
+
 const HEARTBEAT_MS = 300
 
 /** Statuses of refused orders: stale fencing token, or unexpected order sequence. */
@@ -139,6 +144,11 @@
     return worker
   }
 
+  /** Version of its software. */
+  get software(): string {
+    return this.options_.version ?? DEFAULT_SOFTWARE
+  }
+
   /**
    * Sets the rate limit header of its answers. Several values are sent as several
    * headers. Undefined means no header.
@@ -299,7 +309,7 @@
       service,
       address: this.announcedAddress ?? this.address,
       zone: dataCentre,
-      version: "v1",
+      version: this.software,
       slots: 96,
       state: this.state_,
       coldRemainingMs: 0,
@@ -549,6 +559,7 @@
       worker,
       adapter,
       version,
+      software: this.software,
       from,
       reached,
       at,
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -140,7 +140,11 @@
     }
   }
 
-  async addEngine(index = this.engines.length): Promise<StandInWorker> {
+  /** Starts an engine. `options` take precedence over those of the deployment. */
+  async addEngine(
+    index = this.engines.length,
+    options: Partial<WorkerOptions> = {}
+  ): Promise<StandInWorker> {
     const engine = await StandInWorker.start(
       this.store,
       this.judge,
@@ -150,7 +154,8 @@
         model: MODEL,
         runsClosedRequests:
           this.options_.keepers === true && ++this.addedEngines_ % KEEPER_INTERVAL === 0,
-        ...this.options_.engine
+        ...this.options_.engine,
+        ...options
       },
       this.versions
     )
