--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -3,13 +3,13 @@
  * chosen by rendezvous hashing of the request's name, so that any box finds them, also
  * after the box that began the stream is gone.
  */
-import type {IncomingMessage, ServerResponse} from "node:http"
-import {Agent, request as sendRequest} from "undici"
+import {Agent, type IncomingMessage, request, type ServerResponse} from "node:http"
 import * as z from "zod"
 import type {BoxServing} from "../core/box-state.js"
 import type {OriginAnswer} from "../core/box-streams.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {OriginReport} from "../core/stream-origins.js"
+import {splitAddress} from "../utils/address.js"
 import {rankMembers} from "../utils/rendezvous.js"
 import {clockNow} from "./clock.js"
 import {readWholeBody} from "./request-body.js"
@@ -62,12 +62,7 @@
 export class StreamPeers {
   /** When the last failure of each other box is over, by address, newest last. */
   private readonly failedUntil_ = new Map<string, number>()
-  private readonly agent_ = new Agent({
-    connections: 4,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    connect: {timeout: ANSWER_TIMEOUT_MS}
-  })
+  private readonly agent_ = new Agent({keepAlive: true, timeout: KEEP_ALIVE_MS})
   private readonly waiting_: OriginReport[] = []
   private timer_: NodeJS.Timeout | undefined
 
@@ -112,7 +107,7 @@
 
   close(): void {
     clearTimeout(this.timer_)
-    void this.agent_.destroy()
+    this.agent_.destroy()
   }
 
   private sendWaiting(mayRetry: boolean): void {
@@ -174,22 +169,11 @@
     kind: "tell" | "ask",
     message: object
   ): Promise<string | undefined> {
-    try {
-      const {statusCode, body} = await sendRequest(`http://${address}/`, {
-        method: "POST",
-        headers: {[STREAMS_HEADER]: kind, "content-type": "application/json"},
-        body: JSON.stringify(message),
-        dispatcher: this.agent_,
-        headersTimeout: ANSWER_TIMEOUT_MS,
-        bodyTimeout: ANSWER_TIMEOUT_MS
-      })
-      const content = await body.text()
-      return statusCode === 200 ? content : undefined
-    } catch {
-      // The box is gone, or cut off from this one; others are told and asked.
-      this.failedUntil_.set(address, clockNow() + FAILURE_MS)
-      return undefined
-    }
+    const content = await postMessage(this.agent_, address, kind, JSON.stringify(message))
+    // Without an answer the box is gone, or cut off from this one; others are told and
+    // asked.
+    if (content === undefined) this.failedUntil_.set(address, clockNow() + FAILURE_MS)
+    return content
   }
 
   private async receive(
@@ -227,6 +211,36 @@
   }
 }
 
+/** Sends a message to another box. Resolves to undefined if it isn't answered in time. */
+function postMessage(
+  agent: Agent,
+  address: string,
+  kind: "tell" | "ask",
+  body: string
+): Promise<string | undefined> {
+  return new Promise(resolve => {
+    const call = request({
+      ...splitAddress(address),
+      agent,
+      method: "POST",
+      headers: {
+        [STREAMS_HEADER]: kind,
+        "content-length": String(Buffer.byteLength(body))
+      },
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS)
+    })
+    call.on("error", () => resolve(undefined))
+    call.on("response", answered => {
+      let content = ""
+      answered.setEncoding("utf8")
+      answered.on("data", (part: string) => (content += part))
+      answered.on("end", () => resolve(answered.statusCode === 200 ? content : undefined))
+      answered.on("error", () => resolve(undefined))
+    })
+    call.end(body)
+  })
+}
+
 function parse(content: string): unknown {
   try {
     return JSON.parse(content) as unknown
