A reset answer reaches its caller as complete on the older path: failing test

What callers see: a plain service's answer with neither a length nor chunks, whose connection is reset, arrives with a last chunk. Cause: the agents of relay.ts connect without the connector of backend-pools.ts, and undici takes a reset for the end of such an answer.

--- /dev/null
+++ b/test/answer-ends.test.ts
@@ -0,0 +1,67 @@
+/**
+ * The end of a connection is the end of an answer only where its framing says so.
+ * Guards against answers that were broken off and reach their callers as complete.
+ */
+import type {Socket} from "node:net"
+import t from "tap"
+import {Deployment, keyOf} from "./support/deployment.js"
+import {passIfKnownRed} from "./support/known-red.js"
+import {callRaw, type RawAnswer, startRawServer} from "./support/raw-http.js"
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+
+/** Sends bytes, and resets the connection once they have left. */
+function writeAndReset(socket: Socket, text: string): void {
+  socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), 50))
+}
+
+/** Calls a plain service whose server sends `answer`, as a caller of an HTTP version. */
+async function callService(
+  answer: (socket: Socket) => void,
+  version: "1.0" | "1.1"
+): Promise<RawAnswer> {
+  const deployment = await Deployment.start()
+  const server = await startRawServer(answer)
+  try {
+    const value = {
+      kind: "plain-service",
+      service: "raw",
+      address: server.address,
+      dataCentre: "sala-a",
+      maxInProgress: 4
+    }
+    await deployment.change([{kind: "backend", id: "raw-0", value}])
+    const [box] = deployment.boxes
+    const request = [
+      `GET /services/raw/x HTTP/${version}`,
+      "host: callers.example",
+      `authorization: Bearer ${keyOf("cotejo")}`,
+      "connection: close",
+      "\r\n"
+    ].join("\r\n")
+    for (;;) {
+      const outcome = await callRaw(box?.entryAddress ?? "", request)
+      // The entry may not know the service yet.
+      if (!/^HTTP\/1.1 (4|503)/.test(outcome.text)) return outcome
+      await new Promise(resolve => setTimeout(resolve, 50))
+    }
+  } finally {
+    server.close()
+    await deployment.stop()
+  }
+}
+
+t.test("a service's answer that its connection closes is complete", async t => {
+  const answer = await callService(socket => socket.end(`${UNFRAMED}whole`), "1.1")
+  t.match(answer, {text: /whole\r\n0\r\n\r\n$/, end: "closed"})
+})
+
+t.test("a service's answer that is reset looks incomplete to its caller", async t => {
+  if (passIfKnownRed("answer-ends 2")) return
+  const answer = await callService(
+    socket => writeAndReset(socket, `${UNFRAMED}part`),
+    "1.1"
+  )
+  t.match(answer.text, /part/)
+  t.notMatch(answer.text, /\r\n0\r\n\r\n$/, "no last chunk")
+})
