Resets break answers on the older path, too

What callers saw: a plain service's answer with neither a length nor chunks that was reset arrived as a complete answer with a short body. Cause: only BackendPools used the connector that reports resets. undici takes a reset for the end of an answer without a length. Change: the connector has a module of its own, and both agents of relay.ts use it.

--- a/src/adapters/backend-pools.ts
+++ b/src/adapters/backend-pools.ts
@@ -2,8 +2,8 @@
  * Connections to backend servers: a pool for each, one request at a time per
  * connection.
  */
-import type {Socket} from "node:net"
-import {buildConnector, type Dispatcher, Pool} from "undici"
+import {type Dispatcher, Pool} from "undici"
+import {buildResetConnector} from "./reset-connector.js"
 
 export interface SendOptions {
   readonly method: string
@@ -88,7 +88,7 @@
     const pool = new Pool(`http://${address}`, {
       connections,
       pipelining: 1,
-      connect: connectReportingResets,
+      connect,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -99,46 +99,7 @@
   }
 }
 
-const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS})
-
-/**
- * A code that `undici` does not handle. It treats `ECONNRESET` as the end of an answer.
- */
-const RESET_CODE = "RESET_BY_PEER"
-
-/**
- * Connects so that a reset is reported as a broken answer. An answer without a length
- * ends when its connection ends, and `undici` treats a reset as this end.
- */
-const connectReportingResets: buildConnector.connector = (options, callback) => {
-  connect(options, (...result) => {
-    const [, socket] = result
-    if (socket) reportResets(socket)
-    callback(...result)
-  })
-}
-
-function reportResets(socket: Socket): void {
-  socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
-    if (cause.code === "ECONNRESET") cause.code = RESET_CODE
-  })
-  const emit = socket.emit.bind(socket)
-  socket.emit = (event: string | symbol, ...args: unknown[]): boolean => {
-    if (event !== "end" || !wasReset(socket)) return emit(event, ...args)
-    const cause = new Error("connection reset by the backend server")
-    socket.destroy(Object.assign(cause, {code: RESET_CODE}))
-    return true
-  }
-}
-
-/**
- * Whether an `end` event stands for a reset, as it does when bytes and a reset arrive
- * in the same turn of the event loop. Only a connection closed in both directions has
- * no peer address. The socket caches that address, so nothing may read it earlier.
- */
-function wasReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined
-}
+const connect = buildResetConnector(CONNECT_TIMEOUT_MS)
 
 function adapt(handler: SendHandler): Dispatcher.DispatchHandler {
   return {
--- a/src/adapters/relay.ts
+++ b/src/adapters/relay.ts
@@ -3,6 +3,7 @@
 import type {BackendResult} from "../core/entry-state.js"
 import type {Exchange} from "./exchange.js"
 import {type RelayEnd, RelayHandler, type RelayMeasures} from "./relay-handler.js"
+import {buildResetConnector} from "./reset-connector.js"
 
 export interface RelayTarget {
   readonly address: string
@@ -25,9 +26,11 @@
   "stale-grant"
 ])
 
+const connect = buildResetConnector(CONNECT_TIMEOUT_MS)
+
 export class Relay {
   private readonly agent_ = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -37,7 +40,7 @@
    * One connection per request. A reused one may break so that the outcome is unknown.
    */
   private readonly freshAgent_ = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect,
     pipelining: 0,
     headersTimeout: 0,
     bodyTimeout: 0
