Cut answers look complete to callers of HTTP/1.0: failing tests

What callers see: an answer that the box breaks off arrives, for a caller of HTTP/1.0, as bytes and an orderly close, which is how a complete one ends. Cause: Node sends such callers no chunks, and the box cuts by destroying the socket.

--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -6,9 +6,11 @@
 import t from "tap"
 import {Deployment, keyOf} from "./support/deployment.js"
 import {passIfKnownRed} from "./support/known-red.js"
+import {PlatformBed} from "./support/platform-bed.js"
 import {callRaw, type RawAnswer, startRawServer} from "./support/raw-http.js"
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+const CHUNKED = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 /** Sends bytes, and resets the connection once they have left. */
 function writeAndReset(socket: Socket, text: string): void {
@@ -65,3 +67,33 @@
   t.match(answer.text, /part/)
   t.notMatch(answer.text, /\r\n0\r\n\r\n$/, "no last chunk")
 })
+
+t.test("a cut answer of a service is reset for a caller without chunks", async t => {
+  if (passIfKnownRed("answer-ends 3")) return
+  const answer = await callService(
+    socket => writeAndReset(socket, `${CHUNKED}4\r\npart\r\n`),
+    "1.0"
+  )
+  t.match(answer, {text: /^HTTP\/1.1 200/, end: "reset"})
+})
+
+t.test("a cut stream is reset for a caller without chunks", async t => {
+  if (passIfKnownRed("answer-ends 4")) return
+  const bed = await PlatformBed.start({boxes: 1})
+  t.teardown(() => bed.stop())
+  const [box] = bed.boxes
+  if (!box) return
+  await bed.call(box, "/once/x", {adapter: "a1"})
+  for (const engine of bed.engines) engine.faults = {cutAfterEvents: 2}
+  const request = [
+    "POST /once/x HTTP/1.0",
+    "host: callers.example",
+    "x-request-id: raw",
+    "x-request-deadline: 4000",
+    "x-token-usage: 100,20",
+    "x-model-id: base/a1",
+    "content-length: 0",
+    "\r\n"
+  ].join("\r\n")
+  t.match(await callRaw(box.callers, request), {text: /^HTTP\/1.1 200/, end: "reset"})
+})
