A cut answer of a service is reset for callers of HTTP/1.0

What callers saw: an answer of a plain service that broke off arrived, for a caller of HTTP/1.0, as bytes and an orderly close: complete by its framing. Cause: Node sends such callers no chunks, and Exchanges.breakOff destroyed the socket, which closes it in order. A box that reads chunks and writes an unframed answer makes a statement of its own by the way it closes the connection. Change: an answer that has begun without chunks is cut by a reset (cut-answer.ts).

--- a/src/adapters/exchanges.ts
+++ b/src/adapters/exchanges.ts
@@ -5,6 +5,7 @@
 import {type ErrorCode, SedgeError} from "../errors.js"
 import type {Configuration} from "../types/config.js"
 import {clockNow} from "./clock.js"
+import {cutAnswer} from "./cut-answer.js"
 import {type Exchange, sendProblem, sendStreamError} from "./exchange.js"
 import type {Log} from "./log.js"
 import type {Metrics} from "./metrics.js"
@@ -99,11 +100,11 @@
     }
   }
 
-  /** Ends a begun answer: streams with an error event, others by closing the socket. */
+  /** Ends a begun answer: streams with an error event, others by cutting the connection. */
   breakOff(id: string, code: ErrorCode): void {
     const exchange = this.open_.get(id)
     if (exchange?.mode === "stream") sendStreamError(exchange.res, code)
-    else exchange?.res.destroy()
+    else if (exchange) cutAnswer(exchange.res)
   }
 
   private reportResult(
