A model's stream is complete after the event that marks its end

What callers saw: a stream of the older path with neither a length nor chunks that closed after an event whose text has "data: [DONE]", or inside the event of the mark, arrived as complete. Cause: the mark was searched in the last 64 bytes and in the incomplete event, wherever it stood there. Change: the last complete event must have the mark as a line of its own. Bytes of an incomplete event never reach the caller.

--- a/src/adapters/event-stream.ts
+++ b/src/adapters/event-stream.ts
@@ -23,6 +23,16 @@
   return [...events.toString().matchAll(/^id: ?(.*)$/gm)].pop()?.[1]
 }
 
+/** Whether the last of these complete events is the one that ends a stream. */
+export function endsWithDone(events: Buffer): boolean {
+  const text = events.toString()
+  const start = text.lastIndexOf(EVENT_END, text.length - EVENT_END.length - 1)
+  return text
+    .slice(start < 0 ? 0 : start)
+    .split("\n")
+    .includes(DONE_MARK)
+}
+
 /** Returns the number of complete events in a chunk. */
 export function countEvents(events: Buffer): number {
   let count = 0
--- a/src/adapters/relay-handler.ts
+++ b/src/adapters/relay-handler.ts
@@ -9,7 +9,7 @@
 import {
   countEvents,
   DONE,
-  DONE_MARK,
+  endsWithDone,
   EVENT_END,
   readFirstModel,
   readLastId,
@@ -29,7 +29,6 @@
 /** Limits the part of an answer buffered until its model is checked. */
 const MAX_BUFFERED_BYTES = 32 << 20
 const EMPTY = Buffer.alloc(0)
-const TAIL_BYTES = 64
 
 /** Answer headers forwarded to the caller. */
 const FORWARDED_HEADERS = ["content-type", "retry-after", "cache-control"]
@@ -203,14 +202,9 @@
   }
 
   private endStream(): void {
-    const end = Buffer.concat([
-      this.lastEvents_.subarray(-TAIL_BYTES),
-      this.partialEvent_
-    ])
-    if (!this.isForwarding_ || !end.includes(DONE_MARK)) {
+    if (!this.isForwarding_ || !endsWithDone(this.lastEvents_)) {
       return this.finish(this.lostOrGone())
     }
-    if (this.partialEvent_.length > 0) this.exchange_.res.write(this.partialEvent_)
     this.exchange_.res.end()
     this.finish("ok")
   }
