A stream whose connection breaks after its end mark is complete

What callers saw: on the older path, a stream whose last chunk was lost after its end mark got an error event after that mark, or the mark a second time by a resume. Cause: RelayHandler counted every broken connection as a lost stream. Change: a stream whose last complete event is the end mark is complete.

--- a/src/adapters/relay-handler.ts
+++ b/src/adapters/relay-handler.ts
@@ -104,6 +104,8 @@
     if (this.isFinished_) return
     if (!this.isSent_) return this.finish("not-sent")
     if (this.exchange_.timedOut) return this.finish("timeout")
+    // The end mark completes a stream, whatever happens to its connection afterwards.
+    if (this.hasEndMark() && !this.exchange_.res.destroyed) return this.endStream()
     // A silent stream may only be slow, so a resume after it doesn't count as a failure.
     if (isIdleTimeout(error)) this.exchange_.progressed = true
     this.finish(this.exchange_.res.destroyed ? "abandoned" : this.lostOrGone())
@@ -201,10 +203,12 @@
     this.finish(this.status_ < 400 ? "ok" : "answered-error")
   }
 
+  private hasEndMark(): boolean {
+    return this.isForwarding_ && endsWithDone(this.lastEvents_)
+  }
+
   private endStream(): void {
-    if (!this.isForwarding_ || !endsWithDone(this.lastEvents_)) {
-      return this.finish(this.lostOrGone())
-    }
+    if (!this.hasEndMark()) return this.finish(this.lostOrGone())
     this.exchange_.res.end()
     this.finish("ok")
   }
--- a/test/stream-marks.test.ts
+++ b/test/stream-marks.test.ts
@@ -13,6 +13,7 @@
 import {callRaw, startRawServer} from "./support/raw-http.js"
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+const CHUNKED = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 /** Relays one answer of a model engine. Returns the attempt's result. */
 async function relayAnswer(answer: string, mode: AnswerMode): Promise<BackendResult> {
@@ -78,3 +79,12 @@
   if (passIfKnownRed("stream-marks 3")) return
   t.equal(await relayAnswer(`${UNFRAMED}${EVENT}data: [DONE]`, "stream"), "lost")
 })
+
+t.test(
+  "a model's stream is complete after its end mark if its last chunk is lost",
+  async t => {
+    const body = `${EVENT}data: [DONE]\n\n`
+    const chunk = `${Buffer.byteLength(body).toString(16)}\r\n${body}\r\n`
+    t.equal(await relayAnswer(CHUNKED + chunk, "stream"), "ok")
+  }
+)
