A list of an engine's models that breaks off is no list

What was seen: a list with neither a length nor chunks that closed early was read as a list without models: the owner of the cell logged the engine as restarted, forgot its adapters and took its cancelled requests for ended. Cause: EngineOrders read a body that is no JSON document as an empty object. Change: such a list is lost.

--- a/src/adapters/engine-orders.ts
+++ b/src/adapters/engine-orders.ts
@@ -32,7 +32,8 @@
 interface EngineAnswer {
   readonly status: number
   readonly notRun: string
-  readonly body: Record<string, unknown>
+  /** Undefined if the body is not a complete JSON object. */
+  readonly body: Record<string, unknown> | undefined
 }
 
 /** Sends orders and returns their results; never rejects. */
@@ -117,8 +118,10 @@
   return {ok: false, reason: "failed"}
 }
 
-function toList(body: Record<string, unknown>): OrderResult {
-  const data = Array.isArray(body["data"]) ? body["data"] : []
+function toList(body: EngineAnswer["body"]): OrderResult {
+  // An answer without a length may have ended early. It says nothing of any adapter.
+  if (!Array.isArray(body?.["data"])) return {ok: false, reason: "lost"}
+  const {data} = body
   const models = (data as {id: string; parent?: string | null}[])
     .filter(model => typeof model.parent === "string")
     .map(model => model.id)
@@ -126,14 +129,14 @@
   return {ok: true, models, leaving: body["leaving"] === true, load, cache}
 }
 
-function parseObject(text: string): Record<string, unknown> {
+function parseObject(text: string): EngineAnswer["body"] {
   try {
     const value: unknown = JSON.parse(text)
     return typeof value === "object" && value !== null
       ? (value as Record<string, unknown>)
-      : {}
+      : undefined
   } catch {
-    return {}
+    return undefined
   }
 }
 
