A store's answer that lost its body counts as a value: failing test

What is seen: an answer with neither a length nor chunks that closes after its head is read as an entry with an empty value; a write or a lease counts as done, with no revision or number; a list or a watch ends in a TypeError. Cause: StoreCalls reads an empty body as an empty object.

--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -7,6 +7,8 @@
 import {StoreEras} from "../src/adapters/era-source.js"
 import {LATE_ANSWER_MS} from "../src/core/snapshot-age.js"
 import type {KvStore} from "../src/ports/ports.js"
+import {passIfKnownRed} from "./support/known-red.js"
+import {startRawServer} from "./support/raw-http.js"
 
 setFlagsFromString("--expose-gc")
 const collect = runInNewContext("gc") as () => void
@@ -98,3 +100,26 @@
   t.ok(performance.now() - startedAt < LATE_ANSWER_MS)
   t.equal(await late, "late")
 })
+
+// An answer without a length whose connection closes after its head has an empty body.
+t.test("a store's answer without a body is neither a value nor a success", async t => {
+  if (passIfKnownRed("store-calls 3")) return
+  const server = await startRawServer(socket => socket.end("HTTP/1.1 200 OK\r\n\r\n"))
+  t.teardown(server.close)
+  const kv = connectStore({
+    address: server.address,
+    timeoutMs: 450,
+    watchMs: 300,
+    eras: new StoreEras(() => undefined)
+  })
+  const {signal} = new AbortController()
+  const unknown = {name: "KvUnknown"}
+  await t.rejects(kv.get("k"), unknown)
+  await t.rejects(kv.list("k"), unknown)
+  await t.rejects(kv.put("k", "v"), unknown)
+  await t.rejects(kv.grantLease(1_000), unknown)
+  await t.rejects(
+    kv.watch("k", {revision: 0}, () => undefined, signal),
+    unknown
+  )
+})
