An answer of the store that lost its body is unknown

What was seen: an answer with neither a length nor chunks that closed after its head was read as an entry with an empty value; a write or a lease counted as done, with no revision or number; a list or a watch ended in a TypeError. Cause: StoreCalls read an empty body as an empty object. Change: a call whose answer must have a body ends in KvUnknown without one, as for any lost answer. Calls whose status says everything (renewals, removals) are as before.

--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -29,7 +29,7 @@
 
 export interface StoreAnswer {
   readonly status: number
-  /** Parsed JSON. An empty object if the answer has no body. */
+  /** Parsed JSON. Undefined if the answer has no body. */
   readonly body: unknown
   /** Era of the answer. Undefined if the service reports none. */
   readonly era: number | undefined
@@ -68,7 +68,7 @@
       const text = await answer.body.text()
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
-      return {status: answer.statusCode, body: text === "" ? {} : JSON.parse(text), era}
+      return {status: answer.statusCode, body: parseBody(text), era}
     } catch (cause) {
       if (limit.hasExpired()) this.replacePool(pool)
       throw toKvError(cause as Error)
@@ -98,6 +98,10 @@
   }
 }
 
+function parseBody(text: string): unknown {
+  return text === "" ? undefined : JSON.parse(text)
+}
+
 function toKvError(cause: Error & {readonly code?: string}): Error {
   if (cause instanceof KvUnknown) return cause
   return CONNECT_ERROR_CODES.has(cause.code ?? "")
