A framed answer that ends early looks incomplete: test

A server whose framing promises more bytes than it sends has broken its answer off, though its connection closes in order. undici reports that for a length and for chunks; nothing checked that the caller sees it.

--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -97,3 +97,17 @@
   ].join("\r\n")
   t.match(await callRaw(box.callers, request), {text: /^HTTP\/1.1 200/, end: "reset"})
 })
+
+// A server that sent fewer bytes than its framing says broke the answer off, however its
+// connection ended.
+t.test("a framed answer that ends early looks incomplete to its caller", async t => {
+  const framed = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\npart",
+    `${CHUNKED}4\r\npart\r\n`
+  ]
+  for (const text of framed) {
+    const answer = await callService(socket => socket.end(text), "1.1")
+    t.match(answer.text, /part/)
+    t.notMatch(answer.text, /\r\n0\r\n\r\n$/, "no last chunk")
+  }
+})
