A stream that ends before its first event reaches its caller as complete: failing test

What callers see: a server that closes a stream with neither a length nor chunks after the head leaves them with status 200, no event and a last chunk. Cause: the relay asks whether the bytes after the last whole event belong to an event that has not ended. No bytes at all count as an end, although a stream has a first event. The stand-in's streams can break between two events for this.

--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -8,6 +8,7 @@
 import {passIfKnownRed} from "./support/known-red.js"
 import {PlatformBed} from "./support/platform-bed.js"
 import {callRaw, type RawAnswer, startRawServer} from "./support/raw-http.js"
+import {wholeStream} from "./support/whole-stream.js"
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
 const CHUNKED = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -111,3 +112,24 @@
     t.notMatch(answer.text, /\r\n0\r\n\r\n$/, "no last chunk")
   }
 })
+
+t.test("a stream that closes before its first event is retried", async t => {
+  if (passIfKnownRed("answer-ends 6")) return
+  const bed = await PlatformBed.start({boxes: 1})
+  t.teardown(() => bed.stop())
+  const [box] = bed.boxes
+  if (!box) return
+  await bed.call(box, "/stream/x", {adapter: "a1"})
+  let runs = 0
+  for (const engine of bed.engines) {
+    engine.faults = {
+      unframed: true,
+      cutBetweenEvents: true,
+      get cutAfterEvents() {
+        return runs++ === 0 ? 0 : undefined
+      }
+    }
+  }
+  const outcome = await bed.call(box, "/stream/x", {adapter: "a1"})
+  t.match(outcome, {status: 200, broken: false, body: wholeStream(outcome.id)})
+})
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -21,6 +21,8 @@
   retryAfter?: string
   /** Streams break after this many events, so their last events are missing. */
   cutAfterEvents?: number
+  /** Streams break between two events instead of inside one. */
+  cutBetweenEvents?: boolean
   /** Answers have neither a length nor chunks and end with their connections. */
   unframed?: boolean
   /** Number of requests that run while their connections are reset. */
@@ -497,7 +499,7 @@
   private stream(run: Run, last: number, res: ServerResponse, body: string): void {
     const crash = crashMoment(body)
     const {events = 6, gapMs = 10} = this.options_
-    const {cutAfterEvents} = this.faults
+    const {cutAfterEvents, cutBetweenEvents} = this.faults
     let next = last + 1
     let sentEvents = 0
     const end = (how: "whole" | "cut"): void => {
@@ -521,7 +523,8 @@
       }
       if (cutAfterEvents !== undefined && sentEvents >= cutAfterEvents) {
         // Part of an event is sent before the connection breaks.
-        res.write(`id: ${next}\ndata: to`)
+        if (cutBetweenEvents) res.flushHeaders()
+        else res.write(`id: ${next}\ndata: to`)
         end("cut")
         setImmediate(() => res.destroy())
         return
