--- a/src/adapters/relay-handler.ts
+++ b/src/adapters/relay-handler.ts
@@ -9,7 +9,7 @@
 import {
   countEvents,
   DONE,
-  DONE_MARK,
+  endsWithDone,
   EVENT_END,
   readFirstModel,
   readLastId,
@@ -29,7 +29,6 @@
 /** Limits the part of an answer buffered until its model is checked. */
 const MAX_BUFFERED_BYTES = 32 << 20
 const EMPTY = Buffer.alloc(0)
-const TAIL_BYTES = 64
 
 /** Answer headers forwarded to the caller. */
 const FORWARDED_HEADERS = ["content-type", "retry-after", "cache-control"]
@@ -105,6 +104,8 @@
     if (this.isFinished_) return
     if (!this.isSent_) return this.finish("not-sent")
     if (this.exchange_.timedOut) return this.finish("timeout")
+    // The end mark completes a stream, whatever happens to its connection afterwards.
+    if (this.hasEndMark() && !this.exchange_.res.destroyed) return this.endStream()
     // A silent stream may only be slow, so a resume after it doesn't count as a failure.
     if (isIdleTimeout(error)) this.exchange_.progressed = true
     this.finish(this.exchange_.res.destroyed ? "abandoned" : this.lostOrGone())
@@ -202,15 +203,12 @@
     this.finish(this.status_ < 400 ? "ok" : "answered-error")
   }
 
+  private hasEndMark(): boolean {
+    return this.isForwarding_ && endsWithDone(this.lastEvents_)
+  }
+
   private endStream(): void {
-    const end = Buffer.concat([
-      this.lastEvents_.subarray(-TAIL_BYTES),
-      this.partialEvent_
-    ])
-    if (!this.isForwarding_ || !end.includes(DONE_MARK)) {
-      return this.finish(this.lostOrGone())
-    }
-    if (this.partialEvent_.length > 0) this.exchange_.res.write(this.partialEvent_)
+    if (!this.hasEndMark()) return this.finish(this.lostOrGone())
     this.exchange_.res.end()
     this.finish("ok")
   }
