--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -41,6 +41,8 @@
   cut: 193,
   ended: 194,
   broken: 223,
+  resumed: 243,
+  streamRefused: 244,
   suspect: 195,
   callerDisconnected: 196,
   oldVersionStarted: 212,
@@ -127,6 +129,19 @@
       `answered completely by ${line["backend"]}: sent after ${line["sentMs"]} ms, first byte after ` +
       `${line["firstMs"]} ms, end after ${line["totalMs"]} ms${describeFraming(line)}`
   ],
+  [
+    EVENT.resumed,
+    line =>
+      `resumes the stream that ${line["resumes"] || "an unnamed request"} began, after event ` +
+      `${line["lastEventId"]}: bound to software ${line["software"]} of ${line["service"]} (${line["source"]})`
+  ],
+  [
+    EVENT.streamRefused,
+    line =>
+      line["reason"] === "version-gone"
+        ? `the stream can't go on: no server of ${line["service"]} runs software ${line["software"]} (there are ${line["versions"]})`
+        : `the stream can't go on: no box knows its software version, and ${line["service"]} has had ${line["versions"]}`
+  ],
   [
     EVENT.broken,
     line =>
