Stand-in workers frame and break off answers in several ways

Change: faults for the framing (chunks, a length, neither; plain answers, too) and for where an answer breaks off (after the head, inside an event, between events, before the end of its framing) and how (close, reset, silence, crash). An answer without framing is reset where an orderly close would make it look complete. Workers have a software version, which the entry names and each run records. Fault proxies pass resets on, and reset what they break, if asked to: libuv reports a reset that arrives together with bytes as an end, which the proxy turned into an orderly close. `cutAfterEvents` and the default framing are unchanged.

--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -7,6 +7,8 @@
   readonly worker: string
   readonly adapter: string
   readonly version: number
+  /** Version of the worker's software. Undefined if not recorded. */
+  readonly software?: string
   /** The `last-event-id` of a resuming request, or empty. */
   readonly from: string
   /** When the request reached the worker. */
@@ -44,6 +46,14 @@
   readonly at: number
 }
 
+/** An answer that a worker broke off. */
+export interface BrokenAnswer {
+  readonly id: string
+  readonly worker: string
+  readonly where: string
+  readonly how: string
+}
+
 /** A worker refused a request and asked its sender to back off. */
 export interface BackOff {
   readonly id: string
@@ -64,6 +74,7 @@
   readonly arrivedRequests: ArrivedRequest[] = []
   readonly crashes: Crash[] = []
   readonly backOffs: BackOff[] = []
+  readonly breakOffs: BrokenAnswer[] = []
   /** Starts of new incarnations, to which notices of the former ones don't apply. */
   readonly restarts: {readonly worker: string; readonly at: number}[] = []
   readonly leavingNotices: LeavingNotice[] = []
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -23,6 +23,13 @@
   cutAfterEvents?: number
   /** Answers have neither a length nor chunks and end with their connections. */
   unframed?: boolean
+  /**
+   * Framing of answers that are not `unframed`. By default streams come in chunks and
+   * other answers with a length.
+   */
+  framing?: "chunks" | "length"
+  /** Answers break off. */
+  breakOff?: BreakOff
   /** Number of requests that run while their connections are reset. */
   loseAnswers?: number
   /** Number of orders that are executed but not answered. */
@@ -43,6 +50,45 @@
   queueMs?: number
 }
 
+/** Where and how answers break off. */
+export interface BreakOff {
+  /**
+   * A stream breaks after its head ("start"), inside an event, between two events, or
+   * after its last event and before the end of its framing. Any other answer breaks after
+   * its head, inside its body, or after its body and before the end of its framing.
+   */
+  readonly where: "start" | "inside-event" | "between-events" | "before-end"
+  /**
+   * An answer without framing looks complete if its connection closes outside an event,
+   * so there the connection is reset in place of an orderly close.
+   */
+  readonly how: "close" | "reset" | "silence" | "crash"
+  /** Number of events before a break inside an event or between events. Defaults to 1. */
+  readonly afterEvents?: number
+}
+
+/** Length of a stream whose request asks for it, and the pause before each event. */
+export interface StreamLength {
+  readonly events: number
+  readonly gapMs: number
+}
+
+/**
+ * Returns a body for a stream of this length, whose events name the worker that wrote
+ * them and its software version. `name` distinguishes requests.
+ */
+export function streamBody(name: string, length: StreamLength): string {
+  return JSON.stringify({stream: length, name})
+}
+
+/** Returns an event of a stream whose request has a `streamBody`. */
+export function signedEvent(
+  number: number,
+  {id, worker, software}: Pick<Run, "id" | "worker" | "software">
+): string {
+  return `id: ${number}\ndata: ${id}-${number} ${worker} ${software}\n\n`
+}
+
 /** When a worker crashes because of a request whose body asks for it. */
 export type CrashMoment = "before-head" | "in-stream" | "after-end"
 
@@ -70,8 +116,13 @@
   readonly runsClosedRequests?: boolean
   /** Time from a crash until it starts again under its id. */
   readonly downMs?: number
+  /** Version of its software. Defaults to `DEFAULT_SOFTWARE`. */
+  readonly version?: string
 }
 
+/** Software version of a worker whose options name none. */
+export const DEFAULT_SOFTWARE = "v1"
+
 const HEARTBEAT_MS = 300
 
 /** Statuses of refused orders: stale fencing token, or unexpected order sequence. */
@@ -114,6 +165,8 @@
   private readonly delayed_ = new Set<NodeJS.Timeout>()
   private readonly queue_ = new WorkerQueue()
   private readonly sockets_ = new Set<Socket>()
+  /** Connections whose end would make an incomplete answer look complete. */
+  private readonly unframedSockets_ = new Set<Socket>()
   private server_: Server
   private readonly timer_: NodeJS.Timeout
 
@@ -153,12 +206,27 @@
     return this.rate_
   }
 
+  /** Version of its software. */
+  get software(): string {
+    return this.options_.version ?? DEFAULT_SOFTWARE
+  }
+
+  /** Whether it takes requests and hasn't announced that it leaves. */
+  get isServing(): boolean {
+    const {mute, shedding} = this.faults
+    const isUp = !this.isDown_ && !this.isStopped_ && this.drainedAt === undefined
+    return isUp && !mute && !shedding
+  }
+
   private createServer(): Server {
     const server = createServer((req, res) => void this.receive(req, res))
     server.keepAliveTimeout = 60_000
     server.on("connection", socket => {
       this.sockets_.add(socket)
-      socket.on("close", () => this.sockets_.delete(socket))
+      socket.on("close", () => {
+        this.sockets_.delete(socket)
+        this.unframedSockets_.delete(socket)
+      })
     })
     return server
   }
@@ -177,7 +245,7 @@
     this.dropPending()
     const {port} = this.server_.address() as AddressInfo
     const closed = new Promise(resolve => this.server_.close(resolve))
-    for (const socket of this.sockets_) socket.destroy()
+    this.closeConnections()
     await closed
     this.startedAt_ =
       bornBefore > 0
@@ -191,13 +259,26 @@
     this.writeHeartbeat()
   }
 
-  /** Crashes and starts again later under its id, empty and with reset counters. */
+  /** Closes all connections, and resets those whose answers would look complete. */
+  private closeConnections(): void {
+    for (const socket of this.sockets_) {
+      if (this.unframedSockets_.has(socket)) socket.resetAndDestroy()
+      else socket.destroy()
+    }
+  }
+
+  /** Crashes because of a request with this body. */
   private async crash(body: string): Promise<void> {
+    if (this.isDown_) return
+    this.judge_.crashes.push({worker: this.id, body, at: performance.now()})
+    await this.goDown()
+  }
+
+  /** Crashes and starts again later under its id, empty and with reset counters. */
+  private async goDown(): Promise<void> {
     if (this.isDown_) return
     this.isDown_ = true
-    const at = performance.now()
-    this.judge_.crashes.push({worker: this.id, body, at})
-    this.judge_.restarts.push({worker: this.id, at})
+    this.judge_.restarts.push({worker: this.id, at: performance.now()})
     const {port} = this.server_.address() as AddressInfo
     const expiry = setTimeout(
       () => this.store_.remove(`servers/${this.id}`),
@@ -205,7 +286,7 @@
     )
     void this.proxy?.down()
     this.server_.close()
-    for (const socket of this.sockets_) socket.destroy()
+    this.closeConnections()
     this.resetState()
     // Pending loads belong to the former incarnation and must not complete.
     this.startedAt_ = Math.max(Date.now(), this.startedAt_ + 1)
@@ -247,7 +328,8 @@
 
   /**
    * Ends like a crash: connections are closed and the entry stays for a while.
-   * Connections are not reset, because Node 20 may spin at exit after a reset.
+   * Connections with framed answers are not reset, because Node 20 may spin at exit after
+   * a reset.
    */
   stop(): void {
     this.isStopped_ = true
@@ -255,7 +337,7 @@
     this.dropPending()
     setTimeout(() => this.store_.remove(`servers/${this.id}`), ENTRY_EXPIRY_MS).unref()
     this.server_.close()
-    for (const socket of this.sockets_) socket.destroy()
+    this.closeConnections()
   }
 
   /** Announces that it leaves, but continues to serve. */
@@ -299,7 +381,7 @@
       service,
       address: this.announcedAddress ?? this.address,
       zone: dataCentre,
-      version: "v1",
+      version: this.software,
       slots: 96,
       state: this.state_,
       coldRemainingMs: 0,
@@ -368,6 +450,83 @@
     reply(res, status, {...headers, ...this.noticeHeaders()}, text)
   }
 
+  /** Sends the answer of a plain service, or a part of it if answers break off. */
+  private replyOfRun(
+    run: Run,
+    res: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    text: string
+  ): void {
+    const {breakOff} = this.faults
+    this.recordNotices(run.id)
+    const all = {...headers, ...this.noticeHeaders()}
+    this.writeHead(res, status, all, () => Buffer.byteLength(text), "length")
+    if (!breakOff) {
+      run.ended = "whole"
+      this.permitClose(res)
+      return void res.end(text)
+    }
+    const {where} = breakOff
+    if (where === "before-end") res.write(text)
+    else if (where === "start") res.flushHeaders()
+    else res.write(text.slice(0, Math.ceil(text.length / 2)))
+    run.ended = "cut"
+    this.breakAnswer(run, res, breakOff, where === "before-end")
+  }
+
+  /**
+   * Writes the head of an answer with the framing that applies. `length` returns the
+   * length of the body.
+   */
+  private writeHead(
+    res: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string | string[]>>,
+    length: () => number,
+    usualFraming: "chunks" | "length"
+  ): void {
+    const {unframed, framing = usualFraming} = this.faults
+    if (unframed) {
+      res.removeHeader("transfer-encoding")
+      if (res.socket) this.unframedSockets_.add(res.socket)
+    }
+    const hasLength = !unframed && framing === "length"
+    res.writeHead(status, {
+      ...headers,
+      ...(hasLength ? {"content-length": String(length())} : {})
+    })
+  }
+
+  /** Records that an orderly close of the connection is right from now on. */
+  private permitClose(res: ServerResponse): void {
+    if (res.socket) this.unframedSockets_.delete(res.socket)
+  }
+
+  /**
+   * Breaks an answer off. `mayClose` tells whether an orderly close shows that it is
+   * incomplete, or is its proper end, even without framing.
+   */
+  private breakAnswer(
+    run: Run,
+    res: ServerResponse,
+    {where, how}: BreakOff,
+    mayClose: boolean
+  ): void {
+    const {socket} = res
+    if (!socket) return
+    if (mayClose) this.permitClose(res)
+    this.judge_.breakOffs.push({id: run.id, worker: this.id, where, how})
+    if (how === "silence") return
+    // The part that was written is sent before the connection breaks.
+    setImmediate(() => {
+      if (how === "crash") return void this.goDown()
+      if (how === "reset") return void socket.resetAndDestroy()
+      if (this.unframedSockets_.has(socket)) socket.resetAndDestroy()
+      else socket.destroy()
+    })
+  }
+
   /** Records the notices (see `noticeHeaders`) in the answer to a request. */
   private recordNotices(id: string): void {
     if (this.state_ === "draining") this.recordLeaving(id)
@@ -402,14 +561,10 @@
     const headers = {"x-request-id": id, "x-response-signature": sign(this.id, id)}
     const {slowMs = 0} = this.faults
     if (slowMs > 0) {
-      setTimeout(() => {
-        run.ended = "whole"
-        this.reply(res, status, headers, text)
-      }, slowMs)
+      setTimeout(() => this.replyOfRun(run, res, status, headers, text), slowMs)
       return
     }
-    run.ended = "whole"
-    this.reply(res, status, headers, text)
+    this.replyOfRun(run, res, status, headers, text)
     if (crashMoment(body)) setTimeout(() => void this.crash(body), CRASH_AFTER_END_MS)
     if (this.faults.surplus) {
       const extra =
@@ -483,21 +638,39 @@
     if (crash === "before-head") return void this.crash(body)
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
     this.recordNotices(id)
-    if (this.faults.unframed) res.removeHeader("transfer-encoding")
-    res.writeHead(200, {
+    const events = this.listEvents(run, body)
+    const last = Number(from) || 0
+    const headers = {
       "x-request-id": id,
       "content-type": "text/event-stream",
       "x-response-signature": sign(this.id, id),
       "x-weights-versions": String(version),
       ...this.noticeHeaders()
-    })
-    this.stream(run, Number(from) || 0, res, body)
+    }
+    const length = (): number => Buffer.byteLength(events.slice(last).join(""))
+    this.writeHead(res, 200, headers, length, "chunks")
+    this.stream(run, last, res, body, events)
   }
 
-  private stream(run: Run, last: number, res: ServerResponse, body: string): void {
+  /** Returns the events of a whole stream. */
+  private listEvents(run: Run, body: string): string[] {
+    const length = streamLength(body)
+    const {events = 6} = length ?? this.options_
+    return Array.from({length: events}, (_, i) =>
+      length ? signedEvent(i + 1, run) : `id: ${i + 1}\ndata: ${run.id}-${i + 1}\n\n`
+    )
+  }
+
+  private stream(
+    run: Run,
+    last: number,
+    res: ServerResponse,
+    body: string,
+    events: readonly string[]
+  ): void {
     const crash = crashMoment(body)
-    const {events = 6, gapMs = 10} = this.options_
-    const {cutAfterEvents} = this.faults
+    const {gapMs = 10} = streamLength(body) ?? this.options_
+    const {cutAfterEvents, breakOff} = this.faults
     let next = last + 1
     let sentEvents = 0
     const end = (how: "whole" | "cut"): void => {
@@ -509,8 +682,17 @@
       if (remaining === 0) this.leaving_.delete(run.adapter)
     }
     const timer = setInterval(() => {
-      if (next > events) {
+      const isAtEnd = next > events.length
+      if (breakOff && isBreakPoint(breakOff, sentEvents, isAtEnd)) {
+        const isInside = breakOff.where === "inside-event"
+        if (isInside) res.write(`id: ${next}\ndata: ${run.id}`)
+        else if (sentEvents === 0) res.flushHeaders()
+        end("cut")
+        return this.breakAnswer(run, res, breakOff, isAtEnd || isInside)
+      }
+      if (isAtEnd) {
         end("whole")
+        this.permitClose(res)
         res.end()
         if (crash) setTimeout(() => void this.crash(body), CRASH_AFTER_END_MS)
         return
@@ -523,14 +705,21 @@
         // Part of an event is sent before the connection breaks.
         res.write(`id: ${next}\ndata: to`)
         end("cut")
+        this.permitClose(res)
         setImmediate(() => res.destroy())
         return
       }
-      res.write(`id: ${next}\ndata: ${run.id}-${next}\n\n`)
+      res.write(events[next - 1])
       next++
       sentEvents++
     }, gapMs)
-    res.on("close", () => end("cut"))
+    res.on("close", () => {
+      if (!run.ended && (this.isDown_ || this.isStopped_)) {
+        const {id, worker} = run
+        this.judge_.breakOffs.push({id, worker, where: "between-events", how: "crash"})
+      }
+      end("cut")
+    })
   }
 
   private recordRun(
@@ -549,6 +738,7 @@
       worker,
       adapter,
       version,
+      software: this.software,
       from,
       reached,
       at,
@@ -699,6 +889,24 @@
   return (JSON.parse(body) as {crash: CrashMoment}).crash
 }
 
+function streamLength(body: string): StreamLength | undefined {
+  if (!body.startsWith('{"stream":')) return undefined
+  return (JSON.parse(body) as {stream: StreamLength}).stream
+}
+
+/**
+ * Whether a stream breaks off now. Where no event is left, it breaks only at its end.
+ */
+function isBreakPoint(
+  {where, afterEvents = 1}: BreakOff,
+  sentEvents: number,
+  isAtEnd: boolean
+): boolean {
+  if (where === "start") return sentEvents === 0 && !isAtEnd
+  if (where === "before-end") return isAtEnd
+  return sentEvents >= afterEvents && !isAtEnd
+}
+
 function adapterOf(req: IncomingMessage): string {
   return String(req.headers["x-model-id"]).split("/")[1] ?? ""
 }
--- a/test/support/fault-proxy.ts
+++ b/test/support/fault-proxy.ts
@@ -28,11 +28,15 @@
 
   private constructor(
     private readonly server_: Server,
-    readonly port: number
+    readonly port: number,
+    private readonly resets_: boolean
   ) {}
 
-  /** Listens on a free port in front of `target`. */
-  static start(target: number): Promise<FaultProxy> {
+  /**
+   * Listens on a free port in front of `target`. With `resets`, it passes resets on, and
+   * resets the connections that it breaks.
+   */
+  static start(target: number, {resets = false} = {}): Promise<FaultProxy> {
     return new Promise((resolve, reject) => {
       const server = createServer({noDelay: true})
       server.once("error", reject)
@@ -42,7 +46,7 @@
           return reject(
             new Error("fault proxy has no port: its server has no TCP address")
           )
-        const proxy = new FaultProxy(server, address.port)
+        const proxy = new FaultProxy(server, address.port, resets)
         server.on("connection", client => proxy.accept(client, target))
         resolve(proxy)
       })
@@ -67,11 +71,16 @@
   }
 
   /**
-   * Closes all open connections except silent ones. Doesn't reset them, as Node.js 20 may
-   * spin at exit after a reset.
+   * Closes all open connections except silent ones. Resets them only if the proxy does so
+   * at all, as Node.js 20 may spin at exit after a reset.
    */
   cut(): void {
-    for (const {from, silent} of [...this.directions_]) if (!silent) from.destroy()
+    for (const {from, silent} of [...this.directions_]) if (!silent) this.break(from)
+  }
+
+  private break(socket: Socket): void {
+    if (this.resets_ && !socket.destroyed) socket.resetAndDestroy()
+    else socket.destroy()
   }
 
   /**
@@ -124,8 +133,12 @@
       from.pause()
     })
     const shouldEnd = (): boolean => !isBlocked() && !direction.silent
-    from.on("end", () => shouldEnd() && to.end())
-    from.on("error", () => !direction.silent && to.destroy())
+    from.on("end", () => {
+      if (!shouldEnd()) return
+      if (this.resets_ && hasNoPeer(from)) this.break(to)
+      else to.end()
+    })
+    from.on("error", () => !direction.silent && this.break(to))
     from.on("close", () => {
       this.directions_.delete(direction)
       if (shouldEnd()) to.destroy()
@@ -145,3 +158,11 @@
     else from.resume()
   }
 }
+
+/**
+ * Whether a connection that has ended has no peer. libuv reports a reset that arrives
+ * together with bytes as an orderly end, and then the peer's address is gone.
+ */
+export function hasNoPeer(socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -16,7 +16,7 @@
 import {until} from "./wait.js"
 
 export const MODEL = "base"
-const HOST = "callers.example"
+export const HOST = "callers.example"
 
 /** Time within which every box must reject a revoked key. */
 export const KEY_REVOCATION_MS = 5_000
@@ -86,6 +86,8 @@
   readonly leaseTtlMs?: number
   /** Connections to the store and to workers pass through fault proxies. */
   readonly proxied?: boolean
+  /** The proxies before workers pass resets on and break connections by a reset. */
+  readonly resets?: boolean
   /** Boxes run the bundled program, as on the platform, instead of the separate files. */
   readonly bundled?: boolean
   /** The machines of boxes can be suspended. `bundled` is ignored then. */
@@ -140,7 +142,11 @@
     }
   }
 
-  async addEngine(index = this.engines.length): Promise<StandInWorker> {
+  /** Starts an engine. `options` take precedence over those of the deployment. */
+  async addEngine(
+    index = this.engines.length,
+    options: Partial<WorkerOptions> = {}
+  ): Promise<StandInWorker> {
     const engine = await StandInWorker.start(
       this.store,
       this.judge,
@@ -150,7 +156,8 @@
         model: MODEL,
         runsClosedRequests:
           this.options_.keepers === true && ++this.addedEngines_ % KEEPER_INTERVAL === 0,
-        ...this.options_.engine
+        ...this.options_.engine,
+        ...options
       },
       this.versions
     )
@@ -173,7 +180,8 @@
 
   private async proxyWorker(worker: StandInWorker): Promise<void> {
     if (!this.options_.proxied) return
-    const proxy = await FaultProxy.start(portOf(worker.address))
+    const {resets = false} = this.options_
+    const proxy = await FaultProxy.start(portOf(worker.address), {resets})
     this.workerProxies.push(proxy)
     worker.announcedAddress = `127.0.0.1:${proxy.port}`
     worker.proxy = {down: () => proxy.down(), up: () => proxy.up()}
