Soak: broken streams, two software versions, callers that take streams up

Change: the option `streams` (on in rounds by hand, `--no-streams` turns it off; off in stored seeds). Answers break off in series beside kills and terms of boxes, engines of v1 and v1.1 serve side by side while a release goes up and down, and callers take broken streams up at another box. All draw from series of their own, so other seeds draw as before. The judge checks per stream, over all tries, that what looks complete is, that no event is missing or comes twice, that a worker wrote each event, that at most two streams hold events of two software versions (ORDER), and that of 12 or more streams taken up at boxes in touch while two workers of their version serve half the share of new streams goes on (LOST). Each round prints how its streams went. A round that serves under half of its calls says so and is not clean.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -19,11 +19,16 @@
 cli.option("--no-organisations", "Callers have no keys, and there are no limits")
 cli.option("--sparse", "Other faults than cuts come seldom", {default: false})
 cli.option("--no-cuts", "No box is cut off from backend servers")
+cli.option(
+  "--no-streams",
+  "Workers serve one software version, answers break in one way, no stream is taken up"
+)
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
 const first = Number(options["seed"])
 let failedRounds = 0
+let cleanRounds = 0
 let rounds = 0
 for (let seed = first; seed < first + Number(options["rounds"]); seed++) {
   if (Date.now() > end) break
@@ -37,12 +42,16 @@
     leads: options["leads"] !== false,
     organisations: options["organisations"] !== false,
     sparse: options["sparse"] === true,
-    cuts: options["cuts"] !== false
+    cuts: options["cuts"] !== false,
+    streams: options["streams"] !== false
   })
   rounds++
   if (result.violations.length > 0) failedRounds++
+  const isServedByHalf = result.served >= result.calls / 2
+  if (result.violations.length === 0 && isServedByHalf) cleanRounds++
   console.log(
     `seed ${seed}: ${result.calls} calls, ${result.served} served, ` +
+      (isServedByHalf ? "" : "under half of its calls, so it doesn't count as clean, ") +
       `violations ${result.violations.length}, ${result.faults.join(" ")}`
   )
   for (const violation of result.violations) console.log(`  ${violation}`)
@@ -53,5 +62,5 @@
     console.log(`  logs: ${file}`)
   }
 }
-console.log(`${rounds} rounds, ${failedRounds} with violations`)
-process.exit(failedRounds === 0 && rounds > 0 ? 0 : 1)
+console.log(`${rounds} rounds, ${failedRounds} with violations, ${cleanRounds} clean`)
+process.exit(failedRounds === 0 && cleanRounds > 0 ? 0 : 1)
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -211,11 +211,11 @@
     return this.options_.version ?? DEFAULT_SOFTWARE
   }
 
-  /** Whether it takes requests and hasn't announced that it leaves. */
+  /** Whether it answers requests and hasn't announced that it leaves. */
   get isServing(): boolean {
-    const {mute, shedding} = this.faults
+    const {mute, shedding, breakOff} = this.faults
     const isUp = !this.isDown_ && !this.isStopped_ && this.drainedAt === undefined
-    return isUp && !mute && !shedding
+    return isUp && !mute && !shedding && breakOff?.where !== "start"
   }
 
   private createServer(): Server {
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -12,7 +12,10 @@
 import {describeCutTries, judgeCuts, listCutTries} from "./soak-judge-cuts.js"
 import {judgeRound} from "./soak-judge.js"
 import {countGuaranteedCalls, judgeService} from "./soak-judge-service.js"
-import {type SoakCall, SoakDraws, SoakRecord} from "./soak-record.js"
+import {describeStreams, isWholeStream, judgeStreams} from "./soak-judge-streams.js"
+import {type SoakCall, SoakDraws, SoakRecord, type SoakStream} from "./soak-record.js"
+import {countServing} from "./soak-stream-faults.js"
+import {callStream} from "./stream-caller.js"
 import {until} from "./wait.js"
 
 export interface SoakResult {
@@ -42,6 +45,11 @@
 
 const CALL_INTERVAL_MS = 25
 
+/** Streams that their callers take up, if the round has them. */
+const STREAM_INTERVAL_MS = 60
+const STREAM_LENGTH = {events: 20, gapMs: 30}
+const STREAM_DEADLINE_MS = 4_000
+
 /** Approximate interval between faults of a sparse round. */
 const SPARSE_FAULT_MS = 6_000
 
@@ -49,11 +57,15 @@
 const WORKER_DOWN_MS = 900
 
 /**
- * XORed with the seed of a round, give the seeds of the incidents and of the rate faults.
+ * XORed with the seed of a round, give the seeds of the incidents, of the rate faults, of
+ * the cuts, of the faults of streams, of releases and of the streams' callers.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
 const CUT_SEED_MASK = 0xc07
+const STREAM_SEED_MASK = 0x57e4
+const RELEASE_SEED_MASK = 0x4e1e
+const STREAM_CALL_SEED_MASK = 0x5ca1
 
 /**
  * XORed with the seed of a round, gives the seed of its calls if the faults are scripted.
@@ -71,6 +83,8 @@
 class SoakRound {
   private readonly draws_: SoakDraws
   private readonly callDraws_: SoakDraws
+  private readonly streamDraws_: SoakDraws
+  private streamCount_ = 0
   private readonly record_ = new SoakRecord()
   private readonly pendingCalls_: Promise<void>[] = []
   private readonly notes_: string[] = []
@@ -81,15 +95,17 @@
   constructor(private readonly options_: SoakOptions) {
     this.draws_ = new SoakDraws(options_.seed)
     this.callDraws_ = new SoakDraws(options_.seed ^ CALL_SEED_MASK)
+    this.streamDraws_ = new SoakDraws(options_.seed ^ STREAM_CALL_SEED_MASK)
   }
 
   async run(): Promise<SoakResult> {
-    const {boxes = 3, versions = false} = this.options_
+    const {boxes = 3, versions = false, streams = false} = this.options_
     const bed = await PlatformBed.start({
       boxes,
       engines: 3,
       plain: 2,
       proxied: true,
+      resets: streams,
       suspendable: true,
       engine: {downMs: WORKER_DOWN_MS},
       plainWorker: {downMs: WORKER_DOWN_MS},
@@ -112,6 +128,10 @@
       this.violations_.push(...judgeRound(bed.judge, this.record_))
       this.violations_.push(...judgeIncidents(bed.judge, this.record_))
       this.violations_.push(...judgeCuts(this.record_))
+      if (streams) {
+        this.violations_.push(...judgeStreams(bed.judge, this.record_))
+        this.notes_.push(describeStreams(bed.judge, this.record_))
+      }
       if (this.options_.cuts)
         this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
@@ -150,13 +170,20 @@
   private async play(bed: PlatformBed, faults: SoakFaults): Promise<void> {
     const end = performance.now() + this.options_.seconds * 1000
     const callTimer = setInterval(() => this.call(bed), CALL_INTERVAL_MS)
+    const streamTimer = this.options_.streams
+      ? setInterval(() => this.callStream(bed), STREAM_INTERVAL_MS)
+      : undefined
     const {script, seed} = this.options_
     const incidents = script
       ? Promise.resolve()
       : faults.playIncidents(
           new SoakDraws(seed ^ INCIDENT_SEED_MASK),
           new SoakDraws(seed ^ RATE_SEED_MASK),
-          new SoakDraws(seed ^ CUT_SEED_MASK)
+          new SoakDraws(seed ^ CUT_SEED_MASK),
+          [
+            new SoakDraws(seed ^ STREAM_SEED_MASK),
+            new SoakDraws(seed ^ RELEASE_SEED_MASK)
+          ]
         )
     try {
       if (script) await this.playScript(faults, script)
@@ -169,6 +196,7 @@
       await this.awaitRecovery(bed)
     } finally {
       clearInterval(callTimer)
+      clearInterval(streamTimer)
     }
     await incidents
     await Promise.all(this.pendingCalls_)
@@ -194,11 +222,12 @@
   }
 
   private toResult(logs: string): SoakResult {
-    const {calls, faults} = this.record_
+    const {calls, faults, streams} = this.record_
+    const servedCalls = calls.filter(({outcome}) => outcome.status === 200)
     return {
       seed: this.options_.seed,
-      calls: calls.length,
-      served: calls.filter(({outcome}) => outcome.status === 200).length,
+      calls: calls.length + streams.length,
+      served: servedCalls.length + streams.filter(isWholeStream).length,
       guaranteed: this.guaranteed_,
       faults: [...faults.map(({name}) => name), ...this.notes_],
       violations: this.violations_,
@@ -234,6 +263,27 @@
     )
   }
 
+  /** Calls a stream that its caller takes up if its connection breaks. */
+  private callStream(bed: PlatformBed): void {
+    const name = `s-${++this.streamCount_}`
+    const adapter = `a${Math.floor(ADAPTER_COUNT * this.streamDraws_.draw() ** 3)}`
+    const key = this.organisations_?.pickKey()
+    const serving: SoakStream["serving"][number][] = []
+    const options = {
+      name,
+      adapter,
+      length: STREAM_LENGTH,
+      deadlineMs: STREAM_DEADLINE_MS,
+      ...(key === undefined ? {} : {key}),
+      onTry: (id: string) => serving.push({id, engines: countServing(bed.engines)})
+    }
+    this.pendingCalls_.push(
+      callStream(bed.boxes, this.streamDraws_, options).then(stream => {
+        this.record_.streams.push({...stream, serving})
+      })
+    )
+  }
+
   private async awaitRecovery(bed: PlatformBed): Promise<void> {
     const startedAt = performance.now()
     const isServed = async (): Promise<boolean> => {
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -1,5 +1,5 @@
 /** The random faults of a round of the soak. */
-import type {StandInWorker} from "../stand-ins/platform-worker.js"
+import type {StandInWorker, WorkerOptions} from "../stand-ins/platform-worker.js"
 import type {BedBox, PlatformBed} from "./platform-bed.js"
 import type {SoakDraws, SoakRecord} from "./soak-record.js"
 import {
@@ -9,6 +9,7 @@
 } from "./soak-organisations.js"
 import {IncidentFaults} from "./soak-incident-faults.js"
 import {CutFaults} from "./soak-cut-faults.js"
+import {StreamFaults} from "./soak-stream-faults.js"
 import {RateFaults} from "./soak-rate-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {VERSIONED_ADAPTER_COUNT, VersionFaults} from "./soak-version-faults.js"
@@ -55,6 +56,11 @@
    * show how often those that were cut off should serve.
    */
   readonly sparse?: boolean
+  /**
+   * Workers frame and break off answers in several ways, engines of two software versions
+   * serve side by side, and callers take streams up.
+   */
+  readonly streams?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -97,7 +103,8 @@
   async playIncidents(
     draws: SoakDraws,
     rateDraws: SoakDraws,
-    cutDraws: SoakDraws
+    cutDraws: SoakDraws,
+    streamDraws: readonly [breaks: SoakDraws, releases: SoakDraws]
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isStopped: box => this.stoppedBoxes_.has(box) || box.suspendedFrom !== undefined,
@@ -116,10 +123,15 @@
       this.record_,
       () => this.haveFaultsEnded_
     )
+    const streams = new StreamFaults(this.bed_, ...streamDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_
+    })
     const {sparse = false} = this.options_
     await Promise.all([
       ...(sparse ? [] : [faults.play(), this.rates_.play()]),
-      this.options_.cuts ? cuts.play() : undefined
+      this.options_.cuts ? cuts.play() : undefined,
+      this.options_.streams ? streams.play() : undefined
     ])
   }
 
@@ -360,7 +372,7 @@
   }
 
   private async replaceEngine(planned: boolean): Promise<void> {
-    await this.bed_.addEngine()
+    await this.bed_.addEngine(undefined, this.nextEngine())
     const [oldest] = this.bed_.engines.splice(0, 1)
     if (!oldest) return
     this.record_.replacedEngines.push(oldest)
@@ -369,6 +381,12 @@
     setTimeout(() => oldest.stop(), 4_000)
   }
 
+  /** Options of an engine that replaces the oldest one. It has the same software. */
+  private nextEngine(): Partial<WorkerOptions> {
+    const [oldest] = this.bed_.engines
+    return oldest ? {version: oldest.software} : {}
+  }
+
   private publishRandomVersion(): void {
     this.publishVersion(`a${Math.floor(VERSIONED_ADAPTER_COUNT * this.draws_.draw())}`)
   }
--- a/test/support/soak-judge-cuts.ts
+++ b/test/support/soak-judge-cuts.ts
@@ -65,7 +65,10 @@
 }
 
 /** Whether another fault struck the box before the call: it was not in touch. */
-function isStruck({exemptions}: SoakRecord, {box, sentAt}: SoakCall): boolean {
+export function isStruck(
+  {exemptions}: SoakRecord,
+  {box, sentAt}: Pick<SoakCall, "box" | "sentAt">
+): boolean {
   return exemptions.some(
     exemption =>
       exemption.box === box &&
--- a/test/support/soak-judge-incidents.ts
+++ b/test/support/soak-judge-incidents.ts
@@ -28,6 +28,9 @@
   for (const {box, sentAt, outcome} of [...record.calls, ...record.crashing]) {
     calls.set(outcome.id, {box, sentAt})
   }
+  for (const {id, box, sentAt} of record.streams.flatMap(({tries}) => tries)) {
+    calls.set(id, {box, sentAt})
+  }
   const isConnected = (id: string, at: number): boolean => {
     const box = calls.get(id)?.box
     const hadFault = record.exemptions.some(
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -41,7 +41,9 @@
   "request-crashes",
   "server-asks-rest",
   "server-speaks-oddly",
-  "plain-names-rate"
+  "plain-names-rate",
+  "plain-answers-break",
+  "answers-framed"
 ])
 
 /** Limit of reported findings, as they are alike. */
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -2,6 +2,7 @@
 import {createRandom, uniformFloat64} from "../../src/utils/random.js"
 import type {StandInWorker} from "../stand-ins/platform-worker.js"
 import type {Outcome} from "./platform-bed.js"
+import type {StreamCall} from "./stream-caller.js"
 
 export interface SoakCall {
   readonly kind: "stream" | "once" | "safe" | "unsafe"
@@ -15,6 +16,15 @@
   readonly answeredAt?: number
 }
 
+/** A stream that its caller takes up when its connection breaks. */
+export interface SoakStream extends StreamCall {
+  /** Engines of each software version that served as a try was sent, and as it ended. */
+  readonly serving: readonly {
+    readonly id: string
+    readonly engines: ReadonlyMap<string, number>
+  }[]
+}
+
 /** A published adapter version, and when the store acknowledged it. */
 export interface SoakVersion {
   readonly adapter: string
@@ -119,6 +129,7 @@
 
 export class SoakRecord {
   readonly calls: SoakCall[] = []
+  readonly streams: SoakStream[] = []
   readonly crashing: CrashingCall[] = []
   /** When boxes were restarted, suspended, disconnected or removed. */
   readonly exemptions: BoxExemption[] = []
--- a/test/support/soak-seeds.ts
+++ b/test/support/soak-seeds.ts
@@ -31,7 +31,8 @@
         await runSoakRound(seed)
       if (violations.length > 0) t.comment(`logs: ${saveLogs(seed.seed, logs)}`)
       t.same(violations, [])
-      t.ok(served > calls / 4, `${served} of ${calls}`)
+      const leastShare = seed.streams ? 1 / 2 : 1 / 4
+      t.ok(served > calls * leastShare, `${served} of ${calls}`)
       const {guaranteed: least = 0} = seed
       t.ok(guaranteed >= least, `${guaranteed} guaranteed, of ${least} at least`)
       t.comment(faults.join(" "))
