--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {AnswerEnd, AnswerFraming} from "../core/answer-end.js"
 import type {RequestFacts} from "../ports/fleet-ports.js"
+import {findEventsEnd, isPartialEvent} from "./event-bounds.js"
 
 export interface AnswerHead {
   readonly status: number
@@ -21,8 +22,6 @@
   "content-length"
 ])
 
-const EVENT_END = Buffer.from("\n\n")
-
 export class RelayExchange {
   /** Number of the attempt whose answer counts. */
   attempt = 0
@@ -82,23 +81,29 @@
     return this.streaming && this.head_?.status === 200
   }
 
-  /** Buffers or sends bytes of the answer. Of a stream, only complete events are sent. */
-  handleChunk(chunk: Buffer): void {
+  /**
+   * Buffers or sends bytes of the answer. Of a stream, only complete events are sent.
+   * Returns whether it has sent events.
+   */
+  handleChunk(chunk: Buffer): boolean {
     if (!this.isHeadSent_) {
       this.bodyParts_.push(chunk)
-      return
+      return false
     }
     const bytes =
       this.partialEvent_.length === 0 ? chunk : Buffer.concat([this.partialEvent_, chunk])
-    const end = bytes.lastIndexOf(EVENT_END)
-    if (end < 0) {
-      this.partialEvent_ = bytes
-      return
-    }
-    const events = bytes.subarray(0, end + EVENT_END.length)
-    this.partialEvent_ = bytes.subarray(end + EVENT_END.length)
+    const end = findEventsEnd(bytes)
+    this.partialEvent_ = bytes.subarray(end)
+    if (end === 0) return false
+    const events = bytes.subarray(0, end)
     this.recordEventId(events)
     this.res.write(events)
+    return true
+  }
+
+  /** Whether the bytes of a stream so far end inside an event. */
+  get endsInsideEvent(): boolean {
+    return this.isStreamed && isPartialEvent(this.partialEvent_)
   }
 
   /** Completes the answer to the caller. */
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -186,6 +186,7 @@
       key,
       prefix,
       lastEventId,
+      resumes,
       deadlineMs
     } = facts
     this.options_.post({
@@ -204,7 +205,8 @@
         rank: currentTable.rankOf(organisation?.priority, route.priority),
         prefix,
         deadlineMs,
-        lastEventId
+        lastEventId,
+        resumes
       }
     })
   }
@@ -274,6 +276,7 @@
     }
     const unsent = effect.via === undefined ? "not-sent" : "not-carried"
     let started = false
+    let begun = false
     let sentAt = 0
     const {pools, name, connections, headers} = path
     const patience = setTimeout(() => {
@@ -329,7 +332,10 @@
         },
         data: chunk => {
           if (!current()) return
-          exchange.handleChunk(chunk)
+          if (exchange.handleChunk(chunk) && !begun) {
+            begun = true
+            post({type: "stream-began", id, attempt})
+          }
           const now = clockNow()
           if (now - reportedAt < PROGRESS_INTERVAL_MS) return
           reportedAt = now
@@ -337,8 +343,13 @@
         },
         done: () => {
           if (!current()) return
-          this.exchanges_.delete(id)
           post({type: "answer-ended", id, attempt, end: exchange.describeEnd("")})
+          // Without a length or chunks, the end of the connection looks like a complete
+          // answer. The server broke it off, also if another box sent the request.
+          if (exchange.endsInsideEvent) {
+            return fail(effect.via === undefined ? "broken" : "broken-beyond")
+          }
+          this.exchanges_.delete(id)
           exchange.complete(this.options_.isStopping())
           post({type: "done", id, attempt})
         },
@@ -384,8 +395,16 @@
     }
     const {weights} = arrival ?? {}
     const adapter = weights?.adapter && adapterKey(weights.model, weights.adapter)
-    const isAllowed = serving().requests.get(id)?.attempt?.allowedUntil !== undefined
-    const carried = {...facts, server: backend.id, asker: box, adapter, isAllowed}
+    const request = serving().requests.get(id)
+    const isAllowed = request?.attempt?.allowedUntil !== undefined
+    const carried = {
+      ...facts,
+      server: backend.id,
+      asker: box,
+      adapter,
+      software: request?.software,
+      isAllowed
+    }
     return {
       pools: this.peerPools_,
       name: via,
