--- a/test/support/soak-judge-streams.ts
+++ b/test/support/soak-judge-streams.ts
@@ -59,6 +59,8 @@
     `continued by a box ${count(({tries}) => tries.some(each => isContinued(judge, each)))}, ` +
     `taken up by a caller ${count(({tries}) => tries.some(isTakeUp))}, ` +
     `refused ${count(({tries}) => isRefused(tries.at(-1)))}, ` +
+    `given up by a caller ${count(({tries}) => tries.at(-1)?.gaveUp === true)}, ` +
+    `without an answer ${count(({tries}) => isUnanswered(tries.at(-1)))}, ` +
     `reached a caller cut ${count(({tries}) => tries.some(isCut))}, ` +
     `of two versions ${listMixed(judge, record).length}, ` +
     `take-ups that went on ${takeUps.served} of ${takeUps.all}, ` +
@@ -190,6 +192,11 @@
   return from !== undefined
 }
 
+/** Whether there was no answer, or none but a failure. */
+function isUnanswered(last: StreamTry | undefined): boolean {
+  return last?.gaveUp !== true && last?.status !== 200 && !isRefused(last)
+}
+
 function isRefused(last: StreamTry | undefined): boolean {
   return last?.status === 503 || last?.status === 429
 }
