--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -21,6 +21,8 @@
   retryAfter?: string
   /** Streams break after this many events, so their last events are missing. */
   cutAfterEvents?: number
+  /** Streams break between two events instead of inside one. */
+  cutBetweenEvents?: boolean
   /** Answers have neither a length nor chunks and end with their connections. */
   unframed?: boolean
   /**
@@ -670,7 +672,7 @@
   ): void {
     const crash = crashMoment(body)
     const {gapMs = 10} = streamLength(body) ?? this.options_
-    const {cutAfterEvents, breakOff} = this.faults
+    const {cutAfterEvents, cutBetweenEvents, breakOff} = this.faults
     let next = last + 1
     let sentEvents = 0
     const end = (how: "whole" | "cut"): void => {
@@ -703,7 +705,8 @@
       }
       if (cutAfterEvents !== undefined && sentEvents >= cutAfterEvents) {
         // Part of an event is sent before the connection breaks.
-        res.write(`id: ${next}\ndata: to`)
+        if (cutBetweenEvents) res.flushHeaders()
+        else res.write(`id: ${next}\ndata: to`)
         end("cut")
         this.permitClose(res)
         setImmediate(() => res.destroy())
