--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -46,6 +46,14 @@
   readonly at: number
 }
 
+/** An answer that a worker broke off. */
+export interface BrokenAnswer {
+  readonly id: string
+  readonly worker: string
+  readonly where: string
+  readonly how: string
+}
+
 /** A worker refused a request and asked its sender to back off. */
 export interface BackOff {
   readonly id: string
@@ -66,6 +74,7 @@
   readonly arrivedRequests: ArrivedRequest[] = []
   readonly crashes: Crash[] = []
   readonly backOffs: BackOff[] = []
+  readonly breakOffs: BrokenAnswer[] = []
   /** Starts of new incarnations, to which notices of the former ones don't apply. */
   readonly restarts: {readonly worker: string; readonly at: number}[] = []
   readonly leavingNotices: LeavingNotice[] = []
