--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -115,7 +115,10 @@
     reason,
     versions: box.serviceVersions.recent(arrival.service, now).join()
   })
-  failRequest(box, request, request.runs > 0 ? "unknown" : "not-run", now)
+  const endReason = request.runs > 0 ? "unknown" : "not-run"
+  if (reason === "unknown-begin") return failRequest(box, request, endReason, now)
+  // A version that is gone is not back before the caller's deadline.
+  failRequest(box, request, endReason, now, Math.round(request.deadlineAt - now))
 }
 
 /** Handles the first event of an attempt that reaches the caller. */
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -140,6 +140,8 @@
   const again = await takeUp(bed, second, last.id, last.event)
   t.equal(again.status, 503)
   t.ok(again.ms < REFUSAL_MS, `${again.ms} ms`)
+  const retryAfterS = Number(again.headers["retry-after"])
+  t.ok(retryAfterS > 3, `the rest of its 4 s: ${retryAfterS}`)
   t.equal(bed.judge.runsOf(again.id).length, 0)
 })
 
