--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -186,7 +186,7 @@
       key,
       prefix,
       lastEventId,
-      resumes,
+      begunBy,
       deadlineMs
     } = facts
     this.options_.post({
@@ -206,7 +206,7 @@
         prefix,
         deadlineMs,
         lastEventId,
-        resumes
+        begunBy
       }
     })
   }
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -194,7 +194,7 @@
     fingerprint: arrival.fingerprint ?? "",
     software: backend.software ?? "",
     lastEventId: request.lastEventId ?? "",
-    resumes: arrival.resumes ?? "",
+    begunBy: arrival.begunBy ?? "",
     waitedMs: Math.round(now - arrivedAt),
     adapter: arrival.weights?.adapter ?? "",
     version: version ?? 0,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -60,7 +60,7 @@
   /** Resumes the stream of an earlier request after this event. */
   readonly lastEventId?: string
   /** Name of the request that brought the first event of that stream, if it is known. */
-  readonly resumes?: string
+  readonly begunBy?: string
 }
 
 /** One send of a request to a backend server. */
--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -29,18 +29,18 @@
   request: BoxRequest,
   now: number
 ): void {
-  const {id, route, service, lastEventId, resumes} = request.arrival
+  const {id, route, service, lastEventId, begunBy} = request.arrival
   if (lastEventId === undefined || route.kind !== "streaming") return
-  const known = resumes === undefined ? undefined : box.origins.find(resumes, now)
+  const known = begunBy === undefined ? undefined : box.origins.find(begunBy, now)
   if (known) return bindTo(box, request, known, "own")
   const recent = box.serviceVersions.recent(service, now)
   const [only] = recent
   if (recent.length === 1 && box.serviceVersions.knowsRecent(now)) {
     return bindTo(box, request, {service, software: only as string}, "only-version")
   }
-  if (resumes === undefined) return bindToOnlyVersion(box, request, recent, now)
+  if (begunBy === undefined) return bindToOnlyVersion(box, request, recent, now)
   request.originAskedAt = now
-  box.effects.push({type: "ask-origin", id, request: resumes, service})
+  box.effects.push({type: "ask-origin", id, request: begunBy, service})
 }
 
 /** Handles what other boxes know of the begin of a stream. Returns whether it may go on. */
@@ -92,7 +92,7 @@
   request.software = software
   logEvent(box, "stream-resumed", {
     request: arrival.name,
-    resumes: arrival.resumes ?? "",
+    begunBy: arrival.begunBy ?? "",
     lastEventId: arrival.lastEventId ?? "",
     service,
     software,
@@ -109,7 +109,7 @@
   const {arrival, software} = request
   logEvent(box, "stream-refused", {
     request: arrival.name,
-    resumes: arrival.resumes ?? "",
+    begunBy: arrival.begunBy ?? "",
     service: arrival.service,
     software: software ?? "",
     reason,
@@ -162,9 +162,9 @@
   {arrival, arrivedAt, software}: BoxRequest,
   now: number
 ): OriginReport | undefined {
-  const {route, service, name, resumes, lastEventId, deadlineMs} = arrival
+  const {route, service, name, begunBy, lastEventId, deadlineMs} = arrival
   if (software === undefined || !route.resumable) return undefined
-  const request = lastEventId === undefined ? name : resumes
+  const request = lastEventId === undefined ? name : begunBy
   if (request === undefined || request === "") return undefined
   const forMs = Math.max(0, arrivedAt + deadlineMs - now) + ORIGIN_MARGIN_MS
   return {request, service, software, forMs: Math.min(forMs, Number.MAX_SAFE_INTEGER)}
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -132,7 +132,7 @@
   [
     EVENT.resumed,
     line =>
-      `resumes the stream that ${line["resumes"] || "an unnamed request"} began, after event ` +
+      `resumes the stream that ${line["begunBy"] || "an unnamed request"} began, after event ` +
       `${line["lastEventId"]}: bound to software ${line["software"]} of ${line["service"]} (${line["source"]})`
   ],
   [
@@ -184,10 +184,10 @@
 ])
 
 /** The server's software, and after which event of which request a stream goes on. */
-function describeStream({software, lastEventId, resumes}: LogLine): string {
+function describeStream({software, lastEventId, begunBy}: LogLine): string {
   const server = software ? `, software ${software}` : ""
   if (!lastEventId) return server
-  const begun = resumes ? ` of the stream that ${resumes} began` : ""
+  const begun = begunBy ? ` of the stream that ${begunBy} began` : ""
   return `${server}, continues after event ${lastEventId}${begun}`
 }
 
--- a/src/ports/fleet-ports.ts
+++ b/src/ports/fleet-ports.ts
@@ -24,7 +24,7 @@
   readonly prefix?: SharedPrefix
   readonly lastEventId?: string
   /** Id of the earlier request that brought the first event of the resumed stream. */
-  readonly resumes?: string
+  readonly begunBy?: string
 }
 
 /** Data that a box adds to a request to a backend server. */
