A stream of unknown begin goes on only with a history that covers it

Cause: a box took its own short or empty list for what the service had run. Change: other boxes are always asked. Only a history, here or at an asked box, of twice the route's time limit shows that one version alone can have begun the stream; without one it is refused. Boxes with a short history tell the origins of their streams, as while versions differ. A stream that went on at another service begins there anew; one name reported with two versions of a service is ambiguous and refused. Test 5 had asked a box 1.5 s old to go on with a stream of unknown begin, which was the guess; it now asks for a refusal then, and for going on after the history.

--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -50,7 +50,11 @@
 
 const question = z.object({request: text, service: text})
 
-const answer = z.object({origin: origin.optional(), recent: z.array(text)})
+const answer = z.object({
+  origin: origin.optional(),
+  recent: z.array(text),
+  observedMs: z.number().min(0)
+})
 
 export interface StreamPeersOptions {
   /** IP address and port where this box accepts links. */
@@ -132,14 +136,17 @@
   private async collectAnswers(request: string, service: string): Promise<OriginAnswer> {
     const asked = this.rank(request).slice(0, ASKED_BOXES)
     const recent = new Set<string>()
+    let observedMs = 0
     return new Promise(resolve => {
       let left = asked.length
-      const finish = (): void => resolve({origin: undefined, recent: [...recent]})
+      const finish = (): void =>
+        resolve({origin: undefined, recent: [...recent], observedMs})
       if (left === 0) return finish()
       for (const address of asked) {
         void this.askBox(address, request, service).then(found => {
           for (const version of found?.recent ?? []) recent.add(version)
-          if (found?.origin) resolve({origin: found.origin, recent: found.recent})
+          observedMs = Math.max(observedMs, found?.observedMs ?? 0)
+          if (found?.origin) resolve(found)
           if (--left === 0) finish()
         })
       }
@@ -160,7 +167,7 @@
   ): Promise<OriginAnswer | undefined> {
     const body = await this.sendTo(address, "ask", {request, service})
     const {data} = answer.safeParse(parse(body ?? ""))
-    return data && {origin: data.origin, recent: data.recent}
+    return data && {...data, origin: data.origin}
   }
 
   /** Returns the body of the answer. Undefined if there is none in time. */
@@ -206,7 +213,8 @@
     const now = clockNow()
     return {
       origin: origins.find(data.request, now),
-      recent: serviceVersions.recent(data.service, now)
+      recent: serviceVersions.recent(data.service, now),
+      observedMs: serviceVersions.observedMs(now)
     }
   }
 }
--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -2,20 +2,28 @@
  * Keeps each stream at the software version that began it: within an answer, and where its
  * caller resumes it at another box.
  */
-import type {BackendRecord} from "../types/fleet.js"
+import type {BackendRecord, Route} from "../types/fleet.js"
 import {failRequest} from "./box-ends.js"
 import {type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
 import {softwareOf} from "./service-versions.js"
-import type {OriginReport, StreamOrigin} from "./stream-origins.js"
+import {MAX_ORIGIN_MS, type OriginReport, type StreamOrigin} from "./stream-origins.js"
 
 /** Added to the time in which a caller may resume a stream. */
 const ORIGIN_MARGIN_MS = 1_000
 
+/** Longest time since the begin of a stream that is resumed, in time limits of its route. */
+const MAX_AGE_TIMEOUTS = 2
+
+/** Software versions of a service, as boxes have seen them. */
+export interface VersionHistory {
+  readonly recent: readonly string[]
+  /** For how long the box that has seen them longest has observed the servers. */
+  readonly observedMs: number
+}
+
 /** What other boxes know of the begin of a stream. */
-export interface OriginAnswer {
+export interface OriginAnswer extends VersionHistory {
   readonly origin: StreamOrigin | undefined
-  /** Recent software versions of the service, as those boxes have seen them. */
-  readonly recent: readonly string[]
 }
 
 type OriginSource = "own" | "other-box" | "only-version"
@@ -30,24 +38,18 @@
   now: number
 ): void {
   const {id, route, service, lastEventId, begunBy} = request.arrival
-  if (lastEventId === undefined || route.kind !== "streaming") return
+  if (lastEventId === undefined || !route.resumable) return
   const known = begunBy === undefined ? undefined : box.origins.find(begunBy, now)
   if (known) return bindTo(box, request, known, "own")
-  const recent = box.serviceVersions.recent(service, now)
-  const [only] = recent
-  if (recent.length === 1 && box.serviceVersions.knowsRecent(now)) {
-    return bindTo(box, request, {service, software: only as string}, "only-version")
-  }
-  if (begunBy === undefined) return bindToOnlyVersion(box, request, recent, now)
   request.originAskedAt = now
-  box.effects.push({type: "ask-origin", id, request: begunBy, service})
+  box.effects.push({type: "ask-origin", id, request: begunBy ?? "", service})
 }
 
 /** Handles what other boxes know of the begin of a stream. Returns whether it may go on. */
 export function handleOriginAnswer(
   box: BoxServing,
   request: BoxRequest,
-  {origin, recent}: OriginAnswer,
+  {origin, ...history}: OriginAnswer,
   now: number
 ): boolean {
   if (request.originAskedAt === undefined) return false
@@ -56,24 +58,32 @@
     bindTo(box, request, origin, "other-box")
     return true
   }
-  const own = box.serviceVersions.recent(request.arrival.service, now)
-  bindToOnlyVersion(box, request, [...new Set([...own, ...recent])], now)
+  bindToOnlyVersion(box, request, history, now)
   return box.requests.has(request.arrival.id)
 }
 
-/** Binds a stream of unknown begin if only one version can have begun it. */
+/**
+ * Binds a stream of unknown begin if only one version can have begun it, as this box or
+ * another one has observed since then. Otherwise refuses it.
+ */
 function bindToOnlyVersion(
   box: BoxServing,
   request: BoxRequest,
-  recent: readonly string[],
+  others: VersionHistory,
   now: number
 ): void {
-  const {service} = request.arrival
-  const [only] = recent
-  if (only !== undefined && recent.length === 1) {
-    return bindTo(box, request, {service, software: only}, "only-version")
+  const {service, route} = request.arrival
+  const own = box.serviceVersions
+  const [only, ...more] = new Set([...own.recent(service, now), ...others.recent])
+  const observedMs = Math.max(own.observedMs(now), others.observedMs)
+  if (only === undefined || more.length > 0 || observedMs < maxAgeMs(route)) {
+    return refuseStream(box, request, "unknown-begin", now)
   }
-  if (recent.length > 1) refuseStream(box, request, "unknown-begin", now)
+  bindTo(box, request, {service, software: only}, "only-version")
+}
+
+function maxAgeMs({timeoutMs}: Route): number {
+  return Math.min(MAX_ORIGIN_MS, MAX_AGE_TIMEOUTS * timeoutMs)
 }
 
 function bindTo(
@@ -84,8 +94,10 @@
 ): void {
   const {arrival} = request
   if (service !== arrival.service) {
-    const isOnRoute = arrival.route.services.some(each => each.service === service)
-    // Software versions are those of a service.
+    const isOnRoute = arrival.route.services.some(
+      each => each.service === service && each.weight > 0
+    )
+    // Software versions are those of a service: any server of another one will do.
     if (!isOnRoute) return
     request.arrival = {...arrival, service}
   }
@@ -136,7 +148,10 @@
   const report = reportOrigin(request, now)
   if (!report) return
   box.origins.record(report, now)
-  if (box.serviceVersions.isMixed(report.service, now)) {
+  const {serviceVersions} = box
+  // A box with a short history could not tell later that only one version had served.
+  const isShort = serviceVersions.observedMs(now) < maxAgeMs(request.arrival.route)
+  if (isShort || serviceVersions.isMixed(report.service, now)) {
     box.effects.push({type: "tell-origins", origins: [report]})
   }
 }
--- a/src/core/service-versions.ts
+++ b/src/core/service-versions.ts
@@ -51,8 +51,8 @@
     return this.recent(service, now).length > 1
   }
 
-  /** Whether this box has observed the servers for as long as a version counts as recent. */
-  knowsRecent(now: number): boolean {
-    return now - this.observedSince_ >= RECENT_MS
+  /** Returns for how long this box has observed the servers. */
+  observedMs(now: number): number {
+    return Math.max(0, now - this.observedSince_)
   }
 }
--- a/src/core/stream-origins.ts
+++ b/src/core/stream-origins.ts
@@ -22,10 +22,12 @@
 const MAX_ORIGINS = 20_000
 
 /** Longest time for which an origin is kept. */
-const MAX_ORIGIN_MS = 60_000
+export const MAX_ORIGIN_MS = 60_000
 
 interface KeptOrigin {
   readonly origin: StreamOrigin
+  /** Whether streams of several versions were reported under this name. */
+  readonly isAmbiguous: boolean
   readonly until: number
 }
 
@@ -36,18 +38,29 @@
     return this.kept_.size
   }
 
-  /** Keeps an origin. The first one that is reported for a request stays. */
+  /**
+   * Keeps an origin. A stream that went on at another service begins there anew. Different
+   * versions of one service show that two streams have the same name.
+   */
   record({request, service, software, forMs}: OriginReport, now: number): void {
-    const origin = this.find(request, now) ?? {service, software}
+    const kept = this.kept_.get(request)
+    const known = kept && kept.until > now ? kept : undefined
+    const isOther =
+      known?.origin.service === service && known.origin.software !== software
+    const until = now + Math.min(forMs, MAX_ORIGIN_MS)
     this.kept_.delete(request)
-    this.kept_.set(request, {origin, until: now + Math.min(forMs, MAX_ORIGIN_MS)})
+    this.kept_.set(request, {
+      origin: {service, software},
+      isAmbiguous: isOther || known?.isAmbiguous === true,
+      until: Math.max(until, known?.until ?? until)
+    })
     this.removeOldest(now)
   }
 
   /** Returns the origin of the stream that the request began, if it is known. */
   find(request: string, now: number): StreamOrigin | undefined {
     const kept = this.kept_.get(request)
-    return kept && kept.until > now ? kept.origin : undefined
+    return kept && kept.until > now && !kept.isAmbiguous ? kept.origin : undefined
   }
 
   private removeOldest(now: number): void {
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -21,6 +21,9 @@
 /** Longer than boxes need to read a new entry and to learn each other's addresses. */
 const SETTLING_MS = 1_500
 
+/** Twice the time limit of the routes: a stream that is resumed began within it. */
+const HISTORY_MS = 8_000
+
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
@@ -159,6 +162,9 @@
   const bed = await startVersions(["v1", "v1"], {boxes: 2, engine: SLOW})
   t.teardown(() => bed.stop())
   const [first, second] = bed.boxes as [BedBox, BedBox]
+  // Nobody has observed the servers for as long as the stream may have lasted.
+  t.equal((await takeUp(bed, first, "never-seen", "3")).status, 503)
+  await sleep(HISTORY_MS)
   t.match(await takeUp(bed, first, "never-seen", "3"), {status: 200, broken: false})
   await bed.addEngine(2, {version: "v2"})
   await sleep(SETTLING_MS)
@@ -183,3 +189,28 @@
   t.match(again, {status: 200, broken: false})
   t.same(versionsOf(bed, [again.id]), [other?.software])
 })
+
+t.test(
+  "a box that started again does not guess which version began a stream",
+  async t => {
+    const bed = await startVersions(["v1"], {engine: SLOW})
+    t.teardown(() => bed.stop())
+    const [box] = bed.boxes as [BedBox]
+    const [old] = bed.engines as [StandInWorker]
+    const ids = ["guess-0", "guess-1", "guess-2"]
+    const lasts = await Promise.all(ids.map(id => beginStream(box, id)))
+    await bed.addEngine(1, {version: "v2"})
+    await box.child.end("SIGKILL")
+    old.drain()
+    await sleep(300)
+    old.stop()
+    bed.restartBox(box)
+    await bed.ready()
+    await sleep(SETTLING_MS)
+    for (const [index, id] of ids.entries()) {
+      const again = await takeUp(bed, box, id, lasts[index] as string)
+      t.equal(versionsOf(bed, [id, again.id]).length, 1)
+      t.equal(again.status, 503)
+    }
+  }
+)
