Callers can't speak the protocol between boxes

What callers would see: a box that sends through another one passed on the callers' headers, so that a caller's sedge-streams header had its body taken for a report of that box: it could plant the origin of another caller's stream, and its own request was lost. Change: headers between boxes are removed from callers' requests before they leave; the list stands beside the headers. Shared parts of the tests are in test/support/versions.ts.

--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -17,6 +17,7 @@
   type CarryFacts,
   NOT_CARRIED_HEADER,
   PROBE_HEADER,
+  stripOwn,
   unpackCarryFacts
 } from "./carry-headers.js"
 import {clockNow} from "./clock.js"
@@ -29,14 +30,6 @@
 /** Requests of other boxes in progress; more are left to other boxes. */
 const MAX_CARRIED = 100
 
-/** Headers of this box's own protocol, which no server may see or set. */
-const OWN_HEADERS = new Set([
-  BROKEN_HEADER,
-  CARRY_HEADER,
-  NOT_CARRIED_HEADER,
-  PROBE_HEADER
-])
-
 /** Why a request was not sent. */
 type NotCarried = CarryObstacle | "busy" | "stopping" | "not-sent" | "unreadable"
 
@@ -219,13 +212,3 @@
   res.writeHead(503, {[NOT_CARRIED_HEADER]: reason, "content-length": "0"})
   res.end()
 }
-
-/** Returns flat headers without those of the protocol between boxes. */
-function stripOwn(headers: readonly string[]): string[] {
-  const kept: string[] = []
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    const name = headers[i] as string
-    if (!OWN_HEADERS.has(name.toLowerCase())) kept.push(name, headers[i + 1] as string)
-  }
-  return kept
-}
--- a/src/adapters/carry-headers.ts
+++ b/src/adapters/carry-headers.ts
@@ -16,6 +16,18 @@
 /** Header of a request that asks whether the named server accepts a connection. */
 export const PROBE_HEADER = "sedge-probe"
 
+/** Header of messages between boxes about streams: `tell` or `ask`. */
+export const STREAMS_HEADER = "sedge-streams"
+
+/** Headers between boxes, which neither callers nor servers may send or see. */
+const OWN_HEADERS: ReadonlySet<string> = new Set([
+  BROKEN_HEADER,
+  CARRY_HEADER,
+  NOT_CARRIED_HEADER,
+  PROBE_HEADER,
+  STREAMS_HEADER
+])
+
 const schema = z.object({
   /** Id of the server's incarnation. */
   server: z.string(),
@@ -50,3 +62,13 @@
     return undefined
   }
 }
+
+/** Returns flat headers without those between boxes. */
+export function stripOwn(headers: readonly string[]): string[] {
+  const kept: string[] = []
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string
+    if (!OWN_HEADERS.has(name.toLowerCase())) kept.push(name, headers[i + 1] as string)
+  }
+  return kept
+}
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -20,7 +20,8 @@
   BROKEN_HEADER,
   CARRY_HEADER,
   NOT_CARRIED_HEADER,
-  packCarryFacts
+  packCarryFacts,
+  stripOwn
 } from "./carry-headers.js"
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, stripHop} from "./relay-exchange.js"
@@ -372,7 +373,7 @@
     arrival: Arrival | undefined
   ): SendPath {
     const {dialect, serving, box} = this.options_
-    const headers = stripHop(exchange.req.rawHeaders)
+    const headers = stripOwn(stripHop(exchange.req.rawHeaders))
     // The last event that was sent to the caller: a stream resumes after it. The core's
     // value may be older.
     const {lastEventId} = exchange
--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -11,12 +11,10 @@
 import type {OriginReport} from "../core/stream-origins.js"
 import {splitAddress} from "../utils/address.js"
 import {rankMembers} from "../utils/rendezvous.js"
+import {STREAMS_HEADER} from "./carry-headers.js"
 import {clockNow} from "./clock.js"
 import {readWholeBody} from "./request-body.js"
 
-/** Header of these messages between boxes: `tell` or `ask`. */
-const STREAMS_HEADER = "sedge-streams"
-
 /** Boxes that an origin is reported to. */
 const KEEPERS = 2
 
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -3,87 +3,34 @@
  * and where its caller takes it up at another box. Guards against streams that hold
  * events of two versions, and against refusing streams that can go on.
  */
-import {request} from "undici"
 import t from "tap"
 import type {StandInWorker} from "./stand-ins/platform-worker.js"
-import {type BedBox, type BedOptions, MODEL, PlatformBed} from "./support/platform-bed.js"
-import {until} from "./support/wait.js"
-
-/** Requests of the base model alone, which every engine can run. */
-const BASE_MODEL = {"x-model-id": MODEL}
-
-const EVENTS = 20
-const SLOW = {events: EVENTS, gapMs: 40}
+import {type BedBox, PlatformBed} from "./support/platform-bed.js"
+import {
+  BASE_MODEL,
+  beginStream,
+  EVENTS,
+  SETTLING_MS,
+  SLOW,
+  startVersions,
+  takeUp
+} from "./support/versions.js"
 
 /** Longest time of a refusal of a stream that can go on nowhere. */
 const REFUSAL_MS = 1_000
 
-/** Longer than boxes need to read a new entry and to learn each other's addresses. */
-const SETTLING_MS = 1_500
-
 /** Twice the time limit of the routes: a stream that is resumed began within it. */
 const HISTORY_MS = 8_000
 
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
-/** Starts boxes and engines, one engine for each of these software versions. */
-async function startVersions(
-  versions: readonly string[],
-  options: BedOptions = {}
-): Promise<PlatformBed> {
-  const bed = await PlatformBed.start({boxes: 1, engines: 0, plain: 1, ...options})
-  for (const [index, version] of versions.entries()) {
-    await bed.addEngine(index, {version})
-  }
-  const [box] = bed.boxes
-  await until("an engine serves", async () => {
-    const {status} = await bed.call(box as BedBox, "/stream/x", {headers: BASE_MODEL})
-    return status === 200
-  })
-  await sleep(SETTLING_MS)
-  return bed
-}
-
 /** Software versions that ran any of these requests. */
 function versionsOf(bed: PlatformBed, ids: readonly string[]): string[] {
   const runs = bed.judge.runs.filter(({id}) => ids.includes(id))
   return [...new Set(runs.map(({software}) => software ?? ""))]
 }
 
-/** Begins a stream, and leaves it once `events` events have come. Returns the last id. */
-async function beginStream(box: BedBox, id: string, events = 2): Promise<string> {
-  const {body} = await request(`http://${box.callers}/stream/x`, {
-    method: "POST",
-    headers: {
-      host: "callers.example",
-      "x-request-id": id,
-      "x-request-deadline": "4000",
-      "x-token-usage": "100,20",
-      ...BASE_MODEL
-    },
-    body: "{}"
-  })
-  let text = ""
-  try {
-    for await (const chunk of body) {
-      text += String(chunk)
-      if (text.split("\n\n").length > events) break
-    }
-  } catch {
-    // The box was killed.
-  }
-  return [...text.matchAll(/id: (\d+)\n.*\n\n/g)].at(-1)?.[1] ?? ""
-}
-
-/** Takes up the stream that request `first` began after this event. */
-async function takeUp(bed: PlatformBed, box: BedBox, first: string, last: string) {
-  const startedAt = performance.now()
-  const headers = {...BASE_MODEL, "last-event-id": last, resumes: first}
-  const outcome = await bed.call(box, "/stream/x", {headers, body: "{}"})
-  return {...outcome, ms: performance.now() - startedAt}
-}
-
 t.test("a box continues a stream at the version that began it", async t => {
   const bed = await startVersions(["v1", "v1", "v2", "v2"])
   t.teardown(() => bed.stop())
