Names of streams are scoped to callers, and their length harms nobody

Cause: the key of a stream was its request's name as it came. Change: the key is a digest of the caller's key and the name. Any answer shows that a box lives; a report that is not answered is sent once to the next box, by itself; batches are split; a box that fails ten times in a row is forgotten until it is named again.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -572,7 +572,7 @@
       case "check-path":
         return void this.checkPath(effect.backend)
       case "ask-origin":
-        return void this.streamPeers_.ask(effect.id, effect.request, effect.service)
+        return void this.streamPeers_.ask(effect.id, effect.stream, effect.service)
       case "tell-origins":
         return this.streamPeers_.tell(effect.origins)
       case "order":
--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -1,6 +1,6 @@
 /**
  * Reports to a few other boxes where streams began, and asks boxes for it. The boxes are
- * chosen by rendezvous hashing of the request's name, so that any box finds them, also
+ * chosen by rendezvous hashing of the stream's key, so that any box finds them, also
  * after the box that began the stream is gone.
  */
 import {Agent, type IncomingMessage, request, type ServerResponse} from "node:http"
@@ -30,11 +30,17 @@
 /** How long a box that did not answer gets no reports. */
 const FAILURE_MS = 3_000
 
+/** Failures in a row after which an address is no longer kept. */
+const MAX_FAILURES = 10
+
 /** Limits the addresses kept. */
 const MAX_ADDRESSES = 1_000
 
 const MAX_MESSAGE_BYTES = 256 << 10
 
+/** Origins in one message, well below its limit of bytes. */
+const MAX_BATCH = 500
+
 /** How long idle connections to other boxes are kept open. */
 const KEEP_ALIVE_MS = 14_000
 
@@ -43,10 +49,10 @@
 const origin = z.object({service: text, software: text})
 
 const told = z.object({
-  origins: z.array(origin.extend({request: text, forMs: z.number().min(0)}))
+  origins: z.array(origin.extend({stream: text, forMs: z.number().min(0)}))
 })
 
-const question = z.object({request: text, service: text})
+const question = z.object({stream: text, service: text})
 
 const answer = z.object({
   origin: origin.optional(),
@@ -54,6 +60,12 @@
   observedMs: z.number().min(0)
 })
 
+interface Peer {
+  failedUntil: number
+  /** Messages in a row that it did not answer. */
+  failures: number
+}
+
 export interface StreamPeersOptions {
   /** IP address and port where this box accepts links. */
   readonly ownAddress: string
@@ -62,8 +74,8 @@
 }
 
 export class StreamPeers {
-  /** When the last failure of each other box is over, by address, newest last. */
-  private readonly failedUntil_ = new Map<string, number>()
+  /** Other boxes by address, the most recently named last. */
+  private readonly peers_ = new Map<string, Peer>()
   private readonly agent_ = new Agent({keepAlive: true, timeout: KEEP_ALIVE_MS})
   private readonly waiting_: OriginReport[] = []
   private timer_: NodeJS.Timeout | undefined
@@ -74,28 +86,31 @@
   addAddresses(addresses: readonly string[]): void {
     for (const address of addresses) {
       if (address === this.options_.ownAddress) continue
-      const failedUntil = this.failedUntil_.get(address) ?? -Infinity
-      this.failedUntil_.delete(address)
-      this.failedUntil_.set(address, failedUntil)
+      const peer = this.peers_.get(address) ?? createPeer()
+      this.peers_.delete(address)
+      this.peers_.set(address, peer)
     }
-    for (const oldest of this.failedUntil_.keys()) {
-      if (this.failedUntil_.size <= MAX_ADDRESSES) return
-      this.failedUntil_.delete(oldest)
+    for (const oldest of this.peers_.keys()) {
+      if (this.peers_.size <= MAX_ADDRESSES) return
+      this.peers_.delete(oldest)
     }
   }
 
   /** Reports where streams began. */
   tell(origins: readonly OriginReport[]): void {
     this.waiting_.push(...origins)
-    this.timer_ ??= setTimeout(() => this.sendWaiting(true), BATCH_MS)
+    this.timer_ ??= setTimeout(() => {
+      this.timer_ = undefined
+      this.send(this.waiting_.splice(0), true)
+    }, BATCH_MS)
   }
 
   /** Posts what other boxes know of the begin of a stream. */
-  async ask(id: string, request: string, service: string): Promise<void> {
+  async ask(id: string, stream: string, service: string): Promise<void> {
     this.options_.post({
       type: "origin-answer",
       id,
-      answer: await this.collectAnswers(request, service)
+      answer: await this.collectAnswers(stream, service)
     })
   }
 
@@ -112,27 +127,35 @@
     this.agent_.destroy()
   }
 
-  private sendWaiting(mayRetry: boolean): void {
-    this.timer_ = undefined
+  private send(reports: readonly OriginReport[], mayRetry: boolean): void {
     const byKeeper = new Map<string, OriginReport[]>()
-    for (const report of this.waiting_.splice(0)) {
-      for (const keeper of this.rank(report.request).slice(0, KEEPERS)) {
-        byKeeper.set(keeper, [...(byKeeper.get(keeper) ?? []), report])
+    for (const report of reports) {
+      for (const keeper of this.select(report.stream, KEEPERS)) {
+        const batch = byKeeper.get(keeper) ?? []
+        batch.push(report)
+        byKeeper.set(keeper, batch)
       }
     }
-    for (const [keeper, origins] of byKeeper) {
-      void this.sendTo(keeper, "tell", {origins}).then(body => {
-        if (body !== undefined || !mayRetry) return
-        // The box that failed is left out now.
-        this.waiting_.push(...origins)
-        this.timer_ ??= setTimeout(() => this.sendWaiting(false), BATCH_MS)
-      })
+    for (const [keeper, batch] of byKeeper) {
+      for (let first = 0; first < batch.length; first += MAX_BATCH) {
+        void this.sendBatch(keeper, batch.slice(first, first + MAX_BATCH), mayRetry)
+      }
     }
   }
 
+  private async sendBatch(
+    keeper: string,
+    origins: readonly OriginReport[],
+    mayRetry: boolean
+  ): Promise<void> {
+    const answered = await this.sendTo(keeper, "tell", {origins})
+    // The box that failed is not selected now.
+    if (!answered && mayRetry) this.send(origins, false)
+  }
+
   /** Returns the first answer that knows the origin, or what all of them know. */
-  private async collectAnswers(request: string, service: string): Promise<OriginAnswer> {
-    const asked = this.rank(request).slice(0, ASKED_BOXES)
+  private async collectAnswers(stream: string, service: string): Promise<OriginAnswer> {
+    const asked = this.select(stream, ASKED_BOXES)
     const recent = new Set<string>()
     let observedMs = 0
     return new Promise(resolve => {
@@ -141,7 +164,7 @@
         resolve({origin: undefined, recent: [...recent], observedMs})
       if (left === 0) return finish()
       for (const address of asked) {
-        void this.askBox(address, request, service).then(found => {
+        void this.askBox(address, stream, service).then(found => {
           for (const version of found?.recent ?? []) recent.add(version)
           observedMs = Math.max(observedMs, found?.observedMs ?? 0)
           if (found?.origin) resolve(found)
@@ -151,34 +174,46 @@
     })
   }
 
-  /** Returns the addresses of other boxes, the best one for the request first. */
-  private rank(request: string): string[] {
+  /** Returns the addresses of the first boxes for the stream that haven't failed. */
+  private select(stream: string, count: number): string[] {
     const now = clockNow()
-    const ranked = rankMembers(request, [...this.failedUntil_.keys()])
-    return ranked.filter(address => (this.failedUntil_.get(address) ?? 0) <= now)
+    const usable = [...this.peers_].flatMap(([address, {failedUntil}]) =>
+      failedUntil <= now ? address : []
+    )
+    return rankMembers(stream, usable).slice(0, count)
   }
 
   private async askBox(
     address: string,
-    request: string,
+    stream: string,
     service: string
   ): Promise<OriginAnswer | undefined> {
-    const body = await this.sendTo(address, "ask", {request, service})
-    const {data} = answer.safeParse(parse(body ?? ""))
+    const answered = await this.sendTo(address, "ask", {stream, service})
+    const {data} = answer.safeParse(parse(answered?.content ?? ""))
     return data && {...data, origin: data.origin}
   }
 
-  /** Returns the body of the answer. Undefined if there is none in time. */
+  /** Returns the answer. Undefined if there is none in time. */
   private async sendTo(
     address: string,
     kind: "tell" | "ask",
     message: object
-  ): Promise<string | undefined> {
-    const content = await postMessage(this.agent_, address, kind, JSON.stringify(message))
+  ): Promise<PeerAnswer | undefined> {
+    const answered = await postMessage(
+      this.agent_,
+      address,
+      kind,
+      JSON.stringify(message)
+    )
+    const peer = this.peers_.get(address)
+    if (!peer) return answered
+    peer.failures = answered ? 0 : peer.failures + 1
     // Without an answer the box is gone, or cut off from this one; others are told and
     // asked.
-    if (content === undefined) this.failedUntil_.set(address, clockNow() + FAILURE_MS)
-    return content
+    if (!answered) peer.failedUntil = clockNow() + FAILURE_MS
+    // A box that is back is named again.
+    if (peer.failures >= MAX_FAILURES) this.peers_.delete(address)
+    return answered
   }
 
   private async receive(
@@ -210,20 +245,28 @@
     const {origins, serviceVersions} = this.options_.serving()
     const now = clockNow()
     return {
-      origin: origins.find(data.request, now),
+      origin: origins.find(data.stream, now),
       recent: serviceVersions.recent(data.service, now),
       observedMs: serviceVersions.observedMs(now)
     }
   }
 }
 
+function createPeer(): Peer {
+  return {failedUntil: -Infinity, failures: 0}
+}
+
+interface PeerAnswer {
+  readonly content: string
+}
+
 /** Sends a message to another box. Resolves to undefined if it isn't answered in time. */
 function postMessage(
   agent: Agent,
   address: string,
   kind: "tell" | "ask",
   body: string
-): Promise<string | undefined> {
+): Promise<PeerAnswer | undefined> {
   return new Promise(resolve => {
     const call = request({
       ...splitAddress(address),
@@ -240,7 +283,7 @@
       let content = ""
       answered.setEncoding("utf8")
       answered.on("data", (part: string) => (content += part))
-      answered.on("end", () => resolve(answered.statusCode === 200 ? content : undefined))
+      answered.on("end", () => resolve({content}))
       answered.on("error", () => resolve(undefined))
     })
     call.end(body)
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -333,11 +333,11 @@
   | {readonly type: "send-asks"; readonly asks: readonly SendAllowanceRequest[]}
   /** Reports recent sends to rate-limited servers to the leader. */
   | {readonly type: "sent-lately"; readonly sent: readonly SentCounts[]}
-  /** Asks other boxes where the stream began that the request named `request` began. */
+  /** Asks other boxes where a stream began. `stream` is empty if it has no key. */
   | {
       readonly type: "ask-origin"
       readonly id: string
-      readonly request: string
+      readonly stream: string
       readonly service: string
     }
   /** Reports where streams began to other boxes. */
--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -4,9 +4,14 @@
  */
 import type {BackendRecord, Route} from "../types/fleet.js"
 import {failRequest} from "./box-ends.js"
-import {type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
+import {type Arrival, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
 import {softwareOf} from "./service-versions.js"
-import {MAX_ORIGIN_MS, type OriginReport, type StreamOrigin} from "./stream-origins.js"
+import {
+  MAX_ORIGIN_MS,
+  type OriginReport,
+  type StreamOrigin,
+  toStreamKey
+} from "./stream-origins.js"
 
 /** Added to the time in which a caller may resume a stream. */
 const ORIGIN_MARGIN_MS = 1_000
@@ -37,12 +42,13 @@
   request: BoxRequest,
   now: number
 ): void {
-  const {id, route, service, lastEventId, begunBy} = request.arrival
+  const {id, route, service, lastEventId} = request.arrival
   if (lastEventId === undefined || !route.resumable) return
-  const known = begunBy === undefined ? undefined : box.origins.find(begunBy, now)
+  const stream = streamKeyOf(request.arrival)
+  const known = stream === undefined ? undefined : box.origins.find(stream, now)
   if (known) return bindTo(box, request, known, "own")
   request.originAskedAt = now
-  box.effects.push({type: "ask-origin", id, request: begunBy ?? "", service})
+  box.effects.push({type: "ask-origin", id, stream: stream ?? "", service})
 }
 
 /** Handles what other boxes know of the begin of a stream. Returns whether it may go on. */
@@ -177,12 +183,18 @@
   {arrival, arrivedAt, software}: BoxRequest,
   now: number
 ): OriginReport | undefined {
-  const {route, service, name, begunBy, lastEventId, deadlineMs} = arrival
+  const {route, service, deadlineMs} = arrival
   if (software === undefined || !route.resumable) return undefined
-  const request = lastEventId === undefined ? name : begunBy
-  if (request === undefined || request === "") return undefined
+  const stream = streamKeyOf(arrival)
+  if (stream === undefined) return undefined
   const forMs = Math.max(0, arrivedAt + deadlineMs - now) + ORIGIN_MARGIN_MS
-  return {request, service, software, forMs: Math.min(forMs, Number.MAX_SAFE_INTEGER)}
+  return {stream, service, software, forMs: Math.min(forMs, Number.MAX_SAFE_INTEGER)}
+}
+
+/** Undefined if the caller doesn't name the request that began the stream. */
+function streamKeyOf({name, begunBy, lastEventId, key}: Arrival): string | undefined {
+  const request = lastEventId === undefined ? name : begunBy
+  return request === undefined || request === "" ? undefined : toStreamKey(request, key)
 }
 
 /** Whether the server runs the version that the request is bound to, if it is bound. */
