A stream without events through another box is judged by the server's framing

Cause: that box frames the answer in chunks, and the deciding box took these for the server's. Change: the box that sends names the server's framing in a header between boxes.

--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -15,6 +15,7 @@
   BROKEN_HEADER,
   CARRY_HEADER,
   type CarryFacts,
+  FRAMING_HEADER,
   NOT_CARRIED_HEADER,
   PROBE_HEADER,
   stripOwn,
@@ -22,7 +23,7 @@
 } from "./carry-headers.js"
 import {clockNow} from "./clock.js"
 import type {Log} from "./log.js"
-import {mapHeaders, stripHop} from "./relay-exchange.js"
+import {mapHeaders, readFraming, stripHop} from "./relay-exchange.js"
 import {readWholeBody} from "./request-body.js"
 import {serverConnections} from "./server-connections.js"
 import {probeServer} from "./server-probe.js"
@@ -132,7 +133,8 @@
           if (notice && hasNotice(notice)) {
             post({type: "server-says", backend: backend.id, notice})
           }
-          res.writeHead(status, stripOwn(stripHop(raw)))
+          const headers = stripOwn(stripHop(raw))
+          res.writeHead(status, [...headers, FRAMING_HEADER, readFraming(raw)])
           res.flushHeaders()
         },
         data: chunk => {
--- a/src/adapters/carry-headers.ts
+++ b/src/adapters/carry-headers.ts
@@ -16,6 +16,9 @@
 /** Header of a request that asks whether the named server accepts a connection. */
 export const PROBE_HEADER = "sedge-probe"
 
+/** Header of an answer: what marks its end at the server, see `AnswerFraming`. */
+export const FRAMING_HEADER = "sedge-framing"
+
 /** Header of messages between boxes about streams: `tell` or `ask`. */
 export const STREAMS_HEADER = "sedge-streams"
 
@@ -23,6 +26,7 @@
 const OWN_HEADERS: ReadonlySet<string> = new Set([
   BROKEN_HEADER,
   CARRY_HEADER,
+  FRAMING_HEADER,
   NOT_CARRIED_HEADER,
   PROBE_HEADER,
   STREAMS_HEADER
--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {AnswerEnd, AnswerFraming} from "../core/answer-end.js"
 import type {RequestFacts} from "../ports/fleet-ports.js"
+import {FRAMING_HEADER, stripOwn} from "./carry-headers.js"
 import {cutAnswer} from "./cut-answer.js"
 import {findEventsEnd, isPartialEvent} from "./event-bounds.js"
 
@@ -11,6 +12,8 @@
   readonly framing: AnswerFraming
 }
 
+const FRAMINGS: readonly AnswerFraming[] = ["length", "chunks", "connection"]
+
 const HOP_HEADERS = new Set([
   "connection",
   "keep-alive",
@@ -66,7 +69,8 @@
   }
 
   setHead(status: number, headers: readonly string[]): void {
-    this.head_ = {status, headers: stripHop(headers), framing: readFraming(headers)}
+    const sent = stripOwn(stripHop(headers))
+    this.head_ = {status, headers: sent, framing: readFraming(headers)}
   }
 
   /** Describes how the bytes of the attempt's answer ended. `cause` is an error code. */
@@ -170,11 +174,16 @@
   }
 }
 
-function readFraming(headers: readonly string[]): AnswerFraming {
-  const names = headers.filter((_, index) => index % 2 === 0)
-  const has = (name: string): boolean => names.some(each => each.toLowerCase() === name)
-  if (has("transfer-encoding")) return "chunks"
-  return has("content-length") ? "length" : "connection"
+/**
+ * Returns what marks the end of an answer at its server. A box that sent the request on
+ * frames the answer anew and names the server's framing.
+ */
+export function readFraming(headers: readonly string[]): AnswerFraming {
+  const found = mapHeaders(headers)
+  const named = FRAMINGS.find(framing => framing === found.get(FRAMING_HEADER))
+  if (named) return named
+  if (found.has("transfer-encoding")) return "chunks"
+  return found.has("content-length") ? "length" : "connection"
 }
 
 /** Returns flat headers without hop-by-hop headers. */
--- a/test/stream-ends.test.ts
+++ b/test/stream-ends.test.ts
@@ -65,6 +65,14 @@
   t.match(await bed.call(cutBox, "/once/x", ADAPTER), {status: 200, broken: true})
   const outcome = await bed.call(cutBox, "/stream/x", ADAPTER)
   t.match(outcome, {status: 200, broken: false, body: wholeStream(outcome.id)})
+  for (const engine of bed.engines) {
+    engine.faults = {unframed: true, cutAfterEvents: 0, cutBetweenEvents: true}
+  }
+  t.match(
+    await bed.call(cutBox, "/once/x", ADAPTER),
+    {status: 200, broken: true},
+    "no event, and only the connection ends it at the server"
+  )
 })
 
 t.test("the bounds of events with either kind of line break", async t => {
