Soak: the line of a round tells how streams that didn't go on ended

Change: the line, and the finding of the judge, name the status of the tries that brought nothing, with counts; no bound changes.

--- a/test/soak-judge-streams.test.ts
+++ b/test/soak-judge-streams.test.ts
@@ -198,9 +198,11 @@
 }
 
 t.test("streams that are taken up go on half as often as new ones begin", async t => {
-  t.match(judgeTakenUp(5, {newOnes: 24}), [/5 of 12 .* went on, 24 of 24 new ones began/])
+  t.match(judgeTakenUp(5, {newOnes: 24}), [
+    /5 of 12 .* went on \(503: 7\), 24 of 24 new ones began/
+  ])
   t.same(judgeTakenUp(6, {newOnes: 24}), [])
-  t.match(judgeTakenUp(2, {newOnes: 12}), [/2 of 12 .* went on, 12 of 24/])
+  t.match(judgeTakenUp(2, {newOnes: 12}), [/2 of 12 .* went on \(503: 10\), 12 of 24/])
   t.same(judgeTakenUp(3, {newOnes: 12}), [])
 })
 
--- a/test/support/soak-judge-streams.ts
+++ b/test/support/soak-judge-streams.ts
@@ -26,9 +26,11 @@
 const CONTACT_MS = 3_000
 
 /** How often tries brought what they asked for. */
-export interface TryCount {
+interface TryCount {
   readonly served: number
   readonly all: number
+  /** How the other tries ended, each way with its number. */
+  readonly others: string
 }
 
 /** Returns the violations found in a round. */
@@ -63,8 +65,8 @@
     `without an answer ${count(({tries}) => isUnanswered(tries.at(-1)))}, ` +
     `reached a caller cut ${count(({tries}) => tries.some(isCut))}, ` +
     `of two versions ${listMixed(judge, record).length}, ` +
-    `take-ups that went on ${takeUps.served} of ${takeUps.all}, ` +
-    `new streams that began ${begins.served} of ${begins.all}`
+    `take-ups that went on ${takeUps.served} of ${takeUps.all}${takeUps.others}, ` +
+    `new streams that began ${begins.served} of ${begins.all}${begins.others}`
   )
 }
 
@@ -137,8 +139,8 @@
   const shareOfNew = begins.served / Math.max(1, begins.all)
   if (takeUps.served / takeUps.all >= MIN_SHARE * shareOfNew) return []
   return [
-    `${takeUps.served} of ${takeUps.all} streams that callers took up went on, ` +
-      `${begins.served} of ${begins.all} new ones began`
+    `${takeUps.served} of ${takeUps.all} streams that callers took up went on${takeUps.others}, ` +
+      `${begins.served} of ${begins.all} new ones began${begins.others}`
   ]
 }
 
@@ -163,10 +165,20 @@
 }
 
 function countServed(tries: readonly StreamTry[]): TryCount {
-  const served = tries.filter(
-    each => each.status === 200 && (each.events.length > 0 || looksComplete(each))
+  const others = tries.filter(
+    each => each.status !== 200 || (each.events.length === 0 && !looksComplete(each))
   )
-  return {served: served.length, all: tries.length}
+  const ways = new Map<string, number>()
+  for (const {status, gaveUp} of others) {
+    const way = gaveUp ? `given up ${status}` : `${status}`
+    ways.set(way, (ways.get(way) ?? 0) + 1)
+  }
+  const text = [...ways].map(([way, count]) => `${way}: ${count}`).join(", ")
+  return {
+    served: tries.length - others.length,
+    all: tries.length,
+    others: text === "" ? "" : ` (${text})`
+  }
 }
 
 /** Whether no fault of the box or the store is near the try. */
