A caller that names no begin goes on where only one version is seen

Cause: the history that a named stream needs was asked of them, too, though no report can ever help them. Change: without a name, one version in all histories is enough.

--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -78,11 +78,13 @@
   others: VersionHistory,
   now: number
 ): void {
-  const {service, route} = request.arrival
+  const {service, route, begunBy} = request.arrival
   const own = box.serviceVersions
   const [only, ...more] = new Set([...own.recent(service, now), ...others.recent])
   const observedMs = Math.max(own.observedMs(now), others.observedMs)
-  if (only === undefined || more.length > 0 || observedMs < maxAgeMs(route)) {
+  // A caller that names no request can never be told more than what is seen now.
+  const neededMs = begunBy === undefined ? 0 : maxAgeMs(route)
+  if (only === undefined || more.length > 0 || observedMs < neededMs) {
     return refuseStream(box, request, "unknown-begin", now)
   }
   bindTo(box, request, {service, software: only}, "only-version")
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -161,3 +161,15 @@
     }
   }
 )
+
+t.test("a caller that names no begin goes on where only one version is seen", async t => {
+  const bed = await startVersions(["v1"], {engine: SLOW})
+  t.teardown(() => bed.stop())
+  const [box] = bed.boxes as [BedBox]
+  const takeUpUnnamed = () =>
+    bed.call(box, "/stream/x", {headers: {...BASE_MODEL, "last-event-id": "3"}})
+  t.match(await takeUpUnnamed(), {status: 200, broken: false})
+  await bed.addEngine(1, {version: "v2"})
+  await sleep(SETTLING_MS)
+  t.match(await takeUpUnnamed(), {status: 503})
+})
