Messages about streams in a module of their own; a silent box is logged

What: the schemas and the call of stream-peers stand in stream-messages; event 246 names a box that did not answer a report or a question. No other behaviour changes.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -204,7 +204,8 @@
     this.streamPeers_ = new StreamPeers({
       ownAddress: settings.boxes,
       post,
-      serving: () => serving
+      serving: () => serving,
+      log
     })
     this.carrier_ = new Carrier({
       dialect,
--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -3,17 +3,25 @@
  * chosen by rendezvous hashing of the stream's key, so that any box finds them, also
  * after the box that began the stream is gone.
  */
-import {Agent, type IncomingMessage, request, type ServerResponse} from "node:http"
-import * as z from "zod"
+import {Agent, type IncomingMessage, type ServerResponse} from "node:http"
 import type {BoxServing} from "../core/box-state.js"
 import type {OriginAnswer} from "../core/box-streams.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {OriginReport} from "../core/stream-origins.js"
-import {splitAddress} from "../utils/address.js"
 import {hashMember, selectMembers} from "../utils/rendezvous.js"
 import {STREAMS_HEADER} from "./carry-headers.js"
 import {clockNow} from "./clock.js"
+import type {Log} from "./log.js"
 import {readWholeBody} from "./request-body.js"
+import {
+  answer,
+  parseJson,
+  type PeerAnswer,
+  postMessage,
+  question,
+  type StreamMessageKind,
+  told
+} from "./stream-messages.js"
 
 /** Boxes that an origin is reported to. */
 const KEEPERS = 2
@@ -24,9 +32,6 @@
 /** How long origins are collected before they are sent. */
 const BATCH_MS = 10
 
-/** Allows for connecting and the link delays. */
-const ANSWER_TIMEOUT_MS = 250
-
 /** How long a box that did not answer gets no reports. */
 const FAILURE_MS = 3_000
 
@@ -44,22 +49,6 @@
 /** How long idle connections to other boxes are kept open. */
 const KEEP_ALIVE_MS = 14_000
 
-const text = z.string().max(1_000)
-
-const origin = z.object({service: text, software: text})
-
-const told = z.object({
-  origins: z.array(origin.extend({stream: text, forMs: z.number().min(0)}))
-})
-
-const question = z.object({stream: text, service: text})
-
-const answer = z.object({
-  origin: origin.optional(),
-  recent: z.array(text),
-  observedMs: z.number().min(0)
-})
-
 interface Peer {
   /** See `hashMember`. */
   readonly hash: number
@@ -73,6 +62,7 @@
   readonly ownAddress: string
   readonly post: (event: ServingEvent) => void
   readonly serving: () => BoxServing
+  readonly log: Log
 }
 
 export class StreamPeers {
@@ -193,14 +183,14 @@
     service: string
   ): Promise<OriginAnswer | undefined> {
     const answered = await this.sendTo(address, "ask", {stream, service})
-    const {data} = answer.safeParse(parse(answered?.content ?? ""))
+    const {data} = answer.safeParse(parseJson(answered?.content ?? ""))
     return data && {...data, origin: data.origin}
   }
 
   /** Returns the answer. Undefined if there is none in time. */
   private async sendTo(
     address: string,
-    kind: "tell" | "ask",
+    kind: StreamMessageKind,
     message: object
   ): Promise<PeerAnswer | undefined> {
     const answered = await postMessage(
@@ -209,6 +199,7 @@
       kind,
       JSON.stringify(message)
     )
+    if (!answered) this.options_.log("stream-peer-silent", {address, kind})
     const peer = this.peers_.get(address)
     if (!peer) return answered
     peer.failures = answered ? 0 : peer.failures + 1
@@ -226,7 +217,7 @@
     res: ServerResponse
   ): Promise<void> {
     const body = await readWholeBody(req, MAX_MESSAGE_BYTES)
-    const content = Buffer.isBuffer(body) ? parse(body.toString()) : undefined
+    const content = Buffer.isBuffer(body) ? parseJson(body.toString()) : undefined
     const reply = kind === "tell" ? this.keep(content) : this.answer(content)
     if (res.destroyed) return
     const sent = reply === undefined ? "" : JSON.stringify(reply)
@@ -259,45 +250,3 @@
 function createPeer(address: string): Peer {
   return {hash: hashMember(address), failedUntil: -Infinity, failures: 0}
 }
-
-interface PeerAnswer {
-  readonly content: string
-}
-
-/** Sends a message to another box. Resolves to undefined if it isn't answered in time. */
-function postMessage(
-  agent: Agent,
-  address: string,
-  kind: "tell" | "ask",
-  body: string
-): Promise<PeerAnswer | undefined> {
-  return new Promise(resolve => {
-    const call = request({
-      ...splitAddress(address),
-      agent,
-      method: "POST",
-      headers: {
-        [STREAMS_HEADER]: kind,
-        "content-length": String(Buffer.byteLength(body))
-      },
-      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS)
-    })
-    call.on("error", () => resolve(undefined))
-    call.on("response", answered => {
-      let content = ""
-      answered.setEncoding("utf8")
-      answered.on("data", (part: string) => (content += part))
-      answered.on("end", () => resolve({content}))
-      answered.on("error", () => resolve(undefined))
-    })
-    call.end(body)
-  })
-}
-
-function parse(content: string): unknown {
-  try {
-    return JSON.parse(content) as unknown
-  } catch {
-    return undefined
-  }
-}
--- a/src/events.ts
+++ b/src/events.ts
@@ -474,6 +474,11 @@
     level: "info",
     text: "The servers of a service have begun to run several software versions."
   },
+  "stream-peer-silent": {
+    number: 246,
+    level: "info",
+    text: "Another box did not answer a report of where streams began (`tell`), or a question about it (`ask`)."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
