A box that starts after a restore keeps its doubt

Cause: the assumption of a starting box that there was a restore was not in the record that reports of others are merged into, so the next report of a leader that had started after the restore, too, replaced it. And a read older than the latest possible begin of an era counted as one from before.

--- a/src/adapters/era-source.ts
+++ b/src/adapters/era-source.ts
@@ -75,6 +75,15 @@
     this.merge({era, begunBy: clockNow() - ageMs, restored: risen})
   }
 
+  /**
+   * Records that the known era may have begun with a restore, which this process did not
+   * observe, by `begunBy` at the latest. No later report ends that, since the reporter
+   * may know less.
+   */
+  assumeRestore(begunBy: number): void {
+    if (this.known_) this.merge({era: this.known_.era, begunBy, restored: true})
+  }
+
   private merge(reported: KnownEra): void {
     const before = this.known_
     const known = mergeEra(before, reported)
--- a/src/core/box-snapshot-age.ts
+++ b/src/core/box-snapshot-age.ts
@@ -4,7 +4,7 @@
  */
 import type {BoxServing} from "./box-state.js"
 import {STALE_MS} from "./snapshot-age.js"
-import {type KnownEra, mayLackWrites} from "./eras.js"
+import {type KnownEra, mayLackWrites, mergeEra} from "./eras.js"
 
 /**
  * Records that the snapshot was as recent as can be had at that time. `read` is false if
@@ -49,11 +49,14 @@
 export function applyEra(box: BoxServing, era: KnownEra, wentUp: boolean): void {
   const readAt = readBeforeUpdateAt(box, era.begunBy)
   const configReadAt = era.begunBy - configAgeMs(box, era.begunBy)
-  box.era = era
+  const knewEra = box.era?.era === era.era
+  box.era = mergeEra(box.era, era)
   if (!wentUp) return
-  // A box that has only read the restored backup has no store read from before it.
-  box.readBeforeEra = readAt !== undefined && readAt < era.begunBy ? readAt : undefined
-  box.configReadBeforeEra = configReadAt < era.begunBy ? configReadAt : undefined
+  // `begunBy` is only an upper bound, so it does not tell in which era a read was. A box
+  // that knew the era already may have read nothing but the restored backup.
+  const isBefore = (at: number): boolean => !knewEra && at < era.begunBy
+  box.readBeforeEra = readAt !== undefined && isBefore(readAt) ? readAt : undefined
+  box.configReadBeforeEra = isBefore(configReadAt) ? configReadAt : undefined
 }
 
 /**
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -276,9 +276,6 @@
       return handleEraChange(state, event.known, event.restored, now)
     case "copied":
       serving.backends = setRestoredEntriesUntil(serving.backends, event.until)
-      // This box does not know when the store was restored, so it assumes now.
-      if (serving.era)
-        applyEra(serving, {...serving.era, begunBy: now, restored: true}, true)
       return
     case "engines":
       applyFullSnapshot(serving, event.engines, now)
--- a/src/events.ts
+++ b/src/events.ts
@@ -367,12 +367,12 @@
   "era-doubted": {
     number: 221,
     level: "warn",
-    text: "This box started soon after the key-value service was restored from an older backup; it waits before it uses servers that no other box confirms."
+    text: "This box started soon after the key-value service was restored from an older backup; it doubts what the service holds and lacks until that is settled."
   },
   "era-settled": {
     number: 222,
     level: "info",
-    text: "All entries of servers are of the current era; boxes that start from now on do not wait."
+    text: "Entries of servers are of the current era; with `writes`, acknowledged writes are too. Boxes that start from now on rely on them."
   },
   "attempt-broken": {
     number: 223,
--- a/test/store-era-starts.test.ts
+++ b/test/store-era-starts.test.ts
@@ -60,6 +60,12 @@
   return Math.max(0, ...times)
 }
 
+/** When boxes start again after a drill, in the test of a key that was taken away. */
+const RESTARTS_MS = [3_000, 6_500] as const
+
+/** When writers have repeated what a restore lost. Shorter than boxes wait for it. */
+const REPEATED_MS = 9_000
+
 async function callFor(bed: PlatformBed, ms: number): Promise<void> {
   const end = performance.now() + ms
   while (performance.now() < end) {
@@ -140,3 +146,47 @@
     (await bed.call(other, "/safe/x", {key: "key"})).status === 200
   await until("it serves callers with a key", isServed, RECOVERY_MS)
 })
+
+// Guards against a failure of soak seed 61011: boxes that started 2 and 5 s after a drill
+// accepted keys while boxes that lived through it refused them. Their leader had started
+// after the drill, too, and reported an era without a restore.
+t.test("boxes that start after a drill accept no key that was taken away", async t => {
+  const tenants = [{name: "org", apiKeys: ["kept", "taken"]}]
+  const bed = await PlatformBed.start({boxes: 2, engines: 1, plain: 2, tenants})
+  t.teardown(() => bed.stop())
+  const setKeys = (...apiKeys: string[]): void => {
+    bed.tenants = [{name: "org", apiKeys}]
+    bed.configure()
+  }
+  const statusOf = async (box: BedBox, key: string): Promise<number> =>
+    (await bed.call(box, "/safe/x", {key, deadlineMs: 500})).status
+  for (const box of bed.boxes) {
+    await until("the key counts", async () => (await statusOf(box, "taken")) === 200)
+  }
+  await sleep(1_000)
+  setKeys("kept")
+  const backupAgeMs = 500
+  await Promise.all(bed.boxes.map(({child}) => child.end("SIGKILL")))
+  await bed.store.drill({backupAgeMs, outageMs: 50})
+  const drilledAt = performance.now()
+  const accepted: string[] = []
+  const callUntil = async (box: BedBox, ms: number): Promise<void> => {
+    await sleep(ms - (performance.now() - drilledAt))
+    bed.restartBox(box)
+    while (performance.now() < drilledAt + REPEATED_MS) {
+      const status = await statusOf(box, "taken")
+      const afterMs = Math.round(performance.now() - drilledAt)
+      if (status === 200) accepted.push(`${box.name} ${afterMs} ms after the drill`)
+      await sleep(20)
+    }
+  }
+  await Promise.all(bed.boxes.map((box, i) => callUntil(box, RESTARTS_MS[i] ?? 0)))
+  t.same(accepted.slice(0, 3), [], `accepted ${accepted.length} times`)
+  setKeys("kept")
+  for (const box of bed.boxes) {
+    const isServed = async (): Promise<boolean> => (await statusOf(box, "kept")) === 200
+    await until("it serves callers with a key", isServed, RECOVERY_MS)
+    const isUnknown = async (): Promise<boolean> => (await statusOf(box, "taken")) === 401
+    await until("the other key is unknown", isUnknown, RECOVERY_MS)
+  }
+})
