Boxes state their usage to each new leader

Cause: a leader counted the whole projection of the last one as used, with its growth and with allowances nobody used, and each further leader added its own. Boxes told a new leader nothing of what they had used and held.

Change: a leader stores the boxes it is connected to and what it projects without them; boxes state their accounts, and once all of them did, the accounts replace the projection.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -166,6 +166,7 @@
     }
     this.leadershipOptions_ = leadershipOptions
     const serving = createBoxServing({
+      incarnation: this.incarnation_,
       dataCentre: settings.dataCentre,
       retry: {
         ratio: settings.retry.ratio,
@@ -564,7 +565,7 @@
       case "read-usage":
         return void this.usageStore_.read()
       case "save-usage":
-        return void this.usageStore_.save(effect.save, effect.outlooks)
+        return void this.usageStore_.save(effect.save, effect.outlooks, effect.claims)
       case "crashes":
         this.crashStore_.saveSoon()
         return void this.leaderChannel_.perform(effect)
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -7,7 +7,7 @@
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {StoreCaller} from "../types/store-calls.js"
-import type {UsageProjections} from "../types/usage-messages.js"
+import type {UsageClaims, UsageProjections} from "../types/usage-messages.js"
 import type {StoreEras} from "./era-source.js"
 import {pause} from "../utils/promises.js"
 import type {Log} from "./log.js"
@@ -15,15 +15,26 @@
 
 const RETRY_MS = 250
 
+const projections = z.record(z.string(), z.array(z.number().nonnegative()))
+
 const storedUsage = z.object({
   /** Era of the write. Undefined if the service reported none. */
   era: z.number().optional(),
-  outlooks: z.record(z.string(), z.array(z.number().nonnegative()))
+  outlooks: projections,
+  /** Undefined if an earlier program wrote the value. */
+  claims: z
+    .object({
+      boxes: z.array(z.string()),
+      leader: z.object({box: z.string(), usage: projections}),
+      unclaimed: projections
+    })
+    .optional()
 })
 
 /** An answered read. `outlooks` is undefined if it may lack usage granted since. */
 interface ReadUsage {
   readonly outlooks: UsageProjections | undefined
+  readonly claims?: UsageClaims | undefined
 }
 
 type Position = Pick<KvEntry, "revision" | "era">
@@ -67,8 +78,10 @@
    * Replaces the value last read or written. A value of a later leader isn't
    * overwritten.
    */
-  save(save: number, value: UsageProjections): Promise<void> {
-    this.pendingSave_ = this.pendingSave_.then(() => this.saveNow(save, value))
+  save(save: number, outlooks: UsageProjections, claims: UsageClaims): Promise<void> {
+    this.pendingSave_ = this.pendingSave_.then(() =>
+      this.saveNow(save, {outlooks, claims})
+    )
     return this.pendingSave_
   }
 
@@ -77,11 +90,14 @@
     await Promise.race([this.pendingSave_, pause(limitMs)])
   }
 
-  private async saveNow(save: number, value: UsageProjections): Promise<void> {
+  private async saveNow(
+    save: number,
+    value: {outlooks: UsageProjections; claims: UsageClaims}
+  ): Promise<void> {
     const {fence, post} = this.options_
     const fenceBefore = fence()
     const {era} = this.options_.eras
-    const text = JSON.stringify({era, outlooks: value})
+    const text = JSON.stringify({era, ...value})
     const ok = await this.attempt(() => this.write(text))
     if (!ok) {
       await pause(RETRY_MS)
@@ -97,7 +113,8 @@
     // No leader has stored any usage yet.
     if (!entry) return {outlooks: {}}
     const {success, data, error} = storedUsage.safeParse(parse(entry.value))
-    if (success) return {outlooks: data.era === eras.era ? data.outlooks : undefined}
+    if (success && data.era === eras.era) return data
+    if (success) return {outlooks: undefined}
     log("entry-unreadable", {key, revision: entry.revision, reason: error.message})
     return {outlooks: undefined}
   }
--- a/src/core/allowance-pool.ts
+++ b/src/core/allowance-pool.ts
@@ -2,8 +2,18 @@
  * The allowance pool of a box: allowances that it holds of organisations' limits, and
  * what it still has to report to its leader.
  */
-import type {AllowanceRequest, AllowanceGrant} from "../types/usage-messages.js"
-import {ALLOWANCE_LIFETIME_MS} from "./usage-limits.js"
+import type {
+  AccountStatement,
+  AllowanceRequest,
+  AllowanceGrant
+} from "../types/usage-messages.js"
+import {CountedUsage} from "./counted-usage.js"
+import {
+  ALLOWANCE_LIFETIME_MS,
+  DEFAULT_USAGE,
+  usageLifetimeMs,
+  type UsageOptions
+} from "./usage-limits.js"
 
 /**
  * The pool is filled for the demand of this time, and refilled when less than half is
@@ -40,14 +50,18 @@
   left: number
   readonly until: number
   /**
-   * Number of the leader that granted it, counted by this box. Usage is reported to that
-   * leader only.
+   * Number of the last leader that knows of it, counted by this box. Usage is reported to
+   * that leader only.
    */
-  readonly term: number
+  term: number
 }
 
 interface Holding {
   portions: Portion[]
+  /** Usage that still counts, whichever leader granted it. */
+  readonly counted: CountedUsage
+  /** Whether the leader has to be told the account of this box. */
+  mustState: boolean
   used: number
   returned: number
   /** The limit has no room before then. */
@@ -99,6 +113,8 @@
   private retryAt_ = -Infinity
   private retryMs_ = RETRY_MS
 
+  constructor(private readonly options_: UsageOptions = DEFAULT_USAGE) {}
+
   /** Uses an amount. Returns undefined, and uses nothing, if the pool holds less. */
   charge(organisation: string, amount: number, now: number): Charge | undefined {
     const holding = this.holdingOf(organisation, now)
@@ -114,6 +130,7 @@
       if (portion.term === this.term_) holding.used += part
       parts.push({portion, amount: part})
     }
+    holding.counted.add(amount, now + usageLifetimeMs(this.options_))
     this.updateRate(holding, amount, now)
     return {organisation, at: now, parts}
   }
@@ -122,7 +139,7 @@
    * Refunds a charge whose request was not executed. What was reported as used stays
    * used, since the leader no longer counts it as held by this box.
    */
-  refund({organisation, parts}: Charge): void {
+  refund({organisation, at, parts}: Charge): void {
     const holding = this.holdings_.get(organisation)
     if (!holding) return
     for (const {portion, amount} of parts) {
@@ -130,6 +147,7 @@
         portion.term === this.term_ ? Math.min(amount, holding.used) : amount
       if (portion.term === this.term_) holding.used -= unreported
       portion.left += unreported
+      holding.counted.remove(unreported, at + usageLifetimeMs(this.options_))
       // An expired portion is removed and reported as returned by the usual expiry.
       if (!holding.portions.includes(portion)) holding.portions.push(portion)
     }
@@ -152,13 +170,13 @@
   }
 
   /**
-   * Handles a change of leader. The allowances of the last leader are not reported to the
-   * next.
+   * Handles a change of leader. The next leader knows nothing of the allowances of the
+   * last one until this box states its account.
    */
   beginTerm(): void {
     this.term_++
     for (const holding of this.holdings_.values()) {
-      Object.assign(holding, {used: 0, returned: 0})
+      Object.assign(holding, {used: 0, returned: 0, mustState: true})
     }
     this.awaitsAnswer_ = false
     this.retryMs_ = RETRY_MS
@@ -183,9 +201,10 @@
       return {organisation, holding, ...amounts}
     })
     // A message costs the leader more than an entry in it, so entries are batched.
-    if (!isReportDue && !wanted.some(({need}) => need > 0)) return undefined
+    const isUrgent = wanted.some(({need, holding}) => need > 0 || holding.mustState)
+    if (!isReportDue && !isUrgent) return undefined
     this.reportedAt_ = now
-    const entries = wanted.flatMap(each => this.takeEntry(each))
+    const entries = wanted.flatMap(each => this.takeEntry(each, now))
     if (entries.length === 0) return undefined
     const ask = ++this.requestCount_
     if (entries.some(({want}) => want > 0)) this.recordRequest(ask, now)
@@ -215,7 +234,8 @@
       } else if (amount > 0) {
         holding.fullUntil = now
       }
-      if (!asked || amount <= 0) continue
+      // A grant of an earlier leader would be missing in the account that was stated.
+      if (asked?.term !== this.term_ || amount <= 0) continue
       // Counted from the request on (the box's clock), so it ends before the leader's
       // count does.
       holding.portions.push({
@@ -226,16 +246,32 @@
     }
   }
 
-  private takeEntry({
-    organisation,
-    holding,
-    need,
-    want
-  }: WantedAmounts & {organisation: string; holding: Holding}): AllowanceRequest[] {
-    const {used, returned} = holding
-    if (want === 0 && used + returned === 0) return []
-    Object.assign(holding, {used: 0, returned: 0})
-    return [{organisation, used, returned, need, want}]
+  private takeEntry(
+    {
+      organisation,
+      holding,
+      need,
+      want
+    }: WantedAmounts & {
+      organisation: string
+      holding: Holding
+    },
+    now: number
+  ): AllowanceRequest[] {
+    const {used, returned, mustState} = holding
+    if (want === 0 && used + returned === 0 && !mustState) return []
+    Object.assign(holding, {used: 0, returned: 0, mustState: false})
+    const entry = {organisation, used, returned, need, want}
+    return [mustState ? {...entry, account: this.stateAccount(holding, now)} : entry]
+  }
+
+  /** Returns the account for the leader, to which its portions are reported from now on. */
+  private stateAccount({portions, counted}: Holding, now: number): AccountStatement {
+    for (const portion of portions) portion.term = this.term_
+    const held = portions
+      .filter(({left}) => left > 0)
+      .map(({left, until}) => ({amount: left, forMs: until - now}))
+    return {used: counted.list(now), held}
   }
 
   private wantedAmounts(
@@ -263,6 +299,8 @@
     if (known) return known
     const holding: Holding = {
       portions: [],
+      counted: new CountedUsage(),
+      mustState: false,
       used: 0,
       returned: 0,
       fullUntil: -Infinity,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -170,6 +170,8 @@
 }
 
 export interface BoxOptions {
+  /** The incarnation under which leaders know this box. */
+  readonly incarnation?: string | undefined
   readonly dataCentre: string
   readonly retry: RetryBudgetOptions
   /** How long a new leader waits before its first order. */
@@ -427,7 +429,7 @@
     crashWatch: new CrashWatch(),
     clearedRequests: new ClearedRequests(),
     retryBudgets: new Map(),
-    usageAllowances: new AllowancePool(),
+    usageAllowances: new AllowancePool(options.usage),
     boxCount: 1,
     engineOrder: [],
     isLeader: false,
--- a/src/core/counted-usage.ts
+++ b/src/core/counted-usage.ts
@@ -1,4 +1,5 @@
 /** Usage with expiry times, and a projection of how much of it still counts later. */
+import type {TimedAmount} from "../types/usage-messages.js"
 
 /**
  * Expiry times are rounded up to whole ticks, so that usage never counts for too short.
@@ -25,6 +26,24 @@
     else this.amounts_.delete(tick)
   }
 
+  clear(): void {
+    this.amounts_.clear()
+  }
+
+  /** Adds all amounts of another count. */
+  addAll({amounts_: others}: CountedUsage): void {
+    for (const [tick, amount] of others) {
+      this.amounts_.set(tick, (this.amounts_.get(tick) ?? 0) + amount)
+    }
+  }
+
+  /** Lists the amounts that still count, and for how long. */
+  list(now: number): TimedAmount[] {
+    return [...this.amounts_]
+      .map(([tick, amount]) => ({amount, forMs: tick * TICK_MS - now}))
+      .filter(({forMs}) => forMs > 0)
+  }
+
   /** Returns the usage that counts at this time. */
   total(now: number): number {
     let sum = 0
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -18,6 +18,7 @@
 import type {
   AllowanceRequest,
   AllowanceGrant,
+  UsageClaims,
   UsageProjections
 } from "../types/usage-messages.js"
 import type {
@@ -210,7 +211,11 @@
       readonly entries: readonly AllowanceRequest[]
     }
   /** The usage projection that earlier leaders stored. Undefined if it is not known. */
-  | {readonly type: "usage-read"; readonly outlooks: UsageProjections | undefined}
+  | {
+      readonly type: "usage-read"
+      readonly outlooks: UsageProjections | undefined
+      readonly claims?: UsageClaims | undefined
+    }
   /**
    * Result of storing the usage projection. If `ok` is false, it may or may not be
    * stored.
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -79,7 +79,7 @@
     case "usage":
       return state.ledger?.handleUsage(event.box, event.ask, event.entries, running)
     case "usage-read":
-      return state.ledger?.handleStored(event.outlooks, running)
+      return state.ledger?.handleStored(event.outlooks, running, event.claims)
     case "usage-close":
       return state.ledger?.close(running)
     case "usage-saved":
@@ -143,8 +143,11 @@
   const {serving} = state
   const limits = (): ReadonlyMap<string, number> => usageLimitsOf(serving)
   state.ledgerEffects = effects
-  state.ledger = new UsageLedger(usageOptionsOf(serving), limits, effect =>
-    effects.push(effect)
+  state.ledger = new UsageLedger(
+    usageOptionsOf(serving),
+    limits,
+    effect => effects.push(effect),
+    serving.options.incarnation
   )
   startReadingUsage(state)
 }
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -7,10 +7,19 @@
  * each later step, whenever this leader ends. The next leader counts that as used. An
  * allowance is granted only within the limit and within the stored projection, so that
  * the proof in `usage-limits.ts` holds over any number of leaders.
+ *
+ * A projection assumes more than was used: growth, and allowances that expire unused. With
+ * it the leader stores its claims: the boxes that it is connected to, and a projection of
+ * all other usage. Boxes state their accounts to the next leader. Once all claimed boxes
+ * did, it counts their statements and the unclaimed projection instead of the total. The
+ * leader's own box may end with it, so it has a projection of its own.
  */
 import type {
+  AccountStatement,
   AllowanceRequest,
   AllowanceGrant,
+  TimedAmount,
+  UsageClaims,
   UsageProjections
 } from "../types/usage-messages.js"
 import {CountedUsage, PROJECTION_STEP_MS} from "./counted-usage.js"
@@ -43,6 +52,9 @@
  */
 const SCARCE_SHARE = 0.3
 
+/** Interval of writes that lower the projection once all claimed boxes are accounted for. */
+const LOWER_INTERVAL_MS = 250
+
 /** Interval of the check whether the projection has to be stored. */
 const CHECK_INTERVAL_MS = 30
 
@@ -53,13 +65,38 @@
 interface HeldAllowance {
   amount: number
   readonly until: number
+  /** The counts that contain it. None if the projections of earlier leaders do. */
+  readonly countedIn: readonly CountedUsage[]
+}
+
+/** Usage of one box that is connected. */
+interface BoxUsage {
+  held: HeldAllowance[]
+  /** Usage that this leader granted. */
+  readonly granted: CountedUsage
+  /** Usage that the box stated. */
+  readonly stated: CountedUsage
 }
 
+/** Usage of one organisation. */
 interface Account {
-  readonly counted: CountedUsage
-  readonly held: Map<string, HeldAllowance[]>
-  /** Projection that the store is certain to hold; empty if there is none. */
+  readonly boxes: Map<string, BoxUsage>
+  /** Usage that this leader granted, of all boxes. */
+  readonly granted: CountedUsage
+  /** Usage that claimed boxes stated. */
+  readonly stated: CountedUsage
+  /** The parts of both of boxes that are no longer connected. */
+  readonly goneGranted: CountedUsage
+  readonly goneStated: CountedUsage
+  /** What earlier leaders projected, and the part of it that they did not claim. */
+  readonly earlier: CountedUsage
+  readonly unclaimed: CountedUsage
+  /** The part of the last leader's box, until that states its account. */
+  readonly lastLeader: CountedUsage
+  /** Projections that the store is certain to hold; empty if there are none. */
   stored: readonly number[]
+  storedUnclaimed: readonly number[]
+  storedOwn: readonly number[]
 }
 
 interface PendingRequest {
@@ -81,6 +118,7 @@
       /** Identifies the result of the write. */
       readonly save: number
       readonly outlooks: UsageProjections
+      readonly claims: UsageClaims
     }
   | {
       readonly type: "allow"
@@ -99,7 +137,19 @@
   private phase_: "new" | "reading" | "known" = "new"
   private closed_ = false
   private lastSave_ = 0
-  private saving_: UsageProjections | undefined
+  private saving_: {outlooks: UsageProjections; claims: UsageClaims} | undefined
+  /** Boxes that stated their accounts before the claims were read. */
+  private readonly statedBefore_ = new Set<string>()
+  /** Boxes that sent messages since they are connected. */
+  private readonly connected_ = new Set<string>()
+  /** Claimed boxes that did not state their accounts. Undefined if nothing was claimed. */
+  private awaited_: Set<string> | undefined
+  /** The box of the last leader, until it has stated its account. */
+  private lastLeader_: string | undefined
+  /** Boxes that the store is certain to hold as claimed. */
+  private storedBoxes_: ReadonlySet<string> = new Set()
+  /** Whether the stored projection may be lowered, as boxes stated their accounts. */
+  private mayLower_ = false
   private savedAt_ = -Infinity
   private checkedAt_ = -Infinity
   private pending_: PendingRequest[] = []
@@ -108,7 +158,9 @@
   constructor(
     private readonly options_: UsageOptions,
     private readonly limits_: UsageLimits,
-    private readonly emit_: (effect: LedgerEffect) => void
+    private readonly emit_: (effect: LedgerEffect) => void,
+    /** The box of this leader. */
+    private readonly ownBox_?: string
   ) {
     this.steps_ =
       Math.ceil(
@@ -128,10 +180,14 @@
    * is undefined, the stored projection is from an older backup, and all limits may be
    * used up.
    */
-  handleStored(outlooks: UsageProjections | undefined, now: number): void {
+  handleStored(
+    outlooks: UsageProjections | undefined,
+    now: number,
+    claims?: UsageClaims
+  ): void {
     if (this.phase_ === "known") return
     this.phase_ = "known"
-    if (outlooks) this.addStored(outlooks, now)
+    if (outlooks) this.addStored(outlooks, now, claims)
     else
       this.exhaustedUntil_ = now + ALLOWANCE_LIFETIME_MS + usageLifetimeMs(this.options_)
     this.save(now)
@@ -142,18 +198,34 @@
    * not be this leader's.
    */
   invalidateStored(): void {
-    for (const account of this.accounts_.values()) account.stored = []
+    for (const account of this.accounts_.values()) {
+      Object.assign(account, {stored: [], storedUnclaimed: [], storedOwn: []})
+    }
+    this.storedBoxes_ = new Set()
     this.saving_ = undefined
   }
 
-  private addStored(outlooks: UsageProjections, now: number): void {
+  private addStored(
+    outlooks: UsageProjections,
+    now: number,
+    claims: UsageClaims | undefined
+  ): void {
     for (const [organisation, projection] of Object.entries(outlooks)) {
-      const {counted} = this.accountOf(organisation)
-      projection.forEach((amount, step) => {
-        const expiring = amount - (projection[step + 1] ?? 0)
-        if (expiring > 0) counted.add(expiring, now + (step + 1) * PROJECTION_STEP_MS)
-      })
+      addProjection(this.accountOf(organisation).earlier, projection, now)
+    }
+    if (!claims) return
+    const {boxes, unclaimed, leader} = claims
+    for (const [organisation, projection] of Object.entries(unclaimed)) {
+      addProjection(this.accountOf(organisation).unclaimed, projection, now)
     }
+    for (const [organisation, projection] of Object.entries(leader.usage)) {
+      addProjection(this.accountOf(organisation).lastLeader, projection, now)
+    }
+    const claimed = new Set([...boxes, leader.box])
+    for (const account of this.accounts_.values()) dropUnclaimed(account, claimed)
+    this.awaited_ = new Set(boxes)
+    this.lastLeader_ = leader.box
+    for (const box of this.statedBefore_) this.recordStated(box)
   }
 
   /** Stores the projection if that is due, also while requests wait for it. */
@@ -177,6 +249,8 @@
     now: number
   ): void {
     this.startReading()
+    this.connected_.add(box)
+    this.applyStatements(box, entries, now)
     for (const entry of entries) this.recordUsage(box, entry, now)
     this.answerRequests(
       entries.filter(({want}) => want > 0).map(entry => ({box, ask, entry, at: now})),
@@ -196,9 +270,14 @@
     if (!saved) return
     if (ok) {
       this.savedAt_ = now
-      for (const [organisation, projection] of Object.entries(saved)) {
-        this.accountOf(organisation).stored = projection
+      const {outlooks, claims} = saved
+      for (const [organisation, projection] of Object.entries(outlooks)) {
+        const account = this.accountOf(organisation)
+        account.stored = projection
+        account.storedUnclaimed = claims.unclaimed[organisation] ?? []
+        account.storedOwn = claims.leader.usage[organisation] ?? []
       }
+      this.storedBoxes_ = new Set(claims.boxes)
     }
     const waiting = this.pending_.filter(({at}) => now - at < PENDING_EXPIRY_MS)
     this.pending_ = []
@@ -211,52 +290,156 @@
    * Removes a box that ended or is disconnected. Its allowances count until they expire.
    */
   forgetBox(box: string): void {
-    for (const {held} of this.accounts_.values()) held.delete(box)
+    this.connected_.delete(box)
+    for (const account of this.accounts_.values()) {
+      const usage = account.boxes.get(box)
+      if (!usage) continue
+      account.goneGranted.addAll(usage.granted)
+      account.goneStated.addAll(usage.stated)
+      account.boxes.delete(box)
+    }
+    this.statedBefore_.delete(box)
+    // The next leader would wait for the account of this box.
+    if (this.storedBoxes_.has(box)) this.mayLower_ = true
     this.pending_ = this.pending_.filter(each => each.box !== box)
   }
 
   /** Returns the usage that counts for an organisation. */
   totalOf(organisation: string, now: number): number {
-    return this.accounts_.get(organisation)?.counted.total(now) ?? 0
+    const account = this.accounts_.get(organisation)
+    return account ? this.total(account, now) : 0
   }
 
   private accountOf(organisation: string): Account {
     const known = this.accounts_.get(organisation)
     if (known) return known
-    const account: Account = {counted: new CountedUsage(), held: new Map(), stored: []}
+    const account = createAccount()
     this.accounts_.set(organisation, account)
     return account
   }
 
+  /** Whether all boxes that the last leader claimed have stated their accounts. */
+  private get isAccounted(): boolean {
+    return this.awaited_?.size === 0
+  }
+
+  /** The counts that make up the usage of all boxes. */
+  private partsOf(account: Account): CountedUsage[] {
+    const {granted, stated, earlier, unclaimed, lastLeader} = account
+    return this.isAccounted
+      ? [granted, stated, unclaimed, lastLeader]
+      : [granted, earlier]
+  }
+
+  /** The same without the boxes in `claimed` and the leader's own. */
+  private unclaimedPartsOf(
+    account: Account,
+    claimed: ReadonlySet<string>
+  ): CountedUsage[] {
+    const {boxes, goneGranted, goneStated, earlier, unclaimed, lastLeader} = account
+    const others = [...boxes].filter(([box]) => !claimed.has(box) && box !== this.ownBox_)
+    const parts = others.flatMap(([, usage]) => this.partsOfBox(usage))
+    return this.isAccounted
+      ? [unclaimed, lastLeader, goneGranted, goneStated, ...parts]
+      : [earlier, goneGranted, ...parts]
+  }
+
+  private ownPartsOf({boxes}: Account): CountedUsage[] {
+    const own = boxes.get(this.ownBox_ ?? "")
+    return own ? this.partsOfBox(own) : []
+  }
+
+  private partsOfBox({granted, stated}: BoxUsage): CountedUsage[] {
+    return this.isAccounted ? [granted, stated] : [granted]
+  }
+
+  private total(account: Account, now: number): number {
+    return this.partsOf(account).reduce((sum, part) => sum + part.total(now), 0)
+  }
+
+  /** Applies the account that a box states in its first message. */
+  private applyStatements(
+    box: string,
+    entries: readonly AllowanceRequest[],
+    now: number
+  ): void {
+    if (!entries.some(({account}) => account !== undefined)) return
+    const counts =
+      this.phase_ !== "known" ||
+      box === this.lastLeader_ ||
+      this.awaited_?.has(box) === true
+    for (const {organisation, account} of entries) {
+      if (account) this.applyStatement(box, organisation, account, counts, now)
+    }
+    if (this.phase_ === "known") this.recordStated(box)
+    else this.statedBefore_.add(box)
+  }
+
+  private recordStated(box: string): void {
+    this.awaited_?.delete(box)
+    if (box === this.lastLeader_) {
+      this.lastLeader_ = undefined
+      for (const {lastLeader} of this.accounts_.values()) lastLeader.clear()
+    }
+    this.mayLower_ ||= this.isAccounted
+  }
+
+  /**
+   * If the statement does not count, the box was not claimed or has stated its account
+   * before, so that other counts contain its usage.
+   */
+  private applyStatement(
+    box: string,
+    organisation: string,
+    {used, held}: AccountStatement,
+    counts: boolean,
+    now: number
+  ): void {
+    const account = this.accountOf(organisation)
+    const usage = usageOf(account, box)
+    const countedIn = counts ? [usage.stated, account.stated] : []
+    const span = usageLifetimeMs(this.options_)
+    usage.held = held.map(({amount, forMs}) => ({amount, until: now + forMs, countedIn}))
+    for (const count of countedIn) {
+      addTimed(count, used, now)
+      addTimed(count, held, now + span)
+    }
+  }
+
   /**
    * Records what a box used and returned. Usage counts from its report on; returned
    * allowances stop counting.
    */
   private recordUsage(box: string, entry: AllowanceRequest, now: number): void {
-    const {organisation, used, returned} = entry
-    const {counted, held} = this.accountOf(organisation)
+    const {organisation, used, returned, account: statement} = entry
+    if (statement) return
+    const account = this.accountOf(organisation)
+    const usage = usageOf(account, box)
     const span = usageLifetimeMs(this.options_)
-    const portions = (held.get(box) ?? []).filter(({until}) => until + span > now)
-    held.set(box, portions)
+    usage.held = usage.held.filter(({until}) => until + span > now)
     // Returned allowances have expired, so they are taken from the oldest portions and
     // not from the usage in the same message.
-    for (const {amount, until} of takeOldest(portions, returned)) {
-      counted.remove(amount, until + span)
+    for (const {amount, until, countedIn} of takeOldest(usage.held, returned)) {
+      for (const count of countedIn) count.remove(amount, until + span)
     }
     let unrecorded = used
-    for (const {amount, until} of takeOldest(portions, used)) {
-      counted.remove(amount, until + span)
-      counted.add(amount, Math.min(now, until) + span)
+    for (const {amount, until, countedIn} of takeOldest(usage.held, used)) {
+      for (const count of countedIn) {
+        count.remove(amount, until + span)
+        count.add(amount, Math.min(now, until) + span)
+      }
       unrecorded -= amount
     }
     // The ledger has no record of allowances for the rest.
-    if (unrecorded > 0) counted.add(unrecorded, now + span)
+    if (unrecorded <= 0) return
+    for (const count of [usage.granted, account.granted])
+      count.add(unrecorded, now + span)
   }
 
   private answerRequests(requests: readonly PendingRequest[], now: number): void {
     const grants = new Map<string, {request: PendingRequest; grants: AllowanceGrant[]}>()
     for (const request of requests) {
-      const decision = this.decide(request.entry, now)
+      const decision = this.decide(request, now)
       if (!decision) {
         this.pending_.push(request)
         continue
@@ -272,7 +455,8 @@
     }
   }
 
-  private decide({organisation, need, want}: AllowanceRequest, now: number): Decision {
+  private decide({box, entry}: PendingRequest, now: number): Decision {
+    const {organisation, need, want} = entry
     const limit = this.limits_().get(organisation)
     if (limit === undefined) return {organisation, amount: 0}
     if (this.phase_ !== "known" || this.closed_) return undefined
@@ -280,11 +464,11 @@
       return {organisation, amount: 0, roomInMs: Math.round(this.exhaustedUntil_ - now)}
     }
     const account = this.accountOf(organisation)
-    const room = Math.max(0, limit - account.counted.total(now))
-    const storedRoom = this.storedRoom(account, now)
+    const room = Math.max(0, limit - this.total(account, now))
+    const storedRoom = this.storedRoomFor(box, account, now)
     if (Math.min(need, room) > storedRoom) return undefined
     if (need > room) {
-      const roomInMs = Math.round(account.counted.msUntilAtMost(limit - need, now))
+      const roomInMs = Math.round(this.msUntilAtMost(account, limit - need, now))
       return {organisation, amount: Math.floor(room), roomInMs}
     }
     const extra = Math.min(1, room / (SCARCE_SHARE * limit)) * (want - need)
@@ -293,32 +477,71 @@
   }
 
   private grant(box: string, {organisation, amount}: AllowanceGrant, now: number): void {
-    const {counted, held} = this.accountOf(organisation)
+    const account = this.accountOf(organisation)
+    const usage = usageOf(account, box)
     const until = now + ALLOWANCE_LIFETIME_MS
-    const portions = held.get(box) ?? []
-    portions.push({amount, until})
-    held.set(box, portions)
-    counted.add(amount, until + usageLifetimeMs(this.options_))
+    const countedIn = [usage.granted, account.granted]
+    usage.held.push({amount, until, countedIn})
+    for (const count of countedIn) {
+      count.add(amount, until + usageLifetimeMs(this.options_))
+    }
   }
 
-  /** Returns how much can be granted before the projection has to be stored again. */
-  private storedRoom({counted, stored}: Account, now: number): number {
-    const projection = counted.project(now, this.steps_)
-    return Math.min(...projection.map((amount, step) => (stored[step] ?? 0) - amount))
+  private msUntilAtMost(account: Account, most: number, now: number): number {
+    const sum = new CountedUsage()
+    for (const part of this.partsOf(account)) sum.addAll(part)
+    return sum.msUntilAtMost(most, now)
   }
 
-  private projectionOf({counted}: Account, limit: number, now: number): number[] {
-    const projection = counted.project(now, this.steps_)
-    return projection.map((amount, step) =>
-      now + step * PROJECTION_STEP_MS < this.exhaustedUntil_
-        ? Math.max(amount, limit)
-        : amount
+  /** Returns how much the box can be granted before the projection is stored again. */
+  private storedRoomFor(box: string, account: Account, now: number): number {
+    const room = this.storedRoom(account, now)
+    if (box === this.ownBox_) return Math.min(room, this.storedOwnRoom(account, now))
+    if (this.storedBoxes_.has(box)) return room
+    const projection = this.project(
+      this.unclaimedPartsOf(account, this.storedBoxes_),
+      now
     )
+    return Math.min(room, roomIn(account.storedUnclaimed, projection))
+  }
+
+  private storedRoom(account: Account, now: number): number {
+    return roomIn(account.stored, this.project(this.partsOf(account), now))
+  }
+
+  private storedOwnRoom(account: Account, now: number): number {
+    return roomIn(account.storedOwn, this.project(this.ownPartsOf(account), now))
   }
 
-  private sumPending(): Map<string, number> {
+  private project(parts: readonly CountedUsage[], now: number): number[] {
+    const sums = new Array<number>(this.steps_).fill(0)
+    for (const part of parts) {
+      part.project(now, this.steps_).forEach((amount, step) => {
+        sums[step] = (sums[step] ?? 0) + amount
+      })
+    }
+    return sums
+  }
+
+  /** Returns the projection to store of some counts, with room for growth. */
+  private projectionToStore(
+    parts: readonly CountedUsage[],
+    limit: number,
+    growth: number,
+    now: number
+  ): number[] {
+    return this.project(parts, now).map((amount, step) => {
+      const isFull = now + step * PROJECTION_STEP_MS < this.exhaustedUntil_
+      const counted = isFull ? Math.max(amount, limit) : amount
+      return Math.ceil(Math.max(counted, Math.min(limit, counted + growth)))
+    })
+  }
+
+  /** Returns what waiting requests of some boxes want. */
+  private sumPending(includes: (box: string) => boolean): Map<string, number> {
     const sums = new Map<string, number>()
-    for (const {entry} of this.pending_) {
+    for (const {box, entry} of this.pending_) {
+      if (!includes(box)) continue
       const {organisation, want} = entry
       sums.set(organisation, (sums.get(organisation) ?? 0) + want)
     }
@@ -331,39 +554,135 @@
     if (now - this.checkedAt_ < CHECK_INTERVAL_MS) return
     this.checkedAt_ = now
     if (this.pending_.length > 0) return this.save(now)
-    const releasesUnused = now - this.savedAt_ > UNUSED_GROWTH_MS
+    const sinceSave = now - this.savedAt_
+    if (this.mayLower_ && sinceSave >= LOWER_INTERVAL_MS) return this.save(now)
+    const releasesUnused = sinceSave > UNUSED_GROWTH_MS
     const due = [...this.limits_()].some(([organisation, limit]) => {
       const account = this.accountOf(organisation)
-      const total = account.counted.total(now)
+      const total = this.total(account, now)
       const stored = account.stored[0] ?? 0
       if (releasesUnused && stored - total > UNUSED_GROWTH_SHARE * limit) return true
       const growth = Math.min(LOW_HEADROOM_SHARE * limit, limit - total)
-      return this.storedRoom(account, now) < growth
+      if (this.storedRoom(account, now) < growth) return true
+      const isOwnUsed = account.boxes.has(this.ownBox_ ?? "")
+      return isOwnUsed && this.storedOwnRoom(account, now) < growth * this.ownShare
     })
     if (due) this.save(now)
   }
 
+  /** Part of the growth that the box of this leader may use. */
+  private get ownShare(): number {
+    return 1 / Math.max(1, this.connected_.size)
+  }
+
   private save(now: number): void {
+    const boxes = [...this.connected_].filter(box => box !== this.ownBox_)
+    const claimed = new Set(boxes)
+    const pending = this.sumPending(() => true)
+    const unclaimedPending = this.sumPending(box => !this.storedBoxes_.has(box))
+    const ownPending = this.sumPending(box => box === this.ownBox_)
     const outlooks: Record<string, readonly number[]> = {}
-    const pending = this.sumPending()
+    const unclaimed: Record<string, readonly number[]> = {}
+    const own: Record<string, readonly number[]> = {}
     for (const [organisation, limit] of this.limits_()) {
       const account = this.accountOf(organisation)
-      const projection = this.projectionOf(account, limit, now)
       const headroom = this.closed_ ? 0 : HEADROOM_SHARE * limit
-      const growth = headroom + (pending.get(organisation) ?? 0)
-      const next = projection.map(amount =>
-        Math.ceil(Math.max(amount, Math.min(limit, amount + growth)))
+      const project = (parts: readonly CountedUsage[], growth: number): number[] =>
+        this.projectionToStore(parts, limit, growth, now)
+      const next = project(
+        this.partsOf(account),
+        headroom + (pending.get(organisation) ?? 0)
+      )
+      const nextUnclaimed = project(
+        this.unclaimedPartsOf(account, claimed),
+        claimed.size === 0 ? headroom + (unclaimedPending.get(organisation) ?? 0) : 0
+      )
+      const nextOwn = project(
+        this.ownPartsOf(account),
+        headroom * this.ownShare + (ownPending.get(organisation) ?? 0)
       )
       outlooks[organisation] = next
+      unclaimed[organisation] = nextUnclaimed
+      own[organisation] = nextOwn
       // Until the result of the write is known, the lower of both projections binds.
-      const {stored} = account
-      account.stored = next.map((amount, step) => Math.min(amount, stored[step] ?? 0))
+      account.stored = lowerOf(next, account.stored)
+      account.storedUnclaimed = lowerOf(nextUnclaimed, account.storedUnclaimed)
+      account.storedOwn = lowerOf(nextOwn, account.storedOwn)
+    }
+    this.storedBoxes_ = new Set(boxes.filter(box => this.storedBoxes_.has(box)))
+    const claims = {boxes, unclaimed, leader: {box: this.ownBox_ ?? "", usage: own}}
+    this.saving_ = {outlooks, claims}
+    this.mayLower_ = false
+    this.emit_({type: "save-usage", save: ++this.lastSave_, outlooks, claims})
+  }
+}
+
+function createAccount(): Account {
+  return {
+    boxes: new Map(),
+    granted: new CountedUsage(),
+    stated: new CountedUsage(),
+    goneGranted: new CountedUsage(),
+    goneStated: new CountedUsage(),
+    earlier: new CountedUsage(),
+    unclaimed: new CountedUsage(),
+    lastLeader: new CountedUsage(),
+    stored: [],
+    storedUnclaimed: [],
+    storedOwn: []
+  }
+}
+
+function usageOf({boxes}: Account, box: string): BoxUsage {
+  const known = boxes.get(box)
+  if (known) return known
+  const usage = {held: [], granted: new CountedUsage(), stated: new CountedUsage()}
+  boxes.set(box, usage)
+  return usage
+}
+
+/** Drops statements of boxes that were not claimed, which came before the claims. */
+function dropUnclaimed(account: Account, claimed: ReadonlySet<string>): void {
+  const {boxes, stated, goneStated} = account
+  stated.clear()
+  goneStated.clear()
+  for (const [box, usage] of boxes) {
+    if (claimed.has(box)) stated.addAll(usage.stated)
+    else {
+      usage.stated.clear()
+      usage.held = usage.held.map(portion => ({...portion, countedIn: []}))
     }
-    this.saving_ = outlooks
-    this.emit_({type: "save-usage", save: ++this.lastSave_, outlooks})
   }
 }
 
+function addProjection(
+  count: CountedUsage,
+  projection: readonly number[],
+  now: number
+): void {
+  projection.forEach((amount, step) => {
+    const expiring = amount - (projection[step + 1] ?? 0)
+    if (expiring > 0) count.add(expiring, now + (step + 1) * PROJECTION_STEP_MS)
+  })
+}
+
+function addTimed(
+  count: CountedUsage,
+  amounts: readonly TimedAmount[],
+  from: number
+): void {
+  for (const {amount, forMs} of amounts) count.add(amount, from + forMs)
+}
+
+/** Returns what can be added to a projection within the stored one. */
+function roomIn(stored: readonly number[], projection: readonly number[]): number {
+  return Math.min(...projection.map((amount, step) => (stored[step] ?? 0) - amount))
+}
+
+function lowerOf(next: readonly number[], stored: readonly number[]): number[] {
+  return next.map((amount, step) => Math.min(amount, stored[step] ?? 0))
+}
+
 /** Removes an amount from the oldest portions, and returns what was removed of each. */
 function takeOldest(portions: HeldAllowance[], amount: number): HeldAllowance[] {
   const taken: HeldAllowance[] = []
@@ -371,7 +690,7 @@
   while (left > 0 && portions.length > 0) {
     const [first] = portions as [HeldAllowance]
     const part = Math.min(left, first.amount)
-    taken.push({amount: part, until: first.until})
+    taken.push({...first, amount: part})
     first.amount -= part
     left -= part
     if (first.amount <= 0) portions.shift()
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -8,6 +8,9 @@
 /** Limits the time steps for which a box reports sent requests. */
 const MAX_SENT_STEPS = 100
 
+/** An account has an amount for each half second, and for each unexpired allowance. */
+const MAX_TIMED_AMOUNTS = 2_000
+
 const engineUseDelta = z.object({
   engine: z.string(),
   adapter: z.string().optional(),
@@ -29,12 +32,17 @@
   failedAt: z.array(z.string())
 })
 
+const timedAmounts = z
+  .array(z.object({amount: z.number().min(0), forMs: z.number()}))
+  .max(MAX_TIMED_AMOUNTS)
+
 const allowanceRequest = z.object({
   organisation: z.string(),
   used: z.number().min(0),
   returned: z.number().min(0),
   need: z.number().min(0),
-  want: z.number().min(0)
+  want: z.number().min(0),
+  account: z.object({used: timedAmounts, held: timedAmounts}).optional()
 })
 
 const rateReport = z.object({
--- a/src/types/usage-messages.ts
+++ b/src/types/usage-messages.ts
@@ -1,5 +1,19 @@
 /** Messages about organisations' usage. Amounts are in the unit of the limit. */
 
+/** An amount that counts, or can be used, for this time. */
+export interface TimedAmount {
+  readonly amount: number
+  readonly forMs: number
+}
+
+/** What a box states to each new leader, which knows nothing else of its usage. */
+export interface AccountStatement {
+  /** Usage that still counts. */
+  readonly used: readonly TimedAmount[]
+  /** Allowances that the box holds unused. */
+  readonly held: readonly TimedAmount[]
+}
+
 /** The usage report and allowance request of a box for one organisation. */
 export interface AllowanceRequest {
   readonly organisation: string
@@ -11,6 +25,8 @@
   readonly need: number
   /** Amount requested, including `need`. 0 means none. */
   readonly want: number
+  /** In the first message to a leader, which has such an entry for each organisation. */
+  readonly account?: AccountStatement | undefined
 }
 
 /** The leader's answer for one organisation. */
@@ -26,3 +42,16 @@
  * and in each second after that. An organisation without an entry has none.
  */
 export type UsageProjections = Readonly<Record<string, readonly number[]>>
+
+/**
+ * Whose usage the projections of a leader contain. If all claimed boxes state their
+ * accounts to the next leader, these replace the projections.
+ */
+export interface UsageClaims {
+  /** Incarnations of boxes that were connected to the leader, without its own. */
+  readonly boxes: readonly string[]
+  /** The leader's own box, and the projections of that alone. */
+  readonly leader: {readonly box: string; readonly usage: UsageProjections}
+  /** Projections of all other usage. */
+  readonly unclaimed: UsageProjections
+}
--- a/test/patterns/limit-strategies.ts
+++ b/test/patterns/limit-strategies.ts
@@ -5,7 +5,7 @@
 import type {UsageOptions} from "../../src/core/usage-limits.js"
 import {type LedgerEffect, UsageLedger} from "../../src/core/usage-ledger.js"
 import {AllowancePool} from "../../src/core/allowance-pool.js"
-import type {UsageProjections} from "../../src/types/usage-messages.js"
+import type {UsageClaims, UsageProjections} from "../../src/types/usage-messages.js"
 import type {Agenda} from "./agenda.js"
 import {LINK_MS} from "./fleet.js"
 
@@ -175,12 +175,21 @@
 export class Allowances implements LimitStrategy {
   messages = 0
   stored: UsageProjections = {}
+  private claims_: UsageClaims | undefined
+  /** Boxes that reached the leader at their last tick. */
+  private readonly linked_ = new Set<number>()
   private readonly pools_: AllowancePool[]
+  /** How often each box was killed. Leaders know each of its processes by its own name. */
+  private readonly kills_: number[]
   private ledger_: UsageLedger | undefined
   private term_ = 0
 
   constructor(private readonly options_: LimitStrategyOptions) {
-    this.pools_ = Array.from({length: options_.boxes}, () => new AllowancePool())
+    this.pools_ = Array.from(
+      {length: options_.boxes},
+      () => new AllowancePool(options_.usage)
+    )
+    this.kills_ = this.pools_.map(() => 0)
     this.startTerm()
   }
 
@@ -196,21 +205,25 @@
   tick(box: number, waiting: ReadonlyMap<string, number>): void {
     const {agenda, reaches} = this.options_
     const pool = this.pools_[box] as AllowancePool
+    if (reaches(box) && !this.linked_.has(box)) pool.beginTerm()
+    if (reaches(box)) this.linked_.add(box)
+    else this.linked_.delete(box)
     const demands = new Map([...waiting].map(([name, need]) => [name, {need, least: 0}]))
     const collected = pool.buildRequest(demands, agenda.now)
     if (!collected || !reaches(box)) return
     const {ask, entries} = collected
     this.messages++
     const term = this.term_
+    const name = this.nameOf(box)
     agenda.schedule(LINK_MS, () => {
-      if (term === this.term_)
-        this.ledger_?.handleUsage(String(box), ask, entries, agenda.now)
+      if (term === this.term_) this.ledger_?.handleUsage(name, ask, entries, agenda.now)
     })
   }
 
   kill(box: number): void {
-    this.pools_[box] = new AllowancePool()
-    this.ledger_?.forgetBox(String(box))
+    this.pools_[box] = new AllowancePool(this.options_.usage)
+    this.ledger_?.forgetBox(this.nameOf(box))
+    this.kills_[box] = (this.kills_[box] ?? 0) + 1
   }
 
   changeLeader(): void {
@@ -219,7 +232,11 @@
   }
 
   dropLink(box: number): void {
-    this.ledger_?.forgetBox(String(box))
+    this.ledger_?.forgetBox(this.nameOf(box))
+  }
+
+  private nameOf(box: number): string {
+    return `${box}.${this.kills_[box]}`
   }
 
   private startTerm(): void {
@@ -237,16 +254,18 @@
     agenda.schedule(STORE_MS, () => {
       if (term !== this.term_) return
       if (effect.type === "read-usage")
-        return ledger?.handleStored(this.stored, agenda.now)
+        return ledger?.handleStored(this.stored, agenda.now, this.claims_)
       this.stored = effect.outlooks
+      this.claims_ = effect.claims
       ledger?.handleSaved(effect.save, true, agenda.now)
     })
   }
 
   private sendGrants({box, ask, grants}: Extract<LedgerEffect, {type: "allow"}>): void {
     const {agenda, reaches} = this.options_
-    const to = Number(box)
+    const to = Number(box.split(".")[0])
     this.messages++
+    if (box !== this.nameOf(to)) return
     const pool = this.pools_[to]
     agenda.schedule(LINK_MS, () => {
       if (reaches(to) && pool === this.pools_[to])
--- a/test/usage-ledger.test.ts
+++ b/test/usage-ledger.test.ts
@@ -9,7 +9,11 @@
 import {stepRouted} from "../src/core/serving.js"
 import type {RoutedEvent} from "../src/core/serving-events.js"
 import type {RoutedState} from "../src/core/serving-fleet.js"
-import type {AllowanceRequest, UsageProjections} from "../src/types/usage-messages.js"
+import type {
+  AllowanceRequest,
+  UsageClaims,
+  UsageProjections
+} from "../src/types/usage-messages.js"
 import {Subject as BoxSubject} from "./support/box-subject.js"
 
 const OPTIONS: UsageOptions = {windowMs: 8_000, overage: 0, slack: 0}
@@ -19,11 +23,26 @@
 class Subject {
   readonly effects: LedgerEffect[] = []
   limit = LIMIT
-  readonly ledger = new UsageLedger(
-    OPTIONS,
-    () => new Map([["one", this.limit]]),
-    effect => this.effects.push(effect)
-  )
+  readonly ledger: UsageLedger
+  private claims_: UsageClaims | undefined
+  private lastSave_ = 0
+
+  constructor(ownBox?: string) {
+    const limits = (): Map<string, number> => new Map([["one", this.limit]])
+    this.ledger = new UsageLedger(OPTIONS, limits, effect => this.record(effect), ownBox)
+  }
+
+  private record(effect: LedgerEffect): void {
+    this.effects.push(effect)
+    if (effect.type !== "save-usage") return
+    this.claims_ = effect.claims
+    this.lastSave_ = effect.save
+  }
+
+  /** Returns the claims of the last write. */
+  claims(): UsageClaims {
+    return this.claims_ ?? {boxes: [], leader: {box: "", usage: {}}, unclaimed: {}}
+  }
 
   /** Passes the projection of earlier leaders and confirms the ledger's own. */
   open(left: UsageProjections | undefined, now = 0): this {
@@ -34,8 +53,7 @@
 
   /** Confirms the last write. */
   store(now: number): this {
-    const save = this.effects.filter(effect => effect.type === "save-usage").at(-1)
-    if (save?.type === "save-usage") this.ledger.handleSaved(save.save, true, now)
+    this.ledger.handleSaved(this.lastSave_, true, now)
     return this
   }
 
@@ -43,7 +61,8 @@
   ask(
     need: number,
     now: number,
-    more: Partial<AllowanceRequest> = {}
+    more: Partial<AllowanceRequest> = {},
+    box = "b"
   ): number | undefined {
     const entry = {
       organisation: "one",
@@ -54,7 +73,7 @@
       want: need
     }
     this.effects.length = 0
-    this.ledger.handleUsage("b", 1, [{...entry, ...more}], now)
+    this.ledger.handleUsage(box, 1, [{...entry, ...more}], now)
     return this.granted()
   }
 
@@ -169,6 +188,138 @@
   t.equal(subject.ask(10, 100), undefined, "the store may hold an older projection")
 })
 
+/** A leader in box "own", with the claims of the one before. */
+function followLeader(projection: number, claims: UsageClaims): Subject {
+  const subject = new Subject("own")
+  subject.ledger.startReading()
+  subject.ledger.handleStored({one: steps(projection)}, 0, claims)
+  return subject.store(0)
+}
+
+/** A projection that stays the same for three seconds. */
+const steps = (amount: number): number[] => [amount, amount, amount]
+
+const NO_REQUEST = {organisation: "one", used: 0, returned: 0, need: 0, want: 0}
+
+function state(subject: Subject, box: string, used: number, held = 0): void {
+  const account = {
+    used: [{amount: used, forMs: 2_000}],
+    held: held > 0 ? [{amount: held, forMs: 1_000}] : []
+  }
+  subject.ledger.handleUsage(box, 1, [{...NO_REQUEST, account}], 10)
+}
+
+const CLAIMS: UsageClaims = {
+  boxes: ["a", "b"],
+  leader: {box: "last", usage: {one: steps(200)}},
+  unclaimed: {one: steps(50)}
+}
+
+// Soak seeds 99002 and 99009: after some changes of leader nothing was granted for ten
+// seconds, as each leader counted what the last one might have granted.
+t.test(
+  "accounts of all claimed boxes replace the projection, and not before",
+  async t => {
+    const subject = followLeader(900, CLAIMS)
+    state(subject, "a", 100, 20)
+    t.equal(subject.ledger.totalOf("one", 20), 900, "b may have used the rest")
+    state(subject, "stranger", 500)
+    t.equal(subject.ledger.totalOf("one", 20), 900, "contained in the projection")
+    state(subject, "b", 30)
+    t.equal(subject.ledger.totalOf("one", 20), 100 + 20 + 30 + 200 + 50)
+    state(subject, "last", 10)
+    t.equal(subject.ledger.totalOf("one", 20), 100 + 20 + 30 + 10 + 50)
+  }
+)
+
+t.test("accounts count that come before the projection is read", async t => {
+  const subject = new Subject("own")
+  for (const box of ["a", "b", "last", "stranger"]) state(subject, box, 10)
+  subject.ledger.handleStored({one: steps(900)}, 20, CLAIMS)
+  t.equal(subject.ledger.totalOf("one", 30), 3 * 10 + 50)
+})
+
+t.test("a box that is gone before the projection is read is waited for", async t => {
+  const subject = new Subject("own")
+  for (const box of ["a", "b"]) state(subject, box, 10)
+  subject.ledger.forgetBox("b")
+  subject.ledger.handleStored({one: steps(900)}, 20, CLAIMS)
+  t.equal(subject.ledger.totalOf("one", 30), 900)
+})
+
+t.test("an account that is stated twice counts once", async t => {
+  const subject = followLeader(900, CLAIMS)
+  state(subject, "a", 100)
+  subject.ledger.forgetBox("a")
+  state(subject, "a", 100)
+  state(subject, "b", 30)
+  t.equal(subject.ledger.totalOf("one", 20), 100 + 30 + 200 + 50)
+})
+
+t.test("usage of stated allowances counts from its report on", async t => {
+  const subject = followLeader(900, CLAIMS)
+  state(subject, "a", 0, 100)
+  state(subject, "b", 0)
+  subject.ask(0, 500, {used: 60, returned: 40}, "a")
+  t.equal(subject.ledger.totalOf("one", 600), 60 + 200 + 50)
+  t.equal(subject.ledger.totalOf("one", 500 + SPAN_MS + 500), 0)
+})
+
+t.test(
+  "what is stored for the next leader covers each box that is not claimed",
+  async t => {
+    const subject = new Subject("own").open({})
+    const granted = (box: string, need: number, now: number): number =>
+      subject.ask(need, now, {}, box) ?? 0
+    let own = 0
+    for (let now = 0; now < 1_000; now += 100) {
+      own += granted("own", 30, now)
+      const claims = subject.claims()
+      t.ok((claims.leader.usage["one"]?.[0] ?? 0) >= own, `own box: ${own} at ${now}`)
+      subject.store(now)
+    }
+    t.ok(own > 0)
+    subject.store(1_000)
+    const before = subject.claims().boxes
+    t.notOk(before.includes("new"))
+    const first = granted("new", 30, 2_000)
+    const claims = subject.claims()
+    const isCovered =
+      claims.boxes.includes("new") || first <= (claims.unclaimed["one"]?.[0] ?? 0)
+    t.ok(isCovered, `granted ${first}`)
+    subject.store(2_000)
+    t.equal(subject.ask(200, 2_100, {}, "new"), undefined, "waits until it is claimed")
+    t.ok(subject.claims().boxes.includes("new"))
+    subject.store(2_110)
+    t.equal(subject.granted(), 200)
+  }
+)
+
+t.test("a box gets no more than the store is certain to hold for it", async t => {
+  const subject = new Subject("own").open({})
+  for (const box of ["a", "b", "c"]) subject.ask(1, 0, {}, box)
+  subject.ask(200, 100, {}, "a")
+  subject.store(110)
+  const {leader, unclaimed} = subject.claims()
+  const own = leader.usage["one"]?.[0] ?? 0
+  const others = unclaimed["one"]?.[0] ?? 0
+  t.ok(own < 100, `room for the share of the leader's own box: ${own}`)
+  t.equal(subject.ask(own + 1, 600, {}, "own"), undefined)
+  t.equal(subject.ask(others + 1, 610, {}, "stranger"), undefined)
+  t.equal(subject.ask(50, 620, {}, "a"), 50, "a claimed box uses the room of all")
+})
+
+t.test("a box that is gone is no longer claimed, and its usage is unclaimed", async t => {
+  const subject = new Subject("own").open({})
+  subject.ask(100, 0, {}, "a")
+  subject.store(0)
+  subject.ask(100, 10, {}, "a")
+  subject.ledger.forgetBox("a")
+  subject.ledger.tick(1_000)
+  t.same(subject.claims().boxes, [])
+  t.ok((subject.claims().unclaimed["one"]?.[0] ?? 0) >= 100)
+})
+
 // Soak seed 56020: a box led before it had a configuration, and read the usage of earlier
 // leaders only as keys counted again, 7 s later; all limits counted as used up from then.
 t.test("a leader reads earlier usage as soon as it learns of limits", async t => {
