After a restore, limits are unknown for as long as old grants last

Cause: the time ran from the begin of the leader, not from that of the era. A missing projection in a later era counted as no usage at all.

Change: it runs from the begin of the era and one lease; a missing projection counts as lost; callers get 503 while the count is not known.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -279,6 +279,7 @@
       leading: () => this.isLeading,
       fence: () => (this.mayGrant ? this.election_.leadership.fence : undefined),
       eras,
+      leaseTtlMs: settings.store.leaseTtlMs,
       log
     })
     this.crashStore_ = new CrashStore({
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -8,6 +8,8 @@
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {StoreCaller} from "../types/store-calls.js"
 import type {UsageClaims, UsageProjections} from "../types/usage-messages.js"
+import {FIRST_ERA} from "../core/eras.js"
+import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
 import {pause} from "../utils/promises.js"
 import type {Log} from "./log.js"
@@ -35,6 +37,8 @@
 interface ReadUsage {
   readonly outlooks: UsageProjections | undefined
   readonly claims?: UsageClaims | undefined
+  /** How long no leader of an earlier era can have granted anything. */
+  readonly endedForMs?: number
 }
 
 type Position = Pick<KvEntry, "revision" | "era">
@@ -49,6 +53,8 @@
   /** Fencing token while this box certainly leads. Undefined otherwise. */
   readonly fence: () => number | undefined
   readonly eras: StoreEras
+  /** How long a leader may go on after the store was restored without its lease. */
+  readonly leaseTtlMs: number
   readonly log: Log
 }
 
@@ -110,15 +116,25 @@
     const {key, eras, log} = this.options_
     const entry = await this.storeFor("usage-read").get(key)
     this.position_ = entry ?? NO_POSITION
-    // No leader has stored any usage yet.
-    if (!entry) return {outlooks: {}}
+    // No leader has stored any usage yet, or the backup is older than its first write.
+    if (!entry) return this.wasRestored ? this.restoredUsage() : {outlooks: {}}
     const {success, data, error} = storedUsage.safeParse(parse(entry.value))
     if (success && data.era === eras.era) return data
-    if (success) return {outlooks: undefined}
+    if (success) return this.restoredUsage()
     log("entry-unreadable", {key, revision: entry.revision, reason: error.message})
     return {outlooks: undefined}
   }
 
+  private get wasRestored(): boolean {
+    return (this.options_.eras.era ?? FIRST_ERA) > FIRST_ERA
+  }
+
+  private restoredUsage(): ReadUsage {
+    const {eras, leaseTtlMs} = this.options_
+    const sinceMs = eras.known ? clockNow() - eras.known.begunBy : 0
+    return {outlooks: undefined, endedForMs: Math.max(0, sinceMs - leaseTtlMs)}
+  }
+
   private async write(value: string): Promise<boolean> {
     const {revision, era} = this.position_
     const result = await this.storeFor("usage-save").put(this.options_.key, value, {
--- a/src/core/allowance-pool.ts
+++ b/src/core/allowance-pool.ts
@@ -66,6 +66,8 @@
   returned: number
   /** The limit has no room before then. */
   fullUntil: number
+  /** Whether the leader does not know that the limit is reached. */
+  isUnknown: boolean
   /** When the leader said so. */
   fullSince: number
   /** Smallest amount refused since the last request for room; Infinity if none was. */
@@ -163,6 +165,11 @@
     return Math.max(0, (this.holdings_.get(organisation)?.fullUntil ?? 0) - now)
   }
 
+  /** Whether the leader does not know that the limit is reached. */
+  isUnknown(organisation: string): boolean {
+    return this.holdings_.get(organisation)?.isUnknown ?? false
+  }
+
   /** Records that a request for this amount was refused because the limit has no room. */
   recordRefusal(organisation: string, amount: number): void {
     const holding = this.holdings_.get(organisation)
@@ -227,10 +234,10 @@
     const asked = this.openRequests_.get(ask)
     if (ask === this.lastRequest_) this.awaitsAnswer_ = false
     this.retryMs_ = RETRY_MS
-    for (const {organisation, amount, roomInMs} of grants) {
+    for (const {organisation, amount, roomInMs, isUnknown = false} of grants) {
       const holding = this.holdingOf(organisation, now)
       if (roomInMs !== undefined) {
-        Object.assign(holding, {fullUntil: now + roomInMs, fullSince: now})
+        Object.assign(holding, {fullUntil: now + roomInMs, isUnknown, fullSince: now})
       } else if (amount > 0) {
         holding.fullUntil = now
       }
@@ -304,6 +311,7 @@
       used: 0,
       returned: 0,
       fullUntil: -Infinity,
+      isUnknown: false,
       fullSince: -Infinity,
       refused: Infinity,
       usagePerMs: 0,
--- a/src/core/box-usage.ts
+++ b/src/core/box-usage.ts
@@ -53,7 +53,10 @@
   return true
 }
 
-/** Refuses a request whose organisation has reached its limit. Returns whether it did. */
+/**
+ * Refuses a request whose organisation has reached its limit, or may have. Returns
+ * whether it did.
+ */
 export function refuseIfOverLimit(
   box: BoxServing,
   request: BoxRequest,
@@ -67,13 +70,9 @@
   box.usageAllowances.recordRefusal(organisation, cost)
   const jitter = 1 + RETRY_JITTER_SHARE * box.options.random()
   const retryAfterMs = Math.round(Math.max(MIN_RETRY_AFTER_MS, fullMs) * jitter)
-  failRequest(
-    box,
-    request,
-    request.runs > 0 ? "unknown" : "over-limit",
-    now,
-    retryAfterMs
-  )
+  const isUnknown = box.usageAllowances.isUnknown(organisation)
+  const reason = isUnknown ? "not-run" : "over-limit"
+  failRequest(box, request, request.runs > 0 ? "unknown" : reason, now, retryAfterMs)
   return true
 }
 
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -215,6 +215,8 @@
       readonly type: "usage-read"
       readonly outlooks: UsageProjections | undefined
       readonly claims?: UsageClaims | undefined
+      /** How long no leader can have granted what `outlooks` may lack. */
+      readonly endedForMs?: number | undefined
     }
   /**
    * Result of storing the usage projection. If `ok` is false, it may or may not be
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -79,7 +79,12 @@
     case "usage":
       return state.ledger?.handleUsage(event.box, event.ask, event.entries, running)
     case "usage-read":
-      return state.ledger?.handleStored(event.outlooks, running, event.claims)
+      return state.ledger?.handleStored(
+        event.outlooks,
+        running,
+        event.claims,
+        event.endedForMs
+      )
     case "usage-close":
       return state.ledger?.close(running)
     case "usage-saved":
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -178,18 +178,21 @@
   /**
    * Counts what earlier leaders may have granted, as their projection says. If `outlooks`
    * is undefined, the stored projection is from an older backup, and all limits may be
-   * used up.
+   * used up. `endedForMs` is how long no leader that wrote such a projection can have
+   * granted anything.
    */
   handleStored(
     outlooks: UsageProjections | undefined,
     now: number,
-    claims?: UsageClaims
+    claims?: UsageClaims,
+    endedForMs = 0
   ): void {
     if (this.phase_ === "known") return
     this.phase_ = "known"
     if (outlooks) this.addStored(outlooks, now, claims)
     else
-      this.exhaustedUntil_ = now + ALLOWANCE_LIFETIME_MS + usageLifetimeMs(this.options_)
+      this.exhaustedUntil_ =
+        now - endedForMs + ALLOWANCE_LIFETIME_MS + usageLifetimeMs(this.options_)
     this.save(now)
   }
 
@@ -461,7 +464,8 @@
     if (limit === undefined) return {organisation, amount: 0}
     if (this.phase_ !== "known" || this.closed_) return undefined
     if (now < this.exhaustedUntil_) {
-      return {organisation, amount: 0, roomInMs: Math.round(this.exhaustedUntil_ - now)}
+      const roomInMs = Math.round(this.exhaustedUntil_ - now)
+      return {organisation, amount: 0, roomInMs, isUnknown: true}
     }
     const account = this.accountOf(organisation)
     const room = Math.max(0, limit - this.total(account, now))
@@ -469,7 +473,10 @@
     if (Math.min(need, room) > storedRoom) return undefined
     if (need > room) {
       const roomInMs = Math.round(this.msUntilAtMost(account, limit - need, now))
-      return {organisation, amount: Math.floor(room), roomInMs}
+      const known = account.granted.total(now) + account.stated.total(now)
+      const isUnknown = !this.isAccounted && known + need <= limit
+      const grant = {organisation, amount: Math.floor(room), roomInMs}
+      return isUnknown ? {...grant, isUnknown} : grant
     }
     const extra = Math.min(1, room / (SCARCE_SHARE * limit)) * (want - need)
     const more = Math.max(0, Math.min(extra, room - need, storedRoom - need))
--- a/src/types/usage-messages.ts
+++ b/src/types/usage-messages.ts
@@ -35,6 +35,8 @@
   readonly amount: number
   /** Time until the needed amount may be available, if it is not now. */
   readonly roomInMs?: number
+  /** The leader does not know whether the limit is reached. */
+  readonly isUnknown?: boolean
 }
 
 /**
--- a/test/usage-ledger.test.ts
+++ b/test/usage-ledger.test.ts
@@ -10,6 +10,7 @@
 import type {RoutedEvent} from "../src/core/serving-events.js"
 import type {RoutedState} from "../src/core/serving-fleet.js"
 import type {
+  AllowanceGrant,
   AllowanceRequest,
   UsageClaims,
   UsageProjections
@@ -320,6 +321,41 @@
   t.ok((subject.claims().unclaimed["one"]?.[0] ?? 0) >= 100)
 })
 
+// Soak round 99003: leaders that began 1 and 7 s after a restore each refused all for 9 s
+// from their own begin.
+t.test("grants of the era before a restore expire whenever a leader begins", async t => {
+  const lastMs = ALLOWANCE_LIFETIME_MS + SPAN_MS
+  const first = new Subject()
+  first.ledger.startReading()
+  first.ledger.handleStored(undefined, 1_000, undefined, 300)
+  first.store(1_000)
+  t.equal(first.ask(1, 1_000 - 300 + lastMs - 10), 0)
+  first.store(1_000 - 300 + lastMs + 10)
+  t.equal(first.ask(1, 1_000 - 300 + lastMs + 100), 1)
+  const late = new Subject()
+  late.ledger.startReading()
+  late.ledger.handleStored(undefined, 50_000, undefined, lastMs + 1)
+  late.store(50_000)
+  t.equal(late.ask(1, 50_010), 1, "all of them have expired")
+})
+
+// 429 tells callers that their organisation reached its limit.
+t.test("a limit that is not known to be reached is told as unknown", async t => {
+  const grantOf = (subject: Subject, now: number): AllowanceGrant | undefined => {
+    subject.ask(100, now)
+    const allow = subject.effects.find(effect => effect.type === "allow")
+    return allow?.type === "allow" ? allow.grants[0] : undefined
+  }
+  const restored = new Subject().open(undefined, 0)
+  t.match(grantOf(restored, 10), {amount: 0, isUnknown: true})
+  const next = followLeader(LIMIT, CLAIMS)
+  t.match(grantOf(next, 10), {amount: 0, isUnknown: true})
+  const full = new Subject().open({})
+  t.equal(full.ask(LIMIT, 0), undefined)
+  full.store(10)
+  t.notOk(grantOf(full, 50)?.isUnknown)
+})
+
 // Soak seed 56020: a box led before it had a configuration, and read the usage of earlier
 // leaders only as keys counted again, 7 s later; all limits counted as used up from then.
 t.test("a leader reads earlier usage as soon as it learns of limits", async t => {
