A leader keeps its projection fresh while limits are unknown

Cause: the projection of the leader before said that limits are full for 8 s more; it was 5 s old, and counts from when it is read.

Change: it is stored each second while limits are unknown after a restore.

Result: a test of usage-ledger, red before.

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -563,6 +563,9 @@
     if (this.pending_.length > 0) return this.save(now)
     const sinceSave = now - this.savedAt_
     if (this.mayLower_ && sinceSave >= LOWER_INTERVAL_MS) return this.save(now)
+    // The next leader counts the time for which limits are unknown from its own begin.
+    const wasExhausted = this.savedAt_ < this.exhaustedUntil_
+    if (wasExhausted && sinceSave >= PROJECTION_STEP_MS) return this.save(now)
     const releasesUnused = sinceSave > UNUSED_GROWTH_MS
     const due = [...this.limits_()].some(([organisation, limit]) => {
       const account = this.accountOf(organisation)
--- a/test/usage-ledger.test.ts
+++ b/test/usage-ledger.test.ts
@@ -339,6 +339,20 @@
   t.equal(late.ask(1, 50_010), 1, "all of them have expired")
 })
 
+// Soak round 99002: a leader that began 7 s after a restore refused all for 9 s more, by a
+// projection that the one before had stored 5 s earlier.
+t.test("the next leader of an era does not begin the unknown time anew", async t => {
+  const first = new Subject().open(undefined, 0)
+  for (let now = 0; now <= 5_000; now += 100) {
+    first.ledger.tick(now)
+    first.store(now)
+  }
+  const next = new Subject().open(first.saved(), 5_000)
+  const endsAt = ALLOWANCE_LIFETIME_MS + SPAN_MS
+  t.ok(next.ledger.totalOf("one", endsAt - 500) >= LIMIT)
+  t.ok(next.ledger.totalOf("one", endsAt + 2_500) < LIMIT, "but for rounding")
+})
+
 // 429 tells callers that their organisation reached its limit.
 t.test("a limit that is not known to be reached is told as unknown", async t => {
   const grantOf = (subject: Subject, now: number): AllowanceGrant | undefined => {
