Boxes that leave a claim to others, or lose it, look for the leader

Cause: a weak box waits before its claim without looking, and a box whose claim fails waits for a whole interval before it looks.

Change: a weak box looks at the usual interval meanwhile; a box whose claim fails looks at once.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -113,6 +113,10 @@
   private linked_ = false
   private busy_ = false
   private renewedByOthers_ = false
+  /** Since when no leader was found. Undefined while there is one. */
+  private missingSince_: number | undefined
+  /** Whether the next look is due at once. */
+  private looksAtOnce_ = false
   /** Until then a lease that has expired by the clock may still be renewed. */
   private renewUntil_ = -Infinity
   private readonly startedAt_ = clockNow()
@@ -128,6 +132,7 @@
   /** Sets whether the box has a link to the leader. */
   setLinked(linked: boolean): void {
     this.linked_ = linked
+    if (linked) this.missingSince_ = undefined
   }
 
   /**
@@ -207,7 +212,11 @@
 
   private intervalMs(): number {
     const {fence, confirmed} = this.leadership
-    if (fence === undefined) return this.lookIntervalMs()
+    if (fence === undefined) {
+      const waitMs = this.looksAtOnce_ ? 0 : this.lookIntervalMs()
+      this.looksAtOnce_ = false
+      return waitMs
+    }
     return confirmed && isLeader(this.leadership, clockNow())
       ? RENEW_INTERVAL_MS
       : CONFIRM_INTERVAL_MS
@@ -302,12 +311,23 @@
   private async lookForLeader(): Promise<void> {
     const entry = await this.storeAs("leader-look").get(this.options_.key)
     if (this.stopped_) return
-    if (!entry) return this.claimLater()
+    if (!entry) return this.mustDefer() ? undefined : this.claimLater()
+    this.missingSince_ = undefined
     const leader = JSON.parse(entry.value) as LeaderRecord
     if (leader.incarnation !== this.options_.self.incarnation)
       this.events_.leaderFound(leader)
   }
 
+  /**
+   * Whether this box leaves the claim to others for now. It looks for a leader meanwhile.
+   */
+  private mustDefer(): boolean {
+    const now = clockNow()
+    this.missingSince_ ??= now
+    const delayMs = this.lookIntervalMs() + WEAK_CLAIM_DELAY_MS
+    return this.events_.isWeak() && now - this.missingSince_ < delayMs
+  }
+
   private async claimLater(): Promise<void> {
     await new Promise(resolve => setTimeout(resolve, this.claimDelayMs()))
     if (this.stopped_) return
@@ -319,6 +339,8 @@
       void this.storeAs("lease-end")
         .revokeLease(lease)
         .catch(() => undefined)
+      // Another box was first, so there is a leader to follow.
+      this.looksAtOnce_ = true
       return
     }
     const now = clockNow()
@@ -341,10 +363,7 @@
     const age = now - this.startedAt_
     const young =
       age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
-    const scatter = Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
-    return (
-      scatter + (this.events_.isWeak() ? this.lookIntervalMs() + WEAK_CLAIM_DELAY_MS : 0)
-    )
+    return Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
   }
 
   /**
