carried-requests: calls go on until the cut is detected

The test was wrong: it sent one safe call as it cut the box off, and ten others 2.5 s later. The box applies a cut some milliseconds after it is written, so the call was served over the old path at times (heardMs 2,755 as the first path is found down, 2.765 s after the cut), and nothing tested the paths until the ten calls. One of them, which must not be repeated, then went out on an open connection that no longer delivers, and nobody can tell whether it ran.

The asserts are unchanged, and the same race is out of the other tests of the file.

--- a/test/carried-requests.test.ts
+++ b/test/carried-requests.test.ts
@@ -17,6 +17,12 @@
 /** Longer than a box needs to find out which servers it reaches. */
 const DETECTION_MS = 2_500
 
+/**
+ * Interval of the calls by which a box finds that out. A single one may come before the
+ * box applies the cut.
+ */
+const DETECTION_CALL_MS = 100
+
 /** Longest time of a refusal if no box reaches a server. */
 const REFUSAL_MS = 1_000
 
@@ -37,11 +43,17 @@
   await bed.call(cutBox, "/stream/x", {adapter: "a1"})
   await bed.call(cutBox, "/safe/x")
   bed.cut(cutBox, [...bed.engines, ...bed.plain], "reset")
-  void bed.call(cutBox, "/safe/x")
-  await sleep(DETECTION_MS)
+  await callUntilDetected(bed, cutBox)
   return {bed, cutBox, other}
 }
 
+async function callUntilDetected(bed: PlatformBed, box: BedBox): Promise<void> {
+  for (let ms = 0; ms < DETECTION_MS; ms += DETECTION_CALL_MS) {
+    void bed.call(box, "/safe/x")
+    await sleep(DETECTION_CALL_MS)
+  }
+}
+
 t.test("streams, plain requests, versions and explanations over both boxes", async t => {
   const {bed, cutBox, other} = await startCut()
   t.teardown(() => bed.stop())
@@ -115,8 +127,7 @@
   const {bed, cutBox, other} = await startCut()
   t.teardown(() => bed.stop())
   bed.cut(other, [...bed.engines, ...bed.plain], "reset")
-  void bed.call(other, "/safe/x")
-  await sleep(DETECTION_MS)
+  await callUntilDetected(bed, other)
   for (const box of [cutBox, other]) {
     const sentAt = performance.now()
     const {id, status, headers} = await bed.call(box, "/unsafe/x", {body: "{}"})
@@ -134,8 +145,7 @@
   const [box] = bed.boxes as [BedBox]
   await bed.call(box, "/stream/x", {adapter: "a1"})
   bed.cut(box, bed.plain, "hang")
-  void bed.call(box, "/safe/x")
-  await sleep(DETECTION_MS)
+  await callUntilDetected(bed, box)
   const outcomes = await Promise.all(
     Array.from({length: 10}, (_, i) =>
       i % 2 === 0
