Projections of single boxes contain what the boxes stated

Found by reading the diff, not seen by callers: while a leader counts the projection of the one before, because that is lower, it left what boxes had stated out of the projections of its own box and of the most of a box. Those were stored while accounts counted, so a grant in between could pass them, and a later leader could count too little.

Change: what a box stated is always part of them. The types and the arithmetic of projections move to modules of their own (usage-accounts, usage-projections).

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -19,16 +19,31 @@
   AccountStatement,
   AllowanceRequest,
   AllowanceGrant,
-  TimedAmount,
   UsageClaims,
   UsageProjections
 } from "../types/usage-messages.js"
 import {CountedUsage, PROJECTION_STEP_MS} from "./counted-usage.js"
+import {
+  createAccount,
+  dropUnclaimed,
+  takeOldest,
+  type UsageAccount,
+  usageOf
+} from "./usage-accounts.js"
 import {
   ALLOWANCE_LIFETIME_MS,
   usageLifetimeMs,
   type UsageOptions
 } from "./usage-limits.js"
+import {
+  addProjection,
+  addTimed,
+  higherOf,
+  lowerOf,
+  projectSum,
+  roomIn,
+  sumTotals
+} from "./usage-projections.js"
 
 /**
  * Growth that the stored projection allows, as a share of the limit. More means fewer
@@ -65,47 +80,6 @@
 /** Expiry of a request that waits for the store. The box has sent it again by then. */
 const PENDING_EXPIRY_MS = 250
 
-/** Allowance that a box holds. */
-interface HeldAllowance {
-  amount: number
-  readonly until: number
-  /** The counts that contain it. None if the projections of earlier leaders do. */
-  readonly countedIn: readonly CountedUsage[]
-}
-
-/** Usage of one box that is connected. */
-interface BoxUsage {
-  held: HeldAllowance[]
-  /** Usage that this leader granted. */
-  readonly granted: CountedUsage
-  /** Usage that the box stated. */
-  readonly stated: CountedUsage
-}
-
-/** Usage of one organisation. */
-interface Account {
-  readonly boxes: Map<string, BoxUsage>
-  /** Usage that this leader granted, of all boxes. */
-  readonly granted: CountedUsage
-  /** Usage that claimed boxes stated. */
-  readonly stated: CountedUsage
-  /** The parts of both of boxes that are no longer connected. */
-  readonly goneGranted: CountedUsage
-  readonly goneStated: CountedUsage
-  /** What earlier leaders projected, and the part of it that they did not claim. */
-  readonly earlier: CountedUsage
-  readonly unclaimed: CountedUsage
-  /** What earlier leaders projected as the most of a claimed box. */
-  readonly most: CountedUsage
-  /** The part of the last leader's box, until that states its account. */
-  readonly lastLeader: CountedUsage
-  /** Projections that the store is certain to hold; empty if there are none. */
-  stored: readonly number[]
-  storedUnclaimed: readonly number[]
-  storedOwn: readonly number[]
-  storedMost: readonly number[]
-}
-
 interface PendingRequest {
   readonly box: string
   readonly ask: number
@@ -138,7 +112,7 @@
 export type UsageLimits = () => ReadonlyMap<string, number>
 
 export class UsageLedger {
-  private readonly accounts_ = new Map<string, Account>()
+  private readonly accounts_ = new Map<string, UsageAccount>()
   /** All limits count as used up until then. */
   private exhaustedUntil_ = -Infinity
   private phase_: "new" | "reading" | "known" = "new"
@@ -329,7 +303,7 @@
     return account ? this.total(account, now) : 0
   }
 
-  private accountOf(organisation: string): Account {
+  private accountOf(organisation: string): UsageAccount {
     const known = this.accounts_.get(organisation)
     if (known) return known
     const account = createAccount()
@@ -343,7 +317,7 @@
   }
 
   /** Whether accounts of boxes give a lower total than the projection does. */
-  private countsAccounts(account: Account, now: number): boolean {
+  private countsAccounts(account: UsageAccount, now: number): boolean {
     if (this.isAccounted) return true
     if (!this.awaited_ || this.awaited_.size > MAX_MISSING_BOXES) return false
     const parts = [account.stated, ...this.earlierPartsOf(account)]
@@ -351,13 +325,13 @@
   }
 
   /** Usage of earlier leaders' time without the accounts that boxes stated. */
-  private earlierPartsOf({unclaimed, lastLeader, most}: Account): CountedUsage[] {
+  private earlierPartsOf({unclaimed, lastLeader, most}: UsageAccount): CountedUsage[] {
     const missing = new Array<CountedUsage>(this.awaited_?.size ?? 0).fill(most)
     return [unclaimed, lastLeader, ...missing]
   }
 
   /** The counts that make up the usage of all boxes. */
-  private partsOf(account: Account, now: number): CountedUsage[] {
+  private partsOf(account: UsageAccount, now: number): CountedUsage[] {
     const {granted, stated, earlier} = account
     return this.countsAccounts(account, now)
       ? [granted, stated, ...this.earlierPartsOf(account)]
@@ -366,27 +340,28 @@
 
   /** The same without the boxes in `claimed` and the leader's own. */
   private unclaimedPartsOf(
-    account: Account,
+    account: UsageAccount,
     claimed: ReadonlySet<string>,
     now: number
   ): CountedUsage[] {
     const {boxes, goneGranted, goneStated, earlier} = account
     const others = [...boxes].filter(([box]) => !claimed.has(box) && box !== this.ownBox_)
-    const parts = others.flatMap(([box]) => this.partsOfBox(account, box, now))
+    const parts = others.flatMap(([box]) => this.partsOfBox(account, box))
     return this.countsAccounts(account, now)
       ? [...this.earlierPartsOf(account), goneGranted, goneStated, ...parts]
       : [earlier, goneGranted, ...parts]
   }
 
-  private partsOfBox(account: Account, box: string, now: number): CountedUsage[] {
+  /**
+   * The counts of one box. What it stated is always among them: the projections of single
+   * boxes must hold whichever way the total is counted later.
+   */
+  private partsOfBox(account: UsageAccount, box: string): CountedUsage[] {
     const usage = account.boxes.get(box)
-    if (!usage) return []
-    return this.countsAccounts(account, now)
-      ? [usage.granted, usage.stated]
-      : [usage.granted]
+    return usage ? [usage.granted, usage.stated] : []
   }
 
-  private total(account: Account, now: number): number {
+  private total(account: UsageAccount, now: number): number {
     return sumTotals(this.partsOf(account, now), now)
   }
 
@@ -524,14 +499,14 @@
     }
   }
 
-  private msUntilAtMost(account: Account, most: number, now: number): number {
+  private msUntilAtMost(account: UsageAccount, most: number, now: number): number {
     const sum = new CountedUsage()
     for (const part of this.partsOf(account, now)) sum.addAll(part)
     return sum.msUntilAtMost(most, now)
   }
 
   /** Returns how much the box can be granted before the projection is stored again. */
-  private storedRoomFor(box: string, account: Account, now: number): number {
+  private storedRoomFor(box: string, account: UsageAccount, now: number): number {
     const room = this.storedRoom(account, now)
     if (box === this.ownBox_) return Math.min(room, this.storedOwnRoom(account, now))
     if (this.storedBoxes_.has(box)) {
@@ -547,26 +522,20 @@
     return Math.min(room, roomIn(account.storedUnclaimed, projection))
   }
 
-  private storedRoom(account: Account, now: number): number {
+  private storedRoom(account: UsageAccount, now: number): number {
     return roomIn(account.stored, this.project(this.partsOf(account, now), now))
   }
 
-  private storedOwnRoom(account: Account, now: number): number {
+  private storedOwnRoom(account: UsageAccount, now: number): number {
     return roomIn(account.storedOwn, this.projectBox(account, this.ownBox_ ?? "", now))
   }
 
-  private projectBox(account: Account, box: string, now: number): number[] {
-    return this.project(this.partsOfBox(account, box, now), now)
+  private projectBox(account: UsageAccount, box: string, now: number): number[] {
+    return this.project(this.partsOfBox(account, box), now)
   }
 
   private project(parts: readonly CountedUsage[], now: number): number[] {
-    const sums = new Array<number>(this.steps_).fill(0)
-    for (const part of parts) {
-      part.project(now, this.steps_).forEach((amount, step) => {
-        sums[step] = (sums[step] ?? 0) + amount
-      })
-    }
-    return sums
+    return projectSum(parts, now, this.steps_)
   }
 
   /** Returns the projection to store of some counts, with room for growth. */
@@ -646,12 +615,10 @@
         claimed.size === 0 ? headroom + (unclaimedPending.get(organisation) ?? 0) : 0
       )
       const nextOwn = project(
-        this.partsOfBox(account, this.ownBox_ ?? "", now),
+        this.partsOfBox(account, this.ownBox_ ?? ""),
         headroom * this.ownShare + (ownPending.get(organisation) ?? 0)
       )
-      const ofBoxes = boxes.map(box =>
-        project(this.partsOfBox(account, box, now), growth)
-      )
+      const ofBoxes = boxes.map(box => project(this.partsOfBox(account, box), growth))
       const nextMost = ofBoxes.reduce(higherOf, project([], growth))
       outlooks[organisation] = next
       unclaimed[organisation] = nextUnclaimed
@@ -671,94 +638,3 @@
     this.emit_({type: "save-usage", save: ++this.lastSave_, outlooks, claims})
   }
 }
-
-function createAccount(): Account {
-  return {
-    boxes: new Map(),
-    granted: new CountedUsage(),
-    stated: new CountedUsage(),
-    goneGranted: new CountedUsage(),
-    goneStated: new CountedUsage(),
-    earlier: new CountedUsage(),
-    unclaimed: new CountedUsage(),
-    most: new CountedUsage(),
-    lastLeader: new CountedUsage(),
-    stored: [],
-    storedUnclaimed: [],
-    storedOwn: [],
-    storedMost: []
-  }
-}
-
-function usageOf({boxes}: Account, box: string): BoxUsage {
-  const known = boxes.get(box)
-  if (known) return known
-  const usage = {held: [], granted: new CountedUsage(), stated: new CountedUsage()}
-  boxes.set(box, usage)
-  return usage
-}
-
-/** Drops statements of boxes that were not claimed, which came before the claims. */
-function dropUnclaimed(account: Account, claimed: ReadonlySet<string>): void {
-  const {boxes, stated, goneStated} = account
-  stated.clear()
-  goneStated.clear()
-  for (const [box, usage] of boxes) {
-    if (claimed.has(box)) stated.addAll(usage.stated)
-    else {
-      usage.stated.clear()
-      usage.held = usage.held.map(portion => ({...portion, countedIn: []}))
-    }
-  }
-}
-
-function addProjection(
-  count: CountedUsage,
-  projection: readonly number[],
-  now: number
-): void {
-  projection.forEach((amount, step) => {
-    const expiring = amount - (projection[step + 1] ?? 0)
-    if (expiring > 0) count.add(expiring, now + (step + 1) * PROJECTION_STEP_MS)
-  })
-}
-
-function addTimed(
-  count: CountedUsage,
-  amounts: readonly TimedAmount[],
-  from: number
-): void {
-  for (const {amount, forMs} of amounts) count.add(amount, from + forMs)
-}
-
-/** Returns what can be added to a projection within the stored one. */
-function roomIn(stored: readonly number[], projection: readonly number[]): number {
-  return Math.min(...projection.map((amount, step) => (stored[step] ?? 0) - amount))
-}
-
-function sumTotals(parts: readonly CountedUsage[], now: number): number {
-  return parts.reduce((sum, part) => sum + part.total(now), 0)
-}
-
-function higherOf(a: readonly number[], b: readonly number[]): number[] {
-  return a.map((amount, step) => Math.max(amount, b[step] ?? 0))
-}
-
-function lowerOf(next: readonly number[], stored: readonly number[]): number[] {
-  return next.map((amount, step) => Math.min(amount, stored[step] ?? 0))
-}
-
-/** Removes an amount from the oldest portions, and returns what was removed of each. */
-function takeOldest(portions: HeldAllowance[], amount: number): HeldAllowance[] {
-  const taken: HeldAllowance[] = []
-  let left = amount
-  while (left > 0 && portions.length > 0) {
-    const [first] = portions as [HeldAllowance]
-    const part = Math.min(left, first.amount)
-    taken.push({...first, amount: part})
-    first.amount -= part
-    left -= part
-    if (first.amount <= 0) portions.shift()
-  }
-  return taken
-}
--- a/test/usage-ledger.test.ts
+++ b/test/usage-ledger.test.ts
@@ -252,6 +252,18 @@
   t.equal(subject.ledger.totalOf("one", 30), 10 + 200 + 50 + 300)
 })
 
+t.test("a projection of a single box contains what the box stated", async t => {
+  const subject = followLeader(200, {...CLAIMS, boxes: ["own", "b"]})
+  state(subject, "own", 150)
+  subject.ledger.tick(1_000)
+  t.equal(
+    subject.ledger.totalOf("one", 1_000),
+    200,
+    "the total is that of the projection"
+  )
+  t.ok((subject.claims().leader.usage["one"]?.[0] ?? 0) >= 150)
+})
+
 t.test("the projection counts where accounts would count more", async t => {
   const subject = followLeader(600, CLAIMS)
   state(subject, "a", 100)
