The most of a box is told for up to sixteen boxes

Change: with more than 16 claimed boxes the most of a box is the total, which it never exceeds; accounts that are missing then cost the whole projection, as before it was told.

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -71,6 +71,12 @@
 /** Interval of writes that lower the projection once all claimed boxes are accounted for. */
 const LOWER_INTERVAL_MS = 250
 
+/**
+ * With more claimed boxes than this, the most of a box is not told from the total: one
+ * projection for each box and organisation would cost the leader too much.
+ */
+const MAX_COMPARED_BOXES = 16
+
 /** Boxes that stated no account for which the most of a box is counted instead. */
 const MAX_MISSING_BOXES = 8
 
@@ -618,7 +624,10 @@
         this.partsOfBox(account, this.ownBox_ ?? ""),
         headroom * this.ownShare + (ownPending.get(organisation) ?? 0)
       )
-      const ofBoxes = boxes.map(box => project(this.partsOfBox(account, box), growth))
+      const ofBoxes =
+        boxes.length > MAX_COMPARED_BOXES
+          ? [next]
+          : boxes.map(box => project(this.partsOfBox(account, box), growth))
       const nextMost = ofBoxes.reduce(higherOf, project([], growth))
       outlooks[organisation] = next
       unclaimed[organisation] = nextUnclaimed
