A weak box that led before waits anew before it claims

A weak one that resigned in favour of a stronger box took that time for waited, and claimed again at once.

Change: winning a claim forgets that time.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -354,6 +354,7 @@
       now,
       this.options_
     )
+    this.missingSince_ = undefined
     if (isLeader(this.leadership, now)) this.events_.won(fence)
     else this.loseLeadership("claim took too long")
   }
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -4,6 +4,7 @@
 import {StoreEras} from "../src/adapters/era-source.js"
 import {LeaderElection} from "../src/adapters/leader-election.js"
 import type {KvEntry, KvStore} from "../src/ports/ports.js"
+import {until} from "./support/wait.js"
 
 /** Interval at which a box without a leader looks for one. */
 const LOOK_INTERVAL_MS = 250
@@ -80,3 +81,49 @@
     t.ok(ms <= SCATTER_MS + MARGIN_MS, `${Math.round(ms)} ms`)
   }
 })
+
+// Guards against a leader that resigns in favour of a stronger box and claims again at once,
+// by the time at which it had found no leader before its own lead.
+t.test("a weak box that led before waits anew before it claims", async t => {
+  let claims = 0
+  const kv = {
+    get: () => Promise.resolve(undefined),
+    grantLease: () => Promise.resolve(`lease-${claims}`),
+    revokeLease: () => Promise.resolve(),
+    keepAlive: () => Promise.resolve(true),
+    put: () => Promise.resolve({ok: true, revision: ++claims})
+  } as unknown as KvStore
+  const wonAt: number[] = []
+  const election = new LeaderElection(
+    kv,
+    {
+      key: "leader",
+      self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
+      eras: new StoreEras(() => undefined),
+      ttlMs: 1_200,
+      marginMs: 200,
+      checksFences: true,
+      orderGapMs: 0
+    },
+    {
+      won: () => void wonAt.push(clockNow()),
+      lost: () => undefined,
+      suspended: () => undefined,
+      confirmed: () => undefined,
+      leaderFound: () => undefined,
+      boxCount: () => 3,
+      medianAgeMs: () => 0,
+      isWeak: () => true,
+      renewByOthers: () => Promise.reject(new Error("unused")),
+      renewedByOthers: () => undefined
+    }
+  )
+  await until("it leads", () => wonAt.length === 1)
+  await new Promise(resolve => setTimeout(resolve, LOOK_INTERVAL_MS))
+  const resignedAt = clockNow()
+  election.resign("a stronger box is there")
+  await until("it leads again", () => wonAt.length === 2)
+  const waitedMs = (wonAt[1] ?? 0) - resignedAt
+  await election.stop()
+  t.ok(waitedMs >= LOOK_INTERVAL_MS + 150, `${Math.round(waitedMs)} ms`)
+})
