Stand-in servers can stand still inside a stream and go on

The incident's servers were silent for a second and sound. The stand-in could fall mute for good or break answers off, but not pause: connections stay open, streams go on where they were. No test uses it yet.

--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -172,6 +172,9 @@
   private fence_ = 0
   private state_ = "ready"
   private areHeartbeatsPaused_ = false
+  /** Handles what has arrived since the server stood still. Undefined if it runs. */
+  private resume_: (() => void) | undefined
+  private resumed_: Promise<void> | undefined
   private rate_: string | readonly string[] | undefined
   /** When this incarnation started, Unix time in milliseconds. */
   private startedAt_ = Date.now()
@@ -229,7 +232,7 @@
   get isServing(): boolean {
     const {mute, shedding, breakOff} = this.faults
     const isUp = !this.isDown_ && !this.isStopped_ && this.drainedAt === undefined
-    return isUp && !mute && !shedding && breakOff?.where !== "start"
+    return isUp && !this.isPaused && !mute && !shedding && breakOff?.where !== "start"
   }
 
   /** Places that are free now, 0 while requests wait. Infinity if there is no limit. */
@@ -327,6 +330,7 @@
 
   /** Drops all state of an incarnation. Its advertised rate limit no longer applies. */
   private resetState(): void {
+    this.resume()
     this.judge_.rates.set(this.id, undefined)
     this.judge_.rates.set(this.id, this.rate_)
     this.dropPending()
@@ -354,6 +358,7 @@
    */
   stop(): void {
     this.isStopped_ = true
+    this.resume()
     clearInterval(this.timer_)
     this.dropPending()
     setTimeout(() => this.store_.remove(`servers/${this.id}`), ENTRY_EXPIRY_MS).unref()
@@ -391,12 +396,37 @@
     this.writeHeartbeat()
   }
 
+  /**
+   * Stands still until `resume`, as a sound server whose process is stopped: connections
+   * stay open and are accepted, nothing is answered, and streams go on where they were.
+   */
+  pause(): void {
+    this.resumed_ ??= new Promise(resolve => (this.resume_ = resolve))
+  }
+
+  resume(): void {
+    this.resume_?.()
+    this.resume_ = undefined
+    this.resumed_ = undefined
+  }
+
+  /** Whether it stands still. */
+  get isPaused(): boolean {
+    return this.resumed_ !== undefined
+  }
+
   writeEntry(): void {
     this.writeHeartbeat()
   }
 
+  /** Runs an action now, or after the server has stood still. */
+  private async whenRunning(action: () => void): Promise<void> {
+    await this.resumed_
+    action()
+  }
+
   private writeHeartbeat(): void {
-    if (this.areHeartbeatsPaused_ || this.isDown_) return
+    if (this.areHeartbeatsPaused_ || this.isDown_ || this.isPaused) return
     const {service, dataCentre, model} = this.options_
     this.store_.write(`servers/${this.id}`, {
       service,
@@ -426,6 +456,8 @@
     } catch {
       return
     }
+    await this.resumed_
+    if (res.destroyed) return
     const {faults} = this
     const target = req.headers["x-target-instance"]
     if (req.url === "/report") return this.sendReport(res)
@@ -582,7 +614,9 @@
     const headers = {"x-request-id": id, "x-response-signature": sign(this.id, id)}
     const {slowMs = 0} = this.faults
     if (slowMs > 0) {
-      setTimeout(() => this.replyOfRun(run, res, status, headers, text), slowMs)
+      setTimeout(() => {
+        void this.whenRunning(() => this.replyOfRun(run, res, status, headers, text))
+      }, slowMs)
       return
     }
     this.replyOfRun(run, res, status, headers, text)
@@ -730,6 +764,7 @@
       if (this.placed_.delete(run)) this.queue_.beginNext()
     }
     const timer = setInterval(() => {
+      if (this.isPaused) return
       const isAtEnd = next > events.length
       if (breakOff && isBreakPoint(breakOff, sentEvents, isAtEnd)) {
         const isInside = breakOff.where === "inside-event"
