--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -385,7 +385,7 @@
           const now = clockNow()
           if (now - reportedAt < PROGRESS_INTERVAL_MS) return
           reportedAt = now
-          post({type: "heard", id, attempt})
+          post({type: "heard", id, attempt, lastEventId: exchange.lastEventId})
         },
         done: () => {
           if (!current()) return
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -60,11 +60,13 @@
   box: BoxServing,
   id: string,
   number: number,
-  now: number
+  now: number,
+  lastEventId?: string
 ): void {
   const request = box.requests.get(id)
   const attempt = findAttempt(box, id, number)
   if (!request || !attempt) return
+  if (lastEventId !== undefined) request.lastEventId = lastEventId
   attempt.lastByteAt = now
   if (attempt.via === undefined) box.reach.recordHeard(attempt.backend, now)
   box.suspectUntil.delete(attempt.backend)
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -43,6 +43,9 @@
     adapter: request.arrival.weights?.adapter ?? "",
     waitedFor,
     after: request.lastFailure ?? "",
+    retriedAfter: request.retriedAfter,
+    config: box.table?.config.version ?? -1,
+    lastEventId: request.lastEventId ?? "",
     retriesLeft: Math.floor(
       retryBudgetOf(box, request.arrival.service).remaining(
         runningMs(box, now),
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -53,6 +53,7 @@
     runs: 0,
     refusals: 0,
     lastFailure: undefined,
+    retriedAfter: "",
     avoided: new Map(),
     failedBackends: new Set(),
     fasterUntil: undefined,
--- a/src/core/box-retries.ts
+++ b/src/core/box-retries.ts
@@ -64,9 +64,13 @@
     if (after !== "overtaken") request.failedBackends.add(backend)
   }
   request.runs++
+  request.retriedAfter = after
   logEvent(box, "route-again", {
     request: arrival.name,
     after,
+    backend: attempt?.backend ?? "",
+    begun: request.answerStarted,
+    quietMs: attempt ? Math.round(now - (attempt.lastByteAt ?? attempt.sentAt)) : 0,
     lastEventId: request.lastEventId ?? ""
   })
   endAttempt(box, request)
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -150,6 +150,8 @@
   refusals: number
   /** How its last attempt failed. Undefined if none did. */
   lastFailure: AttemptFailure | undefined
+  /** Why it was last retried although it may have run. Empty if it was not. */
+  retriedAfter: string
   /** Backend servers that are not retried before these times. */
   readonly avoided: Map<string, number>
   /** Backend servers that failed it, except those whose weights were only late. */
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -37,7 +37,14 @@
 export type ServingEvent =
   | {readonly type: "arrive"; readonly arrival: Arrival}
   | {readonly type: "started"; readonly id: string; readonly attempt: number}
-  | {readonly type: "heard"; readonly id: string; readonly attempt: number}
+  /** Bytes of the attempt's answer have arrived. */
+  | {
+      readonly type: "heard"
+      readonly id: string
+      readonly attempt: number
+      /** The last event that was sent to the caller. */
+      readonly lastEventId?: string | undefined
+    }
   /** The box has stopped reading the answer, because its caller reads slowly. */
   | {readonly type: "held-up"; readonly id: string; readonly attempt: number}
   | {
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -126,7 +126,7 @@
     case "started":
       return handleAttemptStart(serving, event.id, event.attempt, now)
     case "heard":
-      return handleAnswerBytes(serving, event.id, event.attempt, now)
+      return handleAnswerBytes(serving, event.id, event.attempt, now, event.lastEventId)
     case "held-up":
       return handleAnswerHeldUp(serving, event.id, event.attempt, now)
     case "head":
