An exchange can hold the answers of several attempts

A caller's exchange held one attempt at a time: starting the next one dropped the answer of the last. The answer of each attempt is an object of its own now, so that a silent attempt can stay open while another server is tried.

--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -32,23 +32,67 @@
 
 const NO_BYTES = Buffer.alloc(0)
 
-export class RelayExchange {
-  /** Number of the attempt whose answer counts. */
-  attempt = 0
+/** The answer of an attempt, as far as it has arrived. */
+export class AttemptAnswer {
+  /** Closes the attempt's connection. Undefined until it is sent. */
   abort: (() => void) | undefined
-  private head_: AnswerHead | undefined
+  head: AnswerHead | undefined
+  /** The body of an answer that is sent to the caller once it is complete. */
+  bodyParts: Buffer[] = []
+  bodyBytes = 0
+  /** The begin of an event whose end has not arrived. */
+  partialEvent: Buffer = NO_BYTES
+  /** Complete events that were sent to the caller. */
+  events = 0
+  /** When the latest events were sent to the caller. */
+  private eventsAt_: number | undefined
+  private longestGapMs_ = 0
+
+  constructor(
+    readonly number: number,
+    /**
+     * Called at intervals while the box has stopped reading the answer for its slow caller.
+     */
+    readonly heldUp: () => void
+  ) {}
+
+  setHead(status: number, headers: readonly string[]): void {
+    const sent = stripOwn(stripHop(headers))
+    this.head = {status, headers: sent, framing: readFraming(headers)}
+  }
+
+  /** Bytes that are held but not sent to the caller. */
+  get collectedBytes(): number {
+    return this.bodyBytes + this.partialEvent.length
+  }
+
+  /** Describes how the bytes of the answer ended. `cause` is an error code. */
+  describeEnd(cause: string): AnswerEnd {
+    return {
+      framing: this.head?.framing,
+      partialBytes: this.partialEvent.length,
+      gapMs: this.longestGapMs_,
+      cause
+    }
+  }
+
+  recordEvents(count: number, now: number): void {
+    this.events += count
+    const gapMs = now - (this.eventsAt_ ?? now)
+    this.eventsAt_ = now
+    this.longestGapMs_ = Math.max(this.longestGapMs_, gapMs)
+  }
+}
+
+export class RelayExchange {
+  /** Answers of the attempts that may still be sent to the caller, by their numbers. */
+  private readonly open_ = new Map<number, AttemptAnswer>()
+  /** The answer whose bytes were sent or collected last. */
+  private writer_: AttemptAnswer | undefined
   private isHeadSent_ = false
   private hasSentEvents_ = false
-  private bodyParts_: Buffer[] = []
-  private bodyBytes_ = 0
-  private partialEvent_: Buffer = NO_BYTES
   lastEventId: string | undefined
   readonly flow: AnswerFlow
-  /** Complete events of the attempt's answer that were sent to the caller. */
-  events = 0
-  /** When the latest events of the attempt's answer were sent to the caller. */
-  private eventsAt_: number | undefined
-  private longestGapMs_ = 0
 
   constructor(
     readonly id: string,
@@ -63,27 +107,38 @@
     this.lastEventId = facts.lastEventId
   }
 
-  /**
-   * Starts an attempt. Drops the partial answer of the last one. `heldUp` is called at
-   * intervals while the box has stopped reading the answer for its slow caller.
-   */
-  startAttempt(attempt: number, heldUp: () => void): void {
-    this.attempt = attempt
-    this.abort = undefined
-    this.head_ = undefined
-    this.bodyParts_ = []
-    this.bodyBytes_ = 0
-    this.partialEvent_ = NO_BYTES
-    this.flow.start(heldUp)
-    this.flow.setCollected(0)
-    this.events = 0
-    this.eventsAt_ = undefined
-    this.longestGapMs_ = 0
+  /** Starts an attempt. Those before it stay open until they are closed. */
+  startAttempt(number: number, heldUp: () => void): AttemptAnswer {
+    const answer = new AttemptAnswer(number, heldUp)
+    this.open_.set(number, answer)
+    return answer
+  }
+
+  find(number: number): AttemptAnswer | undefined {
+    return this.open_.get(number)
+  }
+
+  isOpen({number}: AttemptAnswer): boolean {
+    return this.open_.has(number)
+  }
+
+  /** Drops what has arrived of an answer; the rest of it is ignored. */
+  close(answer: AttemptAnswer): void {
+    if (!this.open_.delete(answer.number)) return
+    if (this.writer_ === answer) this.switchWriter(undefined)
+    this.countCollected()
+  }
+
+  /** Closes the connections of all attempts. */
+  abortAll(): void {
+    for (const answer of [...this.open_.values()]) {
+      this.close(answer)
+      answer.abort?.()
+    }
   }
 
   /** Sends the head of a stream to the caller, unless an earlier attempt did. */
-  sendHead(closing: boolean): void {
-    const head = this.head_
+  sendHead({head}: AttemptAnswer, closing: boolean): void {
     if (!head || !this.streaming || this.isHeadSent_) return
     this.isHeadSent_ = true
     const headers = [...head.headers]
@@ -92,84 +147,80 @@
     this.res.flushHeaders()
   }
 
-  setHead(status: number, headers: readonly string[]): void {
-    const sent = stripOwn(stripHop(headers))
-    this.head_ = {status, headers: sent, framing: readFraming(headers)}
-  }
-
-  /** Describes how the bytes of the attempt's answer ended. `cause` is an error code. */
-  describeEnd(cause: string): AnswerEnd {
-    return {
-      framing: this.head_?.framing,
-      partialBytes: this.partialEvent_.length,
-      gapMs: this.longestGapMs_,
-      cause
-    }
-  }
-
   /** Whether events are sent to the caller as they arrive. */
-  get isStreamed(): boolean {
-    return this.streaming && this.head_?.status === 200
+  isStreamed({head}: AttemptAnswer): boolean {
+    return this.streaming && head?.status === 200
   }
 
   /**
-   * Buffers or sends bytes of the answer. Of a stream, only complete events are sent.
+   * Buffers or sends bytes of an answer. Of a stream, only complete events are sent.
    * Returns whether it has sent events.
    */
-  handleChunk(chunk: Buffer, reading: ReadControl): boolean {
+  handleChunk(answer: AttemptAnswer, chunk: Buffer, reading: ReadControl): boolean {
+    if (this.writer_ !== answer) this.switchWriter(answer)
     if (!this.isHeadSent_) {
-      this.bodyParts_.push(chunk)
-      this.bodyBytes_ += chunk.length
-      this.flow.setCollected(this.bodyBytes_)
+      answer.bodyParts.push(chunk)
+      answer.bodyBytes += chunk.length
+      this.countCollected()
       return false
     }
-    const bytes =
-      this.partialEvent_.length === 0 ? chunk : Buffer.concat([this.partialEvent_, chunk])
+    const {partialEvent} = answer
+    const bytes = partialEvent.length === 0 ? chunk : Buffer.concat([partialEvent, chunk])
     const end = findEventsEnd(bytes)
     const isWhole = end === bytes.length
-    this.partialEvent_ = isWhole ? NO_BYTES : bytes.subarray(end)
-    this.flow.setCollected(this.partialEvent_.length)
+    answer.partialEvent = isWhole ? NO_BYTES : bytes.subarray(end)
+    this.countCollected()
     if (end === 0) return false
     const events = isWhole ? bytes : bytes.subarray(0, end)
     const text = events.toString("latin1")
     this.recordEventId(text)
-    this.events += countEvents(text)
-    this.recordGap(clockNow())
+    answer.recordEvents(countEvents(text), clockNow())
     this.hasSentEvents_ = true
     this.flow.handleWrite(this.res.write(events), reading)
     return true
   }
 
   /** Whether a stream whose answer has ended has been broken off. */
-  get hasBrokenOff(): boolean {
-    return this.isStreamed && (isPartialEvent(this.partialEvent_) || this.lacksFirstEvent)
+  hasBrokenOff(answer: AttemptAnswer): boolean {
+    if (!this.isStreamed(answer)) return false
+    return isPartialEvent(answer.partialEvent) || this.lacksFirstEvent(answer)
   }
 
   /**
    * Whether only the end of the connection ends a stream without events. A resumed stream
    * may have none left.
    */
-  private get lacksFirstEvent(): boolean {
+  private lacksFirstEvent({head}: AttemptAnswer): boolean {
     const isResumed = this.lastEventId !== undefined
-    return this.head_?.framing === "connection" && !this.hasSentEvents_ && !isResumed
+    return head?.framing === "connection" && !this.hasSentEvents_ && !isResumed
   }
 
   /** Completes the answer to the caller. */
-  complete(closing: boolean): void {
+  complete(answer: AttemptAnswer, closing: boolean): void {
+    const {head, bodyParts, partialEvent} = answer
+    this.close(answer)
     if (this.isHeadSent_) {
-      this.res.end(this.partialEvent_)
-      this.flow.setCollected(0)
-      return
+      this.res.end(partialEvent)
+    } else if (head) {
+      const body = Buffer.concat(bodyParts)
+      const headers = [...head.headers, "content-length", String(body.length)]
+      if (closing) headers.push("connection", "close")
+      this.res.writeHead(head.status, headers)
+      this.res.end(body)
     }
-    const head = this.head_
-    if (!head) return
-    const body = Buffer.concat(this.bodyParts_)
-    const headers = [...head.headers, "content-length", String(body.length)]
-    if (closing) headers.push("connection", "close")
-    this.res.writeHead(head.status, headers)
-    this.res.end(body)
-    this.bodyParts_ = []
-    this.flow.setCollected(0)
+    this.countCollected()
+  }
+
+  /** From now on only this answer can be held up for the caller. */
+  private switchWriter(answer: AttemptAnswer | undefined): void {
+    this.writer_ = answer
+    this.flow.start(answer?.heldUp ?? (() => undefined))
+  }
+
+  private countCollected(): void {
+    let bytes = 0
+    for (const {collectedBytes} of this.open_.values()) bytes += collectedBytes
+    this.flow.setCollected(bytes)
   }
 
   /** Answers with an error of the box. Cuts the connection if an answer has begun. */
@@ -188,12 +239,6 @@
     else this.req.socket.destroy()
   }
 
-  private recordGap(now: number): void {
-    const gapMs = now - (this.eventsAt_ ?? now)
-    this.eventsAt_ = now
-    this.longestGapMs_ = Math.max(this.longestGapMs_, gapMs)
-  }
-
   private recordEventId(text: string): void {
     const at = text.lastIndexOf("id:")
     if (at < 0 || (at > 0 && text[at - 1] !== "\n")) return this.recordEventIdByLine(text)
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -278,20 +278,25 @@
       case "send":
         this.send(exchange, effect)
         return true
-      case "pass":
-        exchange.sendHead(this.options_.isStopping())
+      case "pass": {
+        const answer = exchange.find(effect.attempt)
+        if (answer) exchange.sendHead(answer, this.options_.isStopping())
         return true
-      case "discard":
+      }
+      case "discard": {
+        const answer = exchange.find(effect.attempt)
         // Reading the answer to its end allows the connection to be reused.
-        if (exchange.attempt === effect.attempt) exchange.attempt = -1
         exchange.flow.release()
+        if (answer) exchange.close(answer)
         return true
-      case "abort":
-        if (exchange.attempt === effect.attempt) {
-          exchange.attempt = -1
-          exchange.abort?.()
-        }
+      }
+      case "abort": {
+        const answer = exchange.find(effect.attempt)
+        if (!answer) return true
+        exchange.close(answer)
+        answer.abort?.()
         return true
+      }
       case "end":
         this.end(exchange, effect.reason, effect.retryAfterMs)
         return true
@@ -307,16 +312,16 @@
   private send(exchange: RelayExchange, effect: SendEffect): void {
     const {id, attempt, backend} = effect
     const {dialect, post, serving} = this.options_
-    exchange.startAttempt(attempt, () => post({type: "held-up", id, attempt}))
-    const current = (): boolean => exchange.attempt === attempt
+    const heldUp = (): void => post({type: "held-up", id, attempt})
+    const answer = exchange.startAttempt(attempt, heldUp)
+    const current = (): boolean => exchange.isOpen(answer)
     const arrival = serving().requests.get(id)?.arrival
     const path = this.pathOf(exchange, effect, arrival)
     const {method = "GET", url = "/"} = exchange.req
     let reportedAt = 0
     const fail = (failure: AttemptFailure): void => {
       if (!current()) return
-      // Ignores the rest of this attempt's answer.
-      exchange.attempt = -1
+      exchange.close(answer)
       const last = exchange.lastEventId
       post({type: "failed", id, attempt, failure, lastEventId: last})
     }
@@ -346,7 +351,7 @@
           }
           started = true
           sentAt = clockNow()
-          exchange.abort = abort
+          answer.abort = abort
           post({type: "started", id, attempt})
           return true
         },
@@ -354,31 +359,30 @@
           if (!current()) return
           const failure = path.readFailure(raw)
           if (failure) return fail(failure)
-          const answer = dialect.readAnswer(status, mapHeaders(raw))
-          const {abort} = exchange
-          if (answer.requestId !== exchange.facts.requestId) {
+          const read = dialect.readAnswer(status, mapHeaders(raw))
+          if (read.requestId !== exchange.facts.requestId) {
             // An answer to another request: later answers on this connection may be
             // wrong, too.
             fail("broken")
-            abort?.()
+            answer.abort?.()
             return
           }
-          const {notice} = answer
-          if (notice && (answer.isGenuine || answer.notRun)) {
+          const {notice} = read
+          if (notice && (read.isGenuine || read.notRun)) {
             this.handleNotice(backend.id, notice, sentAt)
           }
-          if (answer.notRun) return fail(answer.notRun)
-          if (!answer.isGenuine) {
+          if (read.notRun) return fail(read.notRun)
+          if (!read.isGenuine) {
             fail("broken")
             return
           }
-          exchange.setHead(status, raw)
-          const head = {failed: status >= 500, streamed: exchange.isStreamed}
+          answer.setHead(status, raw)
+          const head = {failed: status >= 500, streamed: exchange.isStreamed(answer)}
           post({type: "head", id, attempt, head})
         },
         data: (chunk, reading) => {
           if (!current()) return
-          if (exchange.handleChunk(chunk, reading) && !begun) {
+          if (exchange.handleChunk(answer, chunk, reading) && !begun) {
             begun = true
             post({type: "stream-began", id, attempt})
           }
@@ -389,20 +393,20 @@
         },
         done: () => {
           if (!current()) return
-          post({type: "answer-ended", id, attempt, end: exchange.describeEnd("")})
+          post({type: "answer-ended", id, attempt, end: answer.describeEnd("")})
           // Without a length or chunks, the end of the connection looks like a complete
           // answer. The server broke it off, also if another box sent the request.
-          if (exchange.hasBrokenOff) {
+          if (exchange.hasBrokenOff(answer)) {
             return fail(effect.via === undefined ? "broken" : "broken-beyond")
           }
           this.exchanges_.delete(id)
-          exchange.complete(this.options_.isStopping())
-          post({type: "done", id, attempt, events: exchange.events})
+          exchange.complete(answer, this.options_.isStopping())
+          post({type: "done", id, attempt, events: answer.events})
         },
         failed: cause => {
           clearTimeout(patience)
           if (started && current()) {
-            const end = exchange.describeEnd(errorCode(cause))
+            const end = answer.describeEnd(errorCode(cause))
             post({type: "answer-ended", id, attempt, end})
           }
           fail(started ? "broken" : unsent)
@@ -488,8 +492,7 @@
   private handleCallerDisconnect(exchange: RelayExchange): void {
     if (!this.exchanges_.delete(exchange.id)) return
     this.options_.post({type: "hang-up", id: exchange.id})
-    exchange.attempt = -1
-    exchange.abort?.()
+    exchange.abortAll()
   }
 }
 
