The simulation of uneven engines reports heads and progress as boxes do

It posted one event of progress for a stream and never the head of an answer, so every stream of 1.6 s counted as one without a first answer and was moved after it had begun; it also went on after its abort. Streams report their head and their progress now; bounds and checks stay.

--- a/test/patterns/uneven-engines.ts
+++ b/test/patterns/uneven-engines.ts
@@ -111,6 +111,8 @@
 const TOKENS_PER_MS = 19.2
 const EVENTS = 40
 const EVENT_MS = 40
+/** Interval of the events that tell the core that an answer is still arriving. */
+const PROGRESS_MS = 200
 const LOAD_MS = 288
 const ADAPTERS = 10_000
 const ZIPF_EXPONENT = 1.2
@@ -564,7 +566,10 @@
     const runMs = firstMs + (EVENTS * EVENT_MS) / engine.speed
     const stream = this.openStream(run, engine.prefilledAt)
     engine.streams.add(stream)
-    this.agenda_.schedule(firstMs, () => this.answer(run))
+    this.agenda_.schedule(firstMs, () => {
+      this.answer(run)
+      this.reportProgress(run, stream, engine)
+    })
     this.agenda_.schedule(runMs, () => {
       engine.running--
       engine.streams.delete(stream)
@@ -598,10 +603,22 @@
     }
   }
 
+  /** Reports events of a stream, as a box does, until it ends. */
+  private reportProgress(run: Run, stream: Stream, engine: Engine): void {
+    this.agenda_.schedule(PROGRESS_MS, () => {
+      if (!engine.streams.has(stream)) return
+      const {box, id, attempt} = run
+      this.step(box, {type: "heard", id, attempt})
+      this.reportProgress(run, stream, engine)
+    })
+  }
+
   private answer({box, id, attempt}: Run): void {
     const {now} = this.agenda_
     const request = this.arrivedAt_.get(id)
     this.step(box, {type: "heard", id, attempt})
+    const head = {failed: false, streamed: true}
+    this.step(box, {type: "head", id, attempt, head})
     if (!request) return
     const {at: arrivedAt} = request
     this.arrivedAt_.delete(id)
