A silent attempt stays open until another server answers

Cause: a box took silence for the end of an attempt. It closed the connection after 1.3 s without bytes, before another server had taken the stream. If that one refused it, or weights, an allowance or a retry were not to be had in time, the caller's answer was cut although its server went on.

Now such a request is hedged: the silent attempt stays open while another one is sent, and whichever answers first goes on; the other is closed. Where the second attempt is refused, breaks or waits in vain, the request goes back to the silent one rather than fail. A begun answer ends early only by a fact: its connection broke, its server's incarnation ended, or the box no longer reaches the server. An attempt in the queue of an engine that answers others is closed as before, as it would take two places. If no other server is healthy, none is tried for its weights: servers that are all silent take no orders either.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -382,14 +382,16 @@
         },
         data: (chunk, reading) => {
           if (!current()) return
+          const now = clockNow()
+          if (now - reportedAt >= PROGRESS_INTERVAL_MS) {
+            reportedAt = now
+            // Closes any other attempt before bytes of this one reach the caller.
+            post({type: "heard", id, attempt, lastEventId: exchange.lastEventId})
+          }
           if (exchange.handleChunk(answer, chunk, reading) && !begun) {
             begun = true
             post({type: "stream-began", id, attempt})
           }
-          const now = clockNow()
-          if (now - reportedAt < PROGRESS_INTERVAL_MS) return
-          reportedAt = now
-          post({type: "heard", id, attempt, lastEventId: exchange.lastEventId})
         },
         done: () => {
           if (!current()) return
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -15,9 +15,11 @@
   removeRequest,
   failRequest,
   endAttempt,
+  endSilentAttempt,
   recordIncompleteAttempt,
   reportEngineUse
 } from "./box-ends.js"
+import {replaceSilentAttempt, returnToSilentAttempt} from "./box-hedges.js"
 import {isRetryable, canRetry, endPossibleRun, retryRequest} from "./box-retries.js"
 import {sendOrWait} from "./box-requests.js"
 import {refundCharge} from "./box-charges.js"
@@ -28,7 +30,8 @@
   type BoxRequest,
   type BoxServing,
   retryBudgetOf,
-  logEvent
+  logEvent,
+  openAttempts
 } from "./box-state.js"
 import {logOldVersionStart} from "./box-versions.js"
 import {runningMs} from "./suspensions.js"
@@ -64,7 +67,7 @@
   lastEventId?: string
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAttempt(box, id, number)
+  const attempt = findAnsweringAttempt(box, id, number, now)
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   attempt.lastByteAt = now
@@ -88,7 +91,7 @@
   number: number,
   now: number
 ): void {
-  const attempt = findAttempt(box, id, number)
+  const attempt = findAnsweringAttempt(box, id, number, now)
   if (!attempt) return
   attempt.lastByteAt = now
   attempt.heldUp = true
@@ -101,28 +104,60 @@
   box: BoxServing,
   id: string,
   number: number,
-  head: {readonly failed: boolean; readonly streamed: boolean},
+  head: AnswerHead,
   now: number
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAttempt(box, id, number)
-  if (!request || !attempt) return
+  if (!request) return
+  const {silentAttempt} = request
+  if (silentAttempt?.number === number && isUnusable(request, head)) {
+    box.effects.push({type: "discard", id, attempt: number})
+    return endSilentRun(box, request, silentAttempt)
+  }
+  const attempt = findAnsweringAttempt(box, id, number, now)
+  if (!attempt) return
   if (!attempt.headReceived) logOldVersionStart(box, request, attempt, now)
   if (!attempt.headReceived && !head.failed) attempt.latencyMs = now - attempt.sentAt
   attempt.headReceived = true
   attempt.lastByteAt = now
-  // Only a streamed answer can continue a stream that the caller has begun to receive.
-  const isForeign = request.answerStarted && !head.streamed
-  if ((head.failed || isForeign) && canRetry(box, request, now)) {
-    box.effects.push({type: "discard", id, attempt: number})
-    return retryRequest(box, request, "failed", now)
+  if (isUnusable(request, head)) {
+    const mayRetry = canRetry(box, request, now)
+    if (mayRetry || request.silentAttempt) {
+      box.effects.push({type: "discard", id, attempt: number})
+      if (mayRetry) return retryRequest(box, request, "failed", now)
+      endPossibleRun(box, request, "failed", now)
+      return failRequest(box, request, "unknown", now)
+    }
+    if (isForeign(request, head)) return failRequest(box, request, "unknown", now)
   }
-  if (isForeign) return failRequest(box, request, "unknown", now)
+  replaceSilentAttempt(box, request, now)
   // Other answers are sent to the caller once complete and can be replaced until then.
   request.answerStarted ||= head.streamed
   box.effects.push({type: "pass", id, attempt: number})
 }
 
+interface AnswerHead {
+  readonly failed: boolean
+  readonly streamed: boolean
+}
+
+/** Whether another server should be tried because of the head of an answer. */
+function isUnusable(request: BoxRequest, head: AnswerHead): boolean {
+  return head.failed || isForeign(request, head)
+}
+
+/** Only a streamed answer can continue a stream that the caller has begun to receive. */
+function isForeign({answerStarted}: BoxRequest, {streamed}: AnswerHead): boolean {
+  return answerStarted && !streamed
+}
+
+/** Ends a silent attempt that has run in vain; the request goes on without it. */
+function endSilentRun(box: BoxServing, request: BoxRequest, {backend}: Attempt): void {
+  request.failedBackends.add(backend)
+  endSilentAttempt(box, request)
+  request.runs++
+}
+
 /** Records how the bytes of the attempt's answer ended, for the log. */
 export function recordAnswerEnd(
   box: BoxServing,
@@ -130,7 +165,8 @@
   number: number,
   end: AnswerEnd
 ): void {
-  const attempt = findAttempt(box, id, number)
+  const request = box.requests.get(id)
+  const attempt = request && openAttempts(request).find(each => each.number === number)
   if (attempt) attempt.answerEnd = end
 }
 
@@ -143,7 +179,7 @@
   now: number
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAttempt(box, id, number)
+  const attempt = findAnsweringAttempt(box, id, number, now)
   if (!request || !attempt) return
   reportPace(box, request, attempt, events, now)
   logEvent(box, "route-ended", {
@@ -159,6 +195,7 @@
     events,
     ...toLogFields(attempt.answerEnd)
   })
+  replaceSilentAttempt(box, request, now)
   recordCompleteAnswer(box, request, attempt, now)
   recordPlainAnswer(box, request, attempt, now)
   removeRequest(box, request)
@@ -192,8 +229,12 @@
   now: number
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAttempt(box, id, number)
-  if (!request || !attempt) return
+  if (!request) return
+  if (request.silentAttempt?.number === number) {
+    return handleSilentFailure(box, request, request.silentAttempt, failure, now)
+  }
+  const {attempt} = request
+  if (attempt?.number !== number) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   request.lastFailure = failure
   if (failure === "not-sent" || failure === "not-carried") {
@@ -208,11 +249,10 @@
   if (!areWeightsLate && failure !== "overtaken")
     request.failedBackends.add(attempt.backend)
   if (isBroken) {
-    if (!attempt.aborted) recordIncompleteAttempt(box, request, now)
-    if (failure === "broken") recordBrokenPath(box, attempt, now)
-    else markSuspect(box, attempt.backend, now)
-    suspectCrash(box, attempt.backend, now)
+    recordBreak(box, request, attempt, failure, now)
   }
+  // Going back to the silent attempt must not abort one whose connection is closed.
+  if (request.silentAttempt) attempt.aborted = true
   if (mayHaveRun) {
     if (canRetry(box, request, now)) return retryRequest(box, request, failure, now)
     if (!isRetryable(request) || !canRequestRetry(box)) {
@@ -221,11 +261,43 @@
     endPossibleRun(box, request, failure, now)
     return requestRetry(box, request, now)
   }
-  refundCharge(box, request)
+  refundCharge(box, attempt)
   const maxRefusals = areWeightsLate ? MAX_LATE_REFUSALS : MAX_REFUSALS
   retryRefused(box, request, attempt, failure, maxRefusals, now)
 }
 
+/** Handles a silent attempt that ended without an answer. The hedge goes on alone. */
+function handleSilentFailure(
+  box: BoxServing,
+  request: BoxRequest,
+  silent: Attempt,
+  failure: AttemptFailure,
+  now: number
+): void {
+  if (failure === "broken" || failure === "broken-beyond") {
+    logBrokenAttempt(box, request, silent, now)
+    recordBreak(box, request, silent, failure, now)
+    return endSilentRun(box, request, silent)
+  }
+  if (isRefusal(failure)) handleSlotRefusal(box, request, silent, failure, now)
+  else request.unsent++
+  refundCharge(box, silent)
+  endSilentAttempt(box, request)
+}
+
+function recordBreak(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  failure: "broken" | "broken-beyond",
+  now: number
+): void {
+  if (!attempt.aborted) recordIncompleteAttempt(box, request, attempt, now)
+  if (failure === "broken") recordBrokenPath(box, attempt, now)
+  else markSuspect(box, attempt.backend, now)
+  suspectCrash(box, attempt.backend, now)
+}
+
 /** Retries a request that no server ran, unless it was refused too often. */
 function retryRefused(
   box: BoxServing,
@@ -265,7 +337,7 @@
   now: number
 ): void {
   const {backend, via} = attempt
-  refundCharge(box, request)
+  refundCharge(box, attempt)
   request.unsent++
   if (via === undefined) {
     request.failedPaths.add(backend)
@@ -308,6 +380,23 @@
   })
 }
 
+/**
+ * Returns the attempt whose answer arrives. If it was silent, its hedge ends: the server
+ * goes on.
+ */
+function findAnsweringAttempt(
+  box: BoxServing,
+  id: string,
+  number: number,
+  now: number
+): Attempt | undefined {
+  const request = box.requests.get(id)
+  if (request?.silentAttempt?.number === number) {
+    returnToSilentAttempt(box, request, "heard", now)
+  }
+  return findAttempt(box, id, number)
+}
+
 function findAttempt(box: BoxServing, id: string, number: number): Attempt | undefined {
   const attempt = box.requests.get(id)?.attempt
   return attempt?.number === number ? attempt : undefined
--- a/src/core/box-charges.ts
+++ b/src/core/box-charges.ts
@@ -1,6 +1,6 @@
 /** Charges each send of a request to the usage allowance of its organisation. */
 import type {UsageLimit} from "../types/organisations.js"
-import type {BoxRequest, BoxServing} from "./box-state.js"
+import type {Attempt, BoxRequest, BoxServing} from "./box-state.js"
 import {costOf} from "./usage-limits.js"
 import type {Charge} from "./allowance-pool.js"
 
@@ -20,10 +20,10 @@
 }
 
 /** Refunds the charge of an attempt that did not run. */
-export function refundCharge(box: BoxServing, request: BoxRequest): void {
-  const charge = request.attempt?.charge
-  if (!request.attempt || !charge) return
-  request.attempt.charge = undefined
+export function refundCharge(box: BoxServing, attempt: Attempt): void {
+  const {charge} = attempt
+  if (!charge) return
+  attempt.charge = undefined
   box.usageAllowances.refund(charge)
 }
 
--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -320,6 +320,20 @@
   )
 }
 
+/** Whether another server of the service is healthy, whatever it holds. */
+export function hasOtherHealthyServer(
+  box: BoxServing,
+  request: BoxRequest,
+  server: string,
+  now: number
+): boolean {
+  for (const {record} of box.backends.known.values()) {
+    if (record.service !== request.arrival.service || record.leaving) continue
+    if (record.id !== server && isHealthy(box, request, record.id, now)) return true
+  }
+  return false
+}
+
 /** Returns the servers that can take the request now, regardless of their rate limits. */
 function listOptions(box: BoxServing, request: BoxRequest, now: number): ServerOption[] {
   const {service, weights} = request.arrival
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -10,19 +10,25 @@
 import {requestUsageAllowances, expireAllowanceWait} from "./box-usage.js"
 import {requestSendAllowances} from "./box-pacing.js"
 import {abortIfOutdated} from "./box-outdated-attempts.js"
-import type {Attempt, BoxRequest, BoxServing} from "./box-state.js"
+import {
+  type Attempt,
+  type BoxRequest,
+  type BoxServing,
+  openAttempts
+} from "./box-state.js"
 
 /**
  * Sends waiting requests that can be sent now, and ends or moves those past their limits.
  */
 export function tickRequests(box: BoxServing, now: number): void {
   for (const request of box.requests.values()) {
+    const {silentAttempt} = request
     if (now >= request.deadlineAt) {
       expireRequest(box, request, now)
-    } else if (
-      expireRetryRequest(box, request, now) ||
-      expireAllowanceWait(box, request, now)
-    ) {
+      continue
+    }
+    if (silentAttempt) endIfIncarnationEnded(box, request, silentAttempt, now)
+    if (expireRetryRequest(box, request, now) || expireAllowanceWait(box, request, now)) {
       continue
     } else if (!request.attempt) {
       sendOrWait(box, request, now)
@@ -52,6 +58,7 @@
 }
 
 function expireRequest(box: BoxServing, request: BoxRequest, now: number): void {
-  const mayHaveRun = request.runs > 0 || request.attempt?.started === true
+  const hasStarted = openAttempts(request).some(({started}) => started)
+  const mayHaveRun = request.runs > 0 || hasStarted
   failRequest(box, request, mayHaveRun ? "timeout" : "not-run", now)
 }
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -5,7 +5,13 @@
 import type {CrashUpdate, CrashReport} from "../types/crash-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
 import {failRequest} from "./box-ends.js"
-import {type Attempt, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
+import {
+  type Attempt,
+  type BoxRequest,
+  type BoxServing,
+  logEvent,
+  openAttempts
+} from "./box-state.js"
 
 /** Shortest time after which callers of a quarantined request may retry. */
 const MIN_RETRY_AFTER_MS = 5_000
@@ -181,7 +187,9 @@
 
 function confirmCrash(box: BoxServing, backend: string, now: number): void {
   const inProgress = [...box.requests.values()]
-    .filter(({attempt}) => attempt?.started === true && attempt.backend === backend)
+    .filter(request =>
+      openAttempts(request).some(each => each.started && each.backend === backend)
+    )
     .flatMap(({arrival: {fingerprint}}) => fingerprint ?? [])
   const ended = box.crashWatch.handleCrash(backend, now)
   const answered = box.clearedRequests.handleCrash(backend, now)
--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -2,12 +2,15 @@
 import type {EngineUseDelta} from "../types/box-messages.js"
 import {adapterKey} from "../types/fleet.js"
 import {refundCharge} from "./box-charges.js"
+import {keepsSilentAttempt, returnToSilentAttempt} from "./box-hedges.js"
 import {
+  type Attempt,
   type BoxRequest,
   type BoxServing,
   type EndReason,
-  retryBudgetOf,
-  logEvent
+  logEvent,
+  openAttempts,
+  retryBudgetOf
 } from "./box-state.js"
 import {runningMs} from "./suspensions.js"
 
@@ -16,18 +19,24 @@
 
 /**
  * Ends a request without a complete answer: sends the caller an error, or cuts its
- * connection if an answer had started.
+ * connection if an answer had started. A request with a silent attempt goes back to it
+ * instead, unless its deadline has passed.
  */
 export function failRequest(
   box: BoxServing,
   request: BoxRequest,
-  reason: EndReason,
+  cause: EndReason,
   now: number,
   retryAfterMs = RETRY_AFTER_MS
 ): void {
+  if (keepsSilentAttempt(box, request, cause)) {
+    return returnToSilentAttempt(box, request, cause, now)
+  }
+  const mayHaveRun = request.silentAttempt !== undefined && cause !== "timeout"
+  const reason = mayHaveRun ? "unknown" : cause
   const {id, name, route} = request.arrival
   const waitedFor = describeWait(request)
-  abortAttempt(box, request, now)
+  abortAttempts(box, request, now)
   removeRequest(box, request)
   if (request.answerStarted) box.effects.push({type: "cut", id})
   else box.effects.push({type: "end", id, reason, retryAfterMs})
@@ -70,53 +79,76 @@
   return paced?.server === undefined ? "" : "send-allowance"
 }
 
-/** Closes the connection of the current attempt, if any. */
-export function abortAttempt(box: BoxServing, request: BoxRequest, now: number): void {
-  const {attempt, arrival} = request
-  if (!attempt || attempt.aborted) return
+/** Closes the connection of an attempt. */
+export function abortAttempt(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  now: number
+): void {
+  if (attempt.aborted) return
   attempt.aborted = true
-  recordIncompleteAttempt(box, request, now)
-  box.effects.push({type: "abort", id: arrival.id, attempt: attempt.number})
+  recordIncompleteAttempt(box, request, attempt, now)
+  box.effects.push({type: "abort", id: request.arrival.id, attempt: attempt.number})
+}
+
+/** Closes the connections of all attempts of a request. */
+export function abortAttempts(box: BoxServing, request: BoxRequest, now: number): void {
+  for (const attempt of openAttempts(request)) abortAttempt(box, request, attempt, now)
 }
 
 /**
- * Records that the current attempt ended without a complete answer or a refusal, so that
- * it may have run.
+ * Records that an attempt ended without a complete answer or a refusal, so that it may
+ * have run.
  */
 export function recordIncompleteAttempt(
   box: BoxServing,
-  {arrival: {fingerprint}, attempt}: BoxRequest,
+  {arrival: {fingerprint}}: BoxRequest,
+  {started, backend}: Attempt,
   now: number
 ): void {
-  if (!attempt?.started || fingerprint === undefined) return
-  box.crashWatch.recordClosed(fingerprint, attempt.backend, now)
+  if (!started || fingerprint === undefined) return
+  box.crashWatch.recordClosed(fingerprint, backend, now)
 }
 
 /** Removes a request that has ended. */
 export function removeRequest(box: BoxServing, request: BoxRequest): void {
   endAttempt(box, request)
+  endSilentAttempt(box, request)
   if (request.weightsRequested) withdrawWeightsRequest(box, request)
   box.requests.delete(request.arrival.id)
 }
 
 /** Ends the current attempt; another may follow. */
 export function endAttempt(box: BoxServing, request: BoxRequest): void {
-  if (!request.attempt) return
-  if (!request.attempt.started) refundCharge(box, request)
-  countAttempt(box, request, -1)
+  if (request.attempt) countOut(box, request, request.attempt)
   request.attempt = undefined
 }
 
+/** Ends the silent attempt; the current one goes on, or another may follow. */
+export function endSilentAttempt(box: BoxServing, request: BoxRequest): void {
+  if (request.silentAttempt) countOut(box, request, request.silentAttempt)
+  request.silentAttempt = undefined
+}
+
+function countOut(box: BoxServing, request: BoxRequest, attempt: Attempt): void {
+  if (!attempt.started) refundCharge(box, attempt)
+  countAttempt(box, request, attempt, -1)
+}
+
 /** Withdraws the weights request from the leader. */
 export function withdrawWeightsRequest(box: BoxServing, request: BoxRequest): void {
   request.weightsRequested = false
   box.effects.push({type: "drop", request: request.arrival.id})
 }
 
-/** Counts the current attempt in or out at its backend server, here and at the leader. */
-export function countAttempt(box: BoxServing, request: BoxRequest, change: 1 | -1): void {
-  const {attempt} = request
-  if (!attempt) return
+/** Counts an attempt in or out at its backend server, here and at the leader. */
+export function countAttempt(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  change: 1 | -1
+): void {
   const {backend, via} = attempt
   if (via !== undefined) box.peers.count(via, change)
   box.inProgress.set(backend, Math.max(0, (box.inProgress.get(backend) ?? 0) + change))
--- a/src/core/box-incarnations.ts
+++ b/src/core/box-incarnations.ts
@@ -72,13 +72,14 @@
 export function endIfIncarnationEnded(
   box: BoxServing,
   request: BoxRequest,
-  {backend, number, lastByteAt}: Attempt,
+  attempt: Attempt,
   now: number
 ): boolean {
+  const {backend, number, lastByteAt} = attempt
   const endAt = box.endedIncarnations.get(backend)
   if (endAt === undefined || now < endAt) return false
   if (lastByteAt !== undefined && now - lastByteAt < LAST_BYTES_MS) return false
-  abortAttempt(box, request, now)
+  abortAttempt(box, request, attempt, now)
   const {id} = request.arrival
   handleAttemptFailure(box, id, number, "broken", request.lastEventId, now)
   return true
--- a/src/core/box-outdated-attempts.ts
+++ b/src/core/box-outdated-attempts.ts
@@ -29,7 +29,7 @@
     version: attempt.version ?? 0,
     queuedMs: Math.round(now - attempt.sentAt)
   })
-  abortAttempt(box, request, now)
+  abortAttempt(box, request, attempt, now)
   handleAttemptFailure(box, id, attempt.number, "overtaken", request.lastEventId, now)
   return true
 }
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -3,7 +3,7 @@
 import {boundWaiting, refuseIfOverloaded} from "./box-admission.js"
 import {type Candidate, chooseBackend, listRateLimitedServers} from "./box-choose.js"
 import {
-  abortAttempt,
+  abortAttempts,
   countAttempt,
   withdrawWeightsRequest,
   removeRequest,
@@ -19,7 +19,8 @@
   type BoxRequest,
   type BoxServing,
   retryBudgetOf,
-  logEvent
+  logEvent,
+  openAttempts
 } from "./box-state.js"
 import {versionReplacedForMs, toLoggedAgeMs} from "./box-versions.js"
 import {chargeSend} from "./box-charges.js"
@@ -46,6 +47,7 @@
     deadlineAt: now + limitMs,
     holdUntil: computeHoldUntil(box, arrival, limitMs, now),
     attempt: undefined,
+    silentAttempt: undefined,
     attempts: 0,
     unsent: 0,
     peerRefusals: 0,
@@ -133,7 +135,7 @@
   if (box.advertisedRates.of(server) !== undefined) {
     request.attempt.allowedUntil = box.sendAllowances.use(server, now)
   }
-  countAttempt(box, request, 1)
+  countAttempt(box, request, request.attempt, 1)
   recordPlainSend(box, request, server, now)
   recordPrefix(box, request, now)
   box.effects.push({
@@ -185,6 +187,7 @@
     headReceived: false,
     latencyMs: undefined,
     moveRequestedAt: undefined,
+    hedgedAt: undefined,
     aborted: false,
     charge: undefined,
     answerEnd: undefined,
@@ -248,7 +251,7 @@
     heldMs: Math.round(now - request.arrivedAt),
     begun: request.answerStarted
   })
-  abortAttempt(box, request, now)
+  abortAttempts(box, request, now)
   removeRequest(box, request)
 }
 
@@ -259,9 +262,8 @@
 export function reportToNewLeader(box: BoxServing): void {
   box.effects.push({type: "discard-uses"})
   for (const request of box.requests.values()) {
-    const {attempt} = request
-    if (!attempt) request.weightsRequested = false
-    else {
+    if (!request.attempt) request.weightsRequested = false
+    for (const attempt of openAttempts(request)) {
       const uncachedTokens =
         attempt.firstByteAt === undefined ? attempt.uncachedTokens : 0
       reportEngineUse(box, request, {
--- a/src/core/box-silence.ts
+++ b/src/core/box-silence.ts
@@ -1,15 +1,17 @@
-/** Moves requests away from backend servers that do not answer, or stop answering. */
+/** Tries other backend servers for requests whose servers are silent. */
 import {SUSPECT_MS, markSuspect} from "./box-attempt-failures.js"
-import {chooseBackend, hasOtherFastServer} from "./box-choose.js"
-import {abortAttempt} from "./box-ends.js"
+import {chooseBackend, hasOtherFastServer, hasOtherHealthyServer} from "./box-choose.js"
+import {abortAttempt, endAttempt} from "./box-ends.js"
+import {hedgeRequest} from "./box-hedges.js"
 import {isOnDownPath} from "./box-paths.js"
-import {plainHedgeMs, recordPlainMove} from "./box-plain.js"
+import {isPlainRequest, plainHedgeMs, recordPlainMove} from "./box-plain.js"
+import {sendOrWait} from "./box-requests.js"
 import {canRetry, isRetryable, retryRequest} from "./box-retries.js"
 import {canRequestRetry} from "./box-retry-requests.js"
 import {hasServerOfVersion} from "./box-streams.js"
 import {type Attempt, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
 
-/** Pause in a stream after which it is continued on another server. */
+/** Pause in a stream after which another server is tried. */
 const STREAM_SILENCE_MS = 1_300
 
 /** Multiple of the target time without any answer after which another server is tried. */
@@ -24,10 +26,13 @@
  */
 const MIN_MOVE_MS = 1_200
 
+/** Shortest time after which another server is tried again for the same attempt. */
+const HEDGE_INTERVAL_MS = 500
+
 /** Interval of requests to the leader for a retry of the same attempt. */
 const MOVE_REQUEST_INTERVAL_MS = 500
 
-/** Moves the request if its server is silent. */
+/** Tries another server for the request if its server is silent. */
 export function checkSilence(
   box: BoxServing,
   request: BoxRequest,
@@ -60,8 +65,7 @@
   if (!hasOtherFastServer(box, request, backend, now)) return
   recordPlainMove(box, request, attempt, now)
   request.avoided.set(backend, now + SUSPECT_MS)
-  abortAttempt(box, request, now)
-  retryRequest(box, request, "slow", now)
+  hedgeRequest(box, request, attempt, "slow", now)
 }
 
 /** Handles the leader's answer for a request whose server was silent. */
@@ -99,22 +103,49 @@
   now: number
 ): void {
   if (!canMove(box, request, attempt, now)) return
-  abortAttempt(box, request, now)
-  retryRequest(box, request, "silent", now)
+  if (staysOpen(box, request, attempt, now)) {
+    return hedgeRequest(box, request, attempt, "silent", now)
+  }
+  abortAttempt(box, request, attempt, now)
+  if (attempt.started) return retryRequest(box, request, "silent", now)
+  // Nothing was sent, so the request has not run there.
+  endAttempt(box, request)
+  sendOrWait(box, request, now)
 }
 
-/** Whether another server can take the request now, or can load its weights in time. */
+/**
+ * Whether the attempt stays open while another server is tried. One that waits in the
+ * queue of an engine from which others are answered is closed: it would take two places.
+ */
+function staysOpen(
+  box: BoxServing,
+  request: BoxRequest,
+  {started, headReceived, backend, via}: Attempt,
+  now: number
+): boolean {
+  if (!started || request.silentAttempt) return false
+  if (headReceived || via !== undefined || isPlainRequest(box, request)) return true
+  return box.reach.quietMs(backend, now) >= MIN_FIRST_SILENCE_MS
+}
+
+/**
+ * Whether another server can take the request now, or can load its weights in time. An
+ * attempt that is closed for it is only left for a server that can take it now.
+ */
 function canMove(
   box: BoxServing,
   request: BoxRequest,
   attempt: Attempt,
   now: number
 ): boolean {
-  if (!isOnDownPath(box, attempt)) {
-    request.avoided.set(attempt.backend, now + SUSPECT_MS)
-  }
+  const {backend, hedgedAt = -Infinity} = attempt
+  if (now - hedgedAt < HEDGE_INTERVAL_MS) return false
+  if (!isOnDownPath(box, attempt)) request.avoided.set(backend, now + SUSPECT_MS)
   if (chooseBackend(box, request, now)) return true
-  if (!hasServerOfVersion(box, request, attempt.backend)) return false
+  if (!staysOpen(box, request, attempt, now)) return false
+  if (!hasServerOfVersion(box, request, backend)) return false
+  // Servers that are all silent at once take no load orders either.
+  if (!hasOtherHealthyServer(box, request, backend, now)) return false
   return request.deadlineAt - now >= MIN_MOVE_MS
 }
 
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -103,6 +103,9 @@
   latencyMs: number | undefined
   /** When the leader was last asked to allow a move from a silent server. */
   moveRequestedAt: number | undefined
+  /** When another server was last tried, as this attempt's server was silent. */
+  hedgedAt: number | undefined
+  /** Whether its connection is closed. */
   aborted: boolean
   /**
    * Charge to its organisation's allowances. Undefined if nothing was charged or the
@@ -137,6 +140,11 @@
   /** Until when it may wait for weights or a backend server. */
   holdUntil: number
   attempt: Attempt | undefined
+  /**
+   * An earlier attempt whose server is silent. It stays open until another attempt is
+   * answered, and goes on if its server does. Undefined if there is none.
+   */
+  silentAttempt: Attempt | undefined
   attempts: number
   /** Attempts that are known not to have reached a backend server. */
   unsent: number
@@ -396,6 +404,8 @@
   | "route-again"
   | "route-owned"
   | "route-silent"
+  | "route-hedged"
+  | "hedge-ended"
   | "attempt-broken"
   | "route-ended"
   | "route-cut"
@@ -485,6 +495,11 @@
   return effects
 }
 
+/** Returns the attempts of a request that are in progress. */
+export function openAttempts({attempt, silentAttempt}: BoxRequest): Attempt[] {
+  return [attempt, silentAttempt].filter(each => each !== undefined)
+}
+
 /** Queues a log event. */
 export function logEvent(box: BoxServing, event: BoxLogEvent, fields: LogFields): void {
   box.effects.push({type: "note", event, fields})
--- a/src/core/explain.ts
+++ b/src/core/explain.ts
@@ -37,6 +37,8 @@
   answeredByBox: 197,
   sent: 190,
   retry: 191,
+  hedged: 271,
+  hedgeEnded: 272,
   refused: 192,
   cut: 193,
   ended: 194,
@@ -122,6 +124,12 @@
   ],
   [EVENT.rateEnded, line => `${line["backend"]} no longer advertises a rate limit`],
   [EVENT.retry, line => `to be retried, since the attempt was ${line["after"]}`],
+  [
+    EVENT.hedged,
+    line =>
+      `another server is tried, as ${line["backend"]} has been silent for ${line["silentMs"]} ms (${line["after"]})`
+  ],
+  [EVENT.hedgeEnded, describeHedgeEnd],
   [
     EVENT.refused,
     line =>
@@ -203,6 +211,13 @@
   "box-full": "too many requests wait in the box"
 }
 
+function describeHedgeEnd(line: LogLine): string {
+  const {because, backend, other, forMs} = line
+  if (because === "heard") return `${backend} goes on after ${forMs} ms`
+  if (because === "answered") return `${other} answers in place of ${backend}`
+  return `back to ${backend}, as no other server can take it (${because})`
+}
+
 /** The load decision of a refused request. */
 function describeOverload(line: LogLine): string {
   const cause = OVERLOAD_CAUSES[String(line["cause"])] ?? String(line["cause"])
--- a/src/events.ts
+++ b/src/events.ts
@@ -534,6 +534,16 @@
     level: "info",
     text: "The leader's view of the engines of a service, each 5 s: of each engine its identifier, requests in progress, speed in percent of the median engine's and queued prompt tokens, for `listed` of `of` engines with `places` places each. `waiting`: requests that wait for weights."
   },
+  "route-hedged": {
+    number: 271,
+    level: "info",
+    text: "A backend server is silent, or slower than usual, and another one is tried for the request; the silent attempt stays open."
+  },
+  "hedge-ended": {
+    number: 272,
+    level: "info",
+    text: "A request has one attempt again: `heard` means that the silent server went on, `answered` that the other one has begun to answer; else, why no other server could."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
