Stopping boxes send ended answers to callers that read late

Callers of a box that got a SIGTERM lost the rest of an answer that the box had ended: a whole answer of 24 MB that its caller read 3.5 s later broke off, and no line of the log named it, as the core had already recorded it as complete.

Cause: a stop counted the requests of the core, which ends a request when its last byte is written, not when it is sent. The box then closed its connections with close() and closeIdleConnections() of the HTTP server. Both take a connection for idle once its answer has ended, and destroy it with the bytes that the system has not accepted.

A stop now waits, within the grace period, for all answers to callers and to other boxes that have not been sent to their end, and closes only connections without one.

The test failed before (the box had ended, the answer was incomplete) and passes now.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -44,6 +44,7 @@
 import type {Log} from "./log.js"
 import {startLoop} from "./loop.js"
 import type {Metrics} from "./metrics.js"
+import {OpenAnswers} from "./open-answers.js"
 import {PeerSnapshots} from "./peer-snapshots.js"
 import {SnapshotSource} from "./snapshot-source.js"
 import type {RunningProcess} from "./process.js"
@@ -122,6 +123,9 @@
   private readonly crashStore_: CrashStore
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
+  private readonly callerAnswers_ = new OpenAnswers()
+  /** Answers to other boxes. */
+  private readonly peerAnswers_ = new OpenAnswers()
   private readonly servers_: Server[] = []
   private readonly startedAt_ = clockNow()
   private readonly strength_: BoxStrength
@@ -353,6 +357,7 @@
         res.destroy()
       })
     })
+    this.callerAnswers_.watch(this.callers_)
     this.servers_.push(this.callers_)
     this.overload_.start(this.callers_)
     this.servers_.push(
@@ -390,6 +395,7 @@
         addressesLearned: (addresses: readonly string[]) =>
           this.peerSnapshots_.addAddresses(addresses),
         request: (req, res) => {
+          this.peerAnswers_.add(res)
           if (!this.streamPeers_.handle(req, res)) void this.carrier_.handle(req, res)
         },
         log
@@ -421,7 +427,7 @@
     await this.usageStore_.waitForSaves(MAX_USAGE_SAVE_MS)
     await this.election_.stop()
     while (clockNow() < deadline) {
-      const idle = this.openRequests === 0 && clockNow() >= listenUntil
+      const idle = this.openAnswers === 0 && clockNow() >= listenUntil
       if (clockNow() >= listenUntil) this.closeIdle()
       if (idle) break
       await new Promise(resolve => setTimeout(resolve, STOP_CHECK_MS))
@@ -431,13 +437,12 @@
     this.hub_?.close()
     this.streamPeers_.close()
     this.overload_.stop()
-    log("stopped", {open: this.openRequests})
+    log("stopped", {open: this.openAnswers})
     this.resolveStopped_()
   }
 
   private closeIdle(): void {
-    this.callers_?.close()
-    this.callers_?.closeIdleConnections()
+    if (this.callers_) this.callerAnswers_.closeIdle(this.callers_)
   }
 
   /** Does the periodic work of a tick. Returns whether orders may be sent. */
@@ -629,6 +634,11 @@
     return this.relay_.openRequests + this.carrier_.openRequests
   }
 
+  /** Answers to callers and to other boxes that have not been sent to their end. */
+  private get openAnswers(): number {
+    return this.callerAnswers_.count + this.peerAnswers_.count
+  }
+
   private get hasConfig(): boolean {
     return this.snapshotSource_.config !== undefined
   }
--- /dev/null
+++ b/test/stop-answers.test.ts
@@ -0,0 +1,95 @@
+/** Stops of a box: what becomes of the answers that its callers have not read. */
+import {createServer, request} from "node:http"
+import type {AddressInfo} from "node:net"
+import {setTimeout as sleep} from "node:timers/promises"
+import t from "tap"
+import {HEADER} from "../platform/words.js"
+import {type BedBox, HOST, PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
+
+/** More than the system holds of an unread connection between two processes. */
+const BODY_BYTES = 24 << 20
+
+/** Longer than a stopping box listens, and shorter than its grace period. */
+const UNREAD_MS = 3_500
+
+/** Starts a server whose whole answers are as large as `BODY_BYTES`. */
+async function startLargeServer(): Promise<{address: string; close: () => void}> {
+  const body = Buffer.alloc(BODY_BYTES, "x")
+  const server = createServer((req, res) => {
+    const id = String(req.headers[HEADER.request])
+    res.writeHead(200, {[HEADER.request]: id, [HEADER.signature]: "large"})
+    res.end(body)
+  })
+  await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+  const {port} = server.address() as AddressInfo
+  return {
+    address: `127.0.0.1:${port}`,
+    close: () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+interface LateReader {
+  /** Reads the answer and returns its number of bytes, and whether it is complete. */
+  readonly read: () => Promise<{bytes: number; isComplete: boolean}>
+  readonly leave: () => void
+}
+
+/** Calls a box, and reads no more of its answer than the head until told to. */
+function callLate(box: BedBox, id: string): Promise<LateReader> {
+  const [hostname, port] = box.callers.split(":")
+  return new Promise((resolve, reject) => {
+    const req = request({
+      hostname,
+      port,
+      agent: false,
+      path: "/safe/x",
+      headers: {host: HOST, "x-request-id": id, "x-request-deadline": "4000"}
+    })
+    req.on("error", reject)
+    req.on("response", res => {
+      const read = async (): Promise<{bytes: number; isComplete: boolean}> => {
+        let bytes = 0
+        try {
+          for await (const chunk of res) bytes += (chunk as Buffer).length
+        } catch {
+          return {bytes, isComplete: false}
+        }
+        return {bytes, isComplete: res.complete}
+      }
+      resolve({read, leave: () => req.destroy()})
+    })
+    req.end()
+  })
+}
+
+async function startBed(): Promise<PlatformBed> {
+  const bed = await PlatformBed.start({boxes: 1, engines: 0, plain: 1})
+  const large = await startLargeServer()
+  t.teardown(async () => {
+    large.close()
+    await bed.stop()
+  })
+  const [worker] = bed.plain
+  if (worker) worker.announcedAddress = large.address
+  worker?.writeEntry()
+  return bed
+}
+
+// A stopping box destroyed connections whose answers it had ended but not yet sent.
+t.test("a stopping box sends an ended answer to a caller that reads late", async t => {
+  const bed = await startBed()
+  const [box] = bed.boxes as [BedBox]
+  await sleep(500)
+  const caller = await callLate(box, "late")
+  await until("the answer has ended", () => /"event":194/.test(bed.logs()))
+  box.child.signal("SIGTERM")
+  await sleep(UNREAD_MS)
+  t.notOk(box.child.ended, "the box waits for its caller")
+  t.same(await caller.read(), {bytes: BODY_BYTES, isComplete: true})
+  await until("the box has ended", () => box.child.ended)
+  t.equal(box.child.exitCode, 0)
+})
