Logs name answers that the end of a process or of a connection cuts

A stream that still ran at the end of the grace period, or an answer that its caller had not read by then, ended with its connection, and no line named it. Nor did one whose caller's connection closed after the box had ended the answer: the log held event 194 for it, "answered completely".

Events 271 and 272 name them. The HTTP server reports an answer as finished also when its connection is destroyed with bytes left, so this is told apart by the state of the connection.

--- a/src/adapters/open-answers.ts
+++ b/src/adapters/open-answers.ts
@@ -5,6 +5,9 @@
 export class OpenAnswers {
   private readonly byConnection_ = new Map<Socket, Set<ServerResponse>>()
 
+  /** `unsent` is called when a connection closes with bytes of an ended answer. */
+  constructor(private readonly unsent_: (res: ServerResponse) => void) {}
+
   /** Answers with bytes that the system has not accepted yet. */
   get count(): number {
     let count = 0
@@ -12,6 +15,10 @@
     return count
   }
 
+  list(): ServerResponse[] {
+    return [...this.byConnection_.values()].flatMap(answers => [...answers])
+  }
+
   /** Follows the connections of a server and the answers to their requests. */
   watch(server: Server): void {
     server.on("connection", socket => this.addConnection(socket))
@@ -23,7 +30,13 @@
     const {socket} = res.req
     const answers = this.byConnection_.get(socket) ?? this.addConnection(socket)
     answers.add(res)
-    res.once("close", () => answers.delete(res))
+    let isSent = false
+    // Also emitted when the connection is destroyed with bytes of the answer.
+    res.once("finish", () => (isSent = !socket.destroyed))
+    res.once("close", () => {
+      answers.delete(res)
+      if (res.writableEnded && !isSent) this.unsent_(res)
+    })
   }
 
   /**
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -4,7 +4,7 @@
  * performs the effects that the core returns.
  */
 import {randomUUID} from "node:crypto"
-import type {Server} from "node:http"
+import type {Server, ServerResponse} from "node:http"
 import {
   handoverMs,
   type LeadershipOptions,
@@ -123,9 +123,9 @@
   private readonly crashStore_: CrashStore
   private hub_: BoxHub | undefined
   private callers_: Server | undefined
-  private readonly callerAnswers_ = new OpenAnswers()
+  private readonly callerAnswers_ = new OpenAnswers(res => this.logUnsent(res))
   /** Answers to other boxes. */
-  private readonly peerAnswers_ = new OpenAnswers()
+  private readonly peerAnswers_ = new OpenAnswers(res => this.logUnsent(res))
   private readonly servers_: Server[] = []
   private readonly startedAt_ = clockNow()
   private readonly strength_: BoxStrength
@@ -432,15 +432,37 @@
       if (idle) break
       await new Promise(resolve => setTimeout(resolve, STOP_CHECK_MS))
     }
+    this.logLeftOpen(this.callerAnswers_, false)
+    this.logLeftOpen(this.peerAnswers_, true)
+    log("stopped", {open: this.openAnswers})
     this.snapshotSource_.stopFollowing()
     this.session_.close()
     this.hub_?.close()
     this.streamPeers_.close()
     this.overload_.stop()
-    log("stopped", {open: this.openAnswers})
     this.resolveStopped_()
   }
 
+  private logLeftOpen(answers: OpenAnswers, carried: boolean): void {
+    for (const res of answers.list()) {
+      const {headersSent: begun, writableEnded: ended} = res
+      this.context_.log("answer-left-open", {
+        request: this.requestIdOf(res),
+        begun,
+        ended,
+        carried
+      })
+    }
+  }
+
+  private logUnsent(res: ServerResponse): void {
+    this.context_.log("answer-unsent", {request: this.requestIdOf(res)})
+  }
+
+  private requestIdOf({req}: ServerResponse): string {
+    return this.context_.dialect.readRequest(req.headers).requestId
+  }
+
   private closeIdle(): void {
     if (this.callers_) this.callerAnswers_.closeIdle(this.callers_)
   }
--- a/src/events.ts
+++ b/src/events.ts
@@ -534,6 +534,16 @@
     level: "info",
     text: "The leader's view of the engines of a service, each 5 s: of each engine its identifier, requests in progress, speed in percent of the median engine's and queued prompt tokens, for `listed` of `of` engines with `places` places each. `waiting`: requests that wait for weights."
   },
+  "answer-left-open": {
+    number: 271,
+    level: "warn",
+    text: "The process exits while an answer is not complete. `begun`: its head was sent; `ended`: only bytes that its caller has not accepted are missing; `carried`: it goes to another box."
+  },
+  "answer-unsent": {
+    number: 272,
+    level: "warn",
+    text: "The connection of an answer closed after the answer had ended, but before the caller had accepted all of its bytes."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
--- a/test/stop-answers.test.ts
+++ b/test/stop-answers.test.ts
@@ -4,15 +4,34 @@
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {HEADER} from "../platform/words.js"
+import {streamBody} from "./stand-ins/platform-worker.js"
 import {type BedBox, HOST, PlatformBed} from "./support/platform-bed.js"
 import {until} from "./support/wait.js"
 
-/** More than the system holds of an unread connection between two processes. */
-const BODY_BYTES = 24 << 20
+/**
+ * More than the system holds of an unread connection between two processes, and less than
+ * the bound of a box.
+ */
+const BODY_BYTES = 14 << 20
 
 /** Longer than a stopping box listens, and shorter than its grace period. */
 const UNREAD_MS = 3_500
 
+/** A stream that lasts longer than the grace period. */
+const LONG_STREAM = {events: 800, gapMs: 20}
+
+const LONG_ROUTE = {
+  name: "long",
+  pathPrefix: "/long/",
+  kind: "streaming",
+  service: "engines",
+  timeoutMs: 30_000,
+  maxAttempts: 1,
+  resumable: false,
+  targetLatencyMs: 400,
+  gapTargetMs: 200
+}
+
 /** Starts a server whose whole answers are as large as `BODY_BYTES`. */
 async function startLargeServer(): Promise<{address: string; close: () => void}> {
   const body = Buffer.alloc(BODY_BYTES, "x")
@@ -66,8 +85,8 @@
   })
 }
 
-async function startBed(): Promise<PlatformBed> {
-  const bed = await PlatformBed.start({boxes: 1, engines: 0, plain: 1})
+async function startBed(engines = 0): Promise<PlatformBed> {
+  const bed = await PlatformBed.start({boxes: 1, engines, plain: 1})
   const large = await startLargeServer()
   t.teardown(async () => {
     large.close()
@@ -93,3 +112,42 @@
   await until("the box has ended", () => box.child.ended)
   t.equal(box.child.exitCode, 0)
 })
+
+// The end of a process cut streams and unread answers, and no line of its log named them.
+t.test("a box names each answer that the end of its process cuts", async t => {
+  const bed = await startBed(1)
+  const [box] = bed.boxes as [BedBox]
+  bed.configure([LONG_ROUTE])
+  await sleep(500)
+  const stream = bed.call(box, "/long/x", {
+    id: "long",
+    adapter: "a0",
+    body: streamBody("long", LONG_STREAM),
+    deadlineMs: 30_000
+  })
+  const caller = await callLate(box, "unread")
+  await until("one has ended", () => /"event":194/.test(bed.logs()))
+  await until("one has begun", () => bed.judge.runsOf("long").length > 0)
+  box.child.signal("SIGTERM")
+  await until("the box has ended", () => box.child.ended)
+  t.match(await stream, {status: 200, broken: true})
+  t.match(await caller.read(), {isComplete: false})
+  const named = (id: string): object => {
+    const line = bed.logs().match(new RegExp(`.*"event":271,"request":"${id}".*`))
+    return JSON.parse(line?.[0] ?? "{}") as object
+  }
+  t.match(named("long"), {begun: true, ended: false, carried: false})
+  t.match(named("unread"), {begun: true, ended: true, carried: false})
+})
+
+// The log named an answer as complete whose caller's connection closed before its end.
+t.test("a box names an ended answer whose connection closes unread", async t => {
+  const bed = await startBed()
+  const [box] = bed.boxes as [BedBox]
+  await sleep(500)
+  const caller = await callLate(box, "left")
+  await until("the answer has ended", () => /"event":194/.test(bed.logs()))
+  caller.leave()
+  await until("the box names it", () => /"event":272,"request":"left"/.test(bed.logs()))
+  t.notMatch(bed.logs(), /"event":196/, "the core takes it for complete")
+})
