--- a/src/adapters/bounded-log.ts
+++ b/src/adapters/bounded-log.ts
@@ -1,7 +1,7 @@
 /**
  * A log that never blocks and whose volume is bounded. Lines over the rate limit are
- * counted but not written. Warnings and errors have a reserve. Bytes over the buffer
- * limit for a slow reader are dropped.
+ * counted but not written. Warnings and errors have a reserve. Lines over the buffer limit
+ * for a slow reader are dropped and counted, too.
  */
 import pino from "pino"
 import {EVENTS, type EventLevel, type EventName} from "../events.js"
@@ -41,6 +41,9 @@
   })
   const logger = pino({name, level, base: {name, ...base}}, destination)
   const limit = createLineLimit(now)
+  /** Lines that the destination has dropped since it was last logged. */
+  let dropped = 0
+  destination.on("drop", () => dropped++)
   const write = (event: EventName, fields: Readonly<Record<string, unknown>>): void => {
     const {number, level: severity, text} = EVENTS[event]
     logger[severity]({event: number, ...fields}, text)
@@ -48,8 +51,13 @@
   const log: Log = (event, fields = {}) => {
     const severity = EVENTS[event].level
     if (!limit.tryTake(severity === "warn" || severity === "error")) return
-    const omitted = limit.drainOmitted()
-    if (omitted > 0) write("log-limited", {lines: omitted})
+    const omitted = limit.drainOmitted() + dropped
+    if (omitted > 0) {
+      dropped = 0
+      write("log-limited", {lines: omitted})
+      // The line that tells the number may be dropped, too.
+      if (dropped > 0) dropped = omitted
+    }
     write(event, fields)
   }
   return {
