Begun answers wait for their organisation's allowance

A caller's stream that had begun was cut when its server broke it off and its organisation had no allowance at that moment: at once if the limit was reached, even where it had room 100 ms later, or while no leader was known; otherwise after a quarter of the target time.

Cause: a retry passes the checks of a new request, whose short waits let the caller come back in time. A caller whose answer has begun is not refused but cut, and its next call passes the same checks.

Such a request now waits for an allowance as long as for a server, that is for the target time; it still ends at once if it is known that there is no room in time. Requests without a begun answer are refused as before.

Each new test failed before: the effects were a cut in place of none.

--- a/src/core/box-usage.ts
+++ b/src/core/box-usage.ts
@@ -47,7 +47,10 @@
  */
 function refuseIfNoLeader(box: BoxServing, request: BoxRequest, now: number): boolean {
   const leaderInMs = timeUntilOrdersMs(box, now)
-  if (leaderInMs <= HOLD_SHARE * request.arrival.route.targetMs) return false
+  const waitMs = request.answerStarted
+    ? request.holdUntil - now
+    : HOLD_SHARE * request.arrival.route.targetMs
+  if (leaderInMs <= waitMs) return false
   const jitter = 1 + RETRY_JITTER_SHARE * box.options.random()
   const reason = request.runs > 0 ? "unknown" : "not-run"
   failRequest(box, request, reason, now, Math.round(leaderInMs * jitter))
@@ -55,8 +58,9 @@
 }
 
 /**
- * Refuses a request whose organisation has reached its limit, or may have. Returns
- * whether it did.
+ * Refuses a request whose organisation has reached its limit, or may have. If its answer
+ * has begun, it waits for room that there will be in time. Returns whether it is refused
+ * or waits.
  */
 export function refuseIfOverLimit(
   box: BoxServing,
@@ -68,6 +72,7 @@
   const cost = costFor(box, request)
   const fullMs = box.usageAllowances.fullForMs(organisation, now)
   if (fullMs === 0 || box.usageAllowances.holds(organisation, cost, now)) return false
+  if (request.answerStarted && now + fullMs < request.holdUntil) return true
   box.usageAllowances.recordRefusal(organisation, cost, now)
   const jitter = 1 + RETRY_JITTER_SHARE * box.options.random()
   const waitMs = fullMs + spreadMs(box, organisation, now)
@@ -89,14 +94,17 @@
   return areFew ? box.usageAllowances.spreadMs(organisation, now) : 0
 }
 
-/** Fails a request whose allowance did not arrive in time. Returns whether it did. */
+/**
+ * Fails a request whose allowance did not arrive in time. If its answer has begun, it waits
+ * as for a server. Returns whether it failed.
+ */
 export function expireAllowanceWait(
   box: BoxServing,
   request: BoxRequest,
   now: number
 ): boolean {
-  const {allowanceRequestedAt, arrival, runs} = request
-  if (allowanceRequestedAt === undefined) return false
+  const {allowanceRequestedAt, answerStarted, arrival, runs} = request
+  if (allowanceRequestedAt === undefined || answerStarted) return false
   if (now - allowanceRequestedAt < HOLD_SHARE * arrival.route.targetMs) return false
   failRequest(box, request, runs > 0 ? "unknown" : "not-run", now)
   return true
--- /dev/null
+++ b/test/begun-answers.test.ts
@@ -0,0 +1,89 @@
+/** An answer that has begun waits for what a retry needs, and isn't cut for lack of it. */
+import t from "tap"
+import {handleAnswerHead} from "../src/core/box-attempts.js"
+import {buildRouteTable} from "../src/core/route-table.js"
+import {CONFIG} from "./patterns/fleet.js"
+import {ROUTE, STREAM, Subject} from "./support/box-subject.js"
+
+const ORGANISATION = "o"
+
+const LIMIT = {unit: "requests", perSecond: 10, burst: 0, plainTokens: 200} as const
+
+const TABLE = buildRouteTable({
+  ...CONFIG,
+  routes: [ROUTE, STREAM],
+  services: [{name: "s", maxConnections: 10}],
+  organisations: [{name: ORGANISATION, keys: [], limit: LIMIT}]
+})
+
+/** Returns the number of the request for allowances that the box has just sent. */
+function askOf({effects}: Subject): number {
+  const usage = effects.find(effect => effect.type === "usage")
+  return usage?.type === "usage" ? usage.ask : 0
+}
+
+/** Answers a request for allowances with an amount, or with when there is room. */
+function grant(subject: Subject, ask: number, amount: number, roomInMs?: number): void {
+  const room = roomInMs === undefined ? {} : {roomInMs}
+  subject.box.usageAllowances.handleGrants(
+    ask,
+    [{organisation: ORGANISATION, amount, ...room}],
+    subject.now
+  )
+}
+
+/** A box with a stream that has begun, of an organisation that then has no allowance. */
+function beginStream(): Subject {
+  const subject = new Subject()
+  subject.box.table = TABLE
+  subject.arrive(STREAM, {organisation: ORGANISATION})
+  grant(subject, askOf(subject), 1)
+  subject.advanceTime(1)
+  return begin(subject)
+}
+
+function begin(subject: Subject): Subject {
+  subject.start()
+  handleAnswerHead(subject.box, "q", 1, {failed: false, streamed: true}, subject.now)
+  return subject.drain()
+}
+
+// A begun stream whose server broke it off was cut at once if its organisation was at its
+// limit, though there was room for it 100 ms later.
+t.test("a begun answer waits until its organisation's limit has room", async t => {
+  const subject = beginStream()
+  grant(subject, 0, 0, 100)
+  t.same(subject.fail("broken", 1, "7").summarizeEffects(), [])
+  subject.advanceTime(101)
+  grant(subject, askOf(subject), 1)
+  t.same(subject.advanceTime(1).summarizeEffects(), ["send 2"])
+})
+
+t.test("a begun answer ends if the limit has no room in time", async t => {
+  const subject = beginStream()
+  grant(subject, 0, 0, STREAM.targetMs + 1)
+  t.same(subject.fail("broken", 1, "7").summarizeEffects(), ["cut"])
+})
+
+// It was cut after a quarter of the target time, as its caller could still retry in time.
+t.test("a begun answer waits for its allowance for the whole target time", async t => {
+  const subject = beginStream()
+  t.same(subject.fail("broken", 1, "7").summarizeEffects(), [])
+  const ask = askOf(subject)
+  t.same(subject.advanceTime(STREAM.targetMs / 2).summarizeEffects(), [])
+  grant(subject, askOf(subject) || ask, 1)
+  t.same(subject.advanceTime(1).summarizeEffects(), ["send 2"])
+  const late = beginStream()
+  late.fail("broken", 1, "7")
+  t.same(late.advanceTime(STREAM.targetMs).summarizeEffects(), ["cut"])
+})
+
+// Between two leaders, it was cut at once, though the next one was expected in time.
+t.test("a begun answer waits for the next leader's allowance", async t => {
+  const subject = beginStream()
+  subject.box.ordersFrom = subject.now + STREAM.targetMs / 2
+  t.same(subject.fail("broken", 1, "7").summarizeEffects(), [])
+  const late = beginStream()
+  late.box.ordersFrom = late.now + STREAM.targetMs + 1
+  t.same(late.fail("broken", 1, "7").summarizeEffects(), ["cut"])
+})
