Begun answers wait for the leader's permission to retry

In deployments of many boxes a caller's stream that had begun was cut when its server broke it off and the leader took longer than 150 ms to allow the retry.

Cause: this bound serves requests that have not run, whose callers can go elsewhere at once. A begun answer gains nothing by ending early.

It now waits for the permission as for a server, for the target time. A denial still ends it.

--- a/src/core/box-retry-requests.ts
+++ b/src/core/box-retry-requests.ts
@@ -11,7 +11,7 @@
 /**
  * Longest wait for the leader's answer, which normally takes some milliseconds. Short
  * enough that a caller that learns that its request did not run can retry within its
- * deadline.
+ * deadline. A request whose answer has begun waits for it as for a server.
  */
 export const RETRY_ANSWER_TIMEOUT_MS = 150
 
@@ -59,9 +59,9 @@
   request: BoxRequest,
   now: number
 ): boolean {
-  const {retryRequestedAt} = request
-  if (retryRequestedAt === undefined || now - retryRequestedAt < RETRY_ANSWER_TIMEOUT_MS)
-    return false
+  const {answerStarted, retryRequestedAt} = request
+  if (retryRequestedAt === undefined || answerStarted) return false
+  if (now - retryRequestedAt < RETRY_ANSWER_TIMEOUT_MS) return false
   failUnsent(box, request, now)
   return true
 }
--- a/test/begun-answers.test.ts
+++ b/test/begun-answers.test.ts
@@ -1,11 +1,16 @@
 /** An answer that has begun waits for what a retry needs, and isn't cut for lack of it. */
 import t from "tap"
 import {handleAnswerHead} from "../src/core/box-attempts.js"
+import {
+  handleRetryAnswer,
+  RETRY_ANSWER_TIMEOUT_MS
+} from "../src/core/box-retry-requests.js"
 import {buildRouteTable} from "../src/core/route-table.js"
 import {CONFIG} from "./patterns/fleet.js"
 import {ROUTE, STREAM, Subject} from "./support/box-subject.js"
 
 const ORGANISATION = "o"
+const MANY_BOXES = 195
 
 const LIMIT = {unit: "requests", perSecond: 10, burst: 0, plainTokens: 200} as const
 
@@ -87,3 +92,16 @@
   late.box.ordersFrom = late.now + STREAM.targetMs + 1
   t.same(late.fail("broken", 1, "7").summarizeEffects(), ["cut"])
 })
+
+// It was cut if the leader took longer than 150 ms to allow the retry, as if it were a
+// request that has not run and whose caller may go elsewhere.
+t.test("a begun answer waits for a late permission to retry", async t => {
+  const subject = new Subject(0)
+  subject.box.boxCount = MANY_BOXES
+  begin(subject.arrive(STREAM))
+  subject.fail("broken", 1, "7")
+  t.ok(subject.effects.some(({type}) => type === "ask-retry"))
+  t.same(subject.advanceTime(RETRY_ANSWER_TIMEOUT_MS + 1).summarizeEffects(), [])
+  handleRetryAnswer(subject.box, "q", true, subject.now)
+  t.same(subject.drain().summarizeEffects(), ["send 2"])
+})
