Stopping boxes keep connections whose request is on its way

Node takes just those for idle that wait for a further request; so does the box now.

The test failed before with a time-out: neither request was answered.

--- a/src/adapters/open-answers.ts
+++ b/src/adapters/open-answers.ts
@@ -2,8 +2,17 @@
 import type {IncomingMessage, Server, ServerResponse} from "node:http"
 import {Server as SocketServer, type Socket} from "node:net"
 
+interface Connection {
+  readonly answers: Set<ServerResponse>
+  /**
+   * Bytes that had been read from the connection when its last answer ended. Undefined if
+   * it has had none.
+   */
+  readBytes: number | undefined
+}
+
 export class OpenAnswers {
-  private readonly byConnection_ = new Map<Socket, Set<ServerResponse>>()
+  private readonly connections_ = new Map<Socket, Connection>()
 
   /** `unsent` is called when a connection closes with bytes of an ended answer. */
   constructor(private readonly unsent_: (res: ServerResponse) => void) {}
@@ -11,12 +20,12 @@
   /** Answers with bytes that the system has not accepted yet. */
   get count(): number {
     let count = 0
-    for (const answers of this.byConnection_.values()) count += answers.size
+    for (const {answers} of this.connections_.values()) count += answers.size
     return count
   }
 
   list(): ServerResponse[] {
-    return [...this.byConnection_.values()].flatMap(answers => [...answers])
+    return [...this.connections_.values()].flatMap(({answers}) => [...answers])
   }
 
   /** Follows the connections of a server and the answers to their requests. */
@@ -28,32 +37,34 @@
   /** Follows one answer. */
   add(res: ServerResponse): void {
     const {socket} = res.req
-    const answers = this.byConnection_.get(socket) ?? this.addConnection(socket)
-    answers.add(res)
+    const connection = this.connections_.get(socket) ?? this.addConnection(socket)
+    connection.answers.add(res)
     let isSent = false
     // Also emitted when the connection is destroyed with bytes of the answer.
     res.once("finish", () => (isSent = !socket.destroyed))
     res.once("close", () => {
-      answers.delete(res)
+      connection.answers.delete(res)
+      connection.readBytes = socket.bytesRead
       if (res.writableEnded && !isSent) this.unsent_(res)
     })
   }
 
   /**
-   * Stops accepting connections, and closes those without an open answer. The methods of
-   * `Server` for this also close connections whose answers are ended, but not yet sent.
+   * Stops accepting connections, and closes those that wait for their next request. The
+   * methods of `Server` for this also close connections whose answers are ended, but not yet
+   * sent.
    */
   closeIdle(server: Server): void {
     SocketServer.prototype.close.call(server)
-    for (const [socket, answers] of this.byConnection_) {
-      if (answers.size === 0) socket.destroy()
+    for (const [socket, {answers, readBytes}] of this.connections_) {
+      if (answers.size === 0 && socket.bytesRead === readBytes) socket.destroy()
     }
   }
 
-  private addConnection(socket: Socket): Set<ServerResponse> {
-    const answers = new Set<ServerResponse>()
-    this.byConnection_.set(socket, answers)
-    socket.once("close", () => this.byConnection_.delete(socket))
-    return answers
+  private addConnection(socket: Socket): Connection {
+    const connection = {answers: new Set<ServerResponse>(), readBytes: undefined}
+    this.connections_.set(socket, connection)
+    socket.once("close", () => this.connections_.delete(socket))
+    return connection
   }
 }
--- a/test/stop-answers.test.ts
+++ b/test/stop-answers.test.ts
@@ -1,6 +1,6 @@
 /** Stops of a box: what becomes of the answers that its callers have not read. */
 import {createServer, request} from "node:http"
-import type {AddressInfo} from "node:net"
+import {type AddressInfo, connect} from "node:net"
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {HEADER} from "../platform/words.js"
@@ -113,6 +113,45 @@
   t.equal(box.child.exitCode, 0)
 })
 
+// Guards against a stop that closes connections whose request is on its way.
+t.test(
+  "a stopping box answers a request of a connection that it has accepted",
+  async t => {
+    const bed = await startBed()
+    const [box] = bed.boxes as [BedBox]
+    await sleep(500)
+    const caller = await callLate(box, "holds")
+    const [hostname, port] = box.callers.split(":")
+    const head = `GET /safe/x HTTP/1.1\r\nhost: ${HOST}\r\nx-request-id: `
+    const rest = "\r\nx-request-deadline: 4000\r\n\r\n"
+    const texts = new Map<string, string>()
+    const connections = ["new", "begun", "idle"].map(name => {
+      const socket = connect(Number(port), hostname)
+      socket.on("error", () => undefined)
+      socket.on("data", (part: Buffer) => {
+        texts.set(name, (texts.get(name) ?? "") + part.toString("latin1", 0, 20))
+      })
+      return {name, socket}
+    })
+    t.teardown(() => connections.forEach(({socket}) => socket.destroy()))
+    for (const {name, socket} of connections) if (name === "begun") socket.write(head)
+    const idle = connections.at(-1)?.socket
+    idle?.write(`GET /none/x HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`)
+    await until("the idle one is answered", () => texts.has("idle"))
+    box.child.signal("SIGTERM")
+    await sleep(UNREAD_MS)
+    t.ok(idle?.readableEnded || idle?.destroyed, "an idle connection is closed")
+    for (const {name, socket} of connections) {
+      if (name === "new") socket.write(head + name + rest)
+      if (name === "begun") socket.write(name + rest)
+    }
+    await until("both are answered", () => texts.has("new") && texts.has("begun"))
+    t.match(texts.get("new"), /^HTTP\/1.1 503/)
+    t.match(texts.get("begun"), /^HTTP\/1.1 503/)
+    t.match(await caller.read(), {isComplete: true})
+  }
+)
+
 // The end of a process cut streams and unread answers, and no line of its log named them.
 t.test("a box names each answer that the end of its process cuts", async t => {
   const bed = await startBed(1)
