--- a/test/stop-answers.test.ts
+++ b/test/stop-answers.test.ts
@@ -172,7 +172,7 @@
   t.match(await stream, {status: 200, broken: true})
   t.match(await caller.read(), {isComplete: false})
   const named = (id: string): object => {
-    const line = bed.logs().match(new RegExp(`.*"event":271,"request":"${id}".*`))
+    const line = bed.logs().match(new RegExp(`.*"event":273,"request":"${id}".*`))
     return JSON.parse(line?.[0] ?? "{}") as object
   }
   t.match(named("long"), {begun: true, ended: false, carried: false})
@@ -187,6 +187,6 @@
   const caller = await callLate(box, "left")
   await until("the answer has ended", () => /"event":194/.test(bed.logs()))
   caller.leave()
-  await until("the box names it", () => /"event":272,"request":"left"/.test(bed.logs()))
+  await until("the box names it", () => /"event":274,"request":"left"/.test(bed.logs()))
   t.notMatch(bed.logs(), /"event":196/, "the core takes it for complete")
 })
