A begun answer that is refused late waits for its next server

A caller's stream whose server had broken it off was cut when the next server refused it after the target time: the wait ran from the break, so the next tick ended the request while the leader was still asked for a retry. The wait of a begun answer now starts again with a refusal, as it does with a break; refusals are limited as before. The test failed before: a cut at the next tick.

--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -20,7 +20,13 @@
   reportEngineUse
 } from "./box-ends.js"
 import {replaceSilentAttempt, returnToSilentAttempt} from "./box-hedges.js"
-import {isRetryable, canRetry, endPossibleRun, retryRequest} from "./box-retries.js"
+import {
+  isRetryable,
+  canRetry,
+  endPossibleRun,
+  renewHold,
+  retryRequest
+} from "./box-retries.js"
 import {sendOrWait} from "./box-requests.js"
 import {refundCharge} from "./box-charges.js"
 import {recordPlainAnswer} from "./box-plain.js"
@@ -320,6 +326,7 @@
     return failRequest(box, request, request.runs > 0 ? "unknown" : "not-run", now)
   }
   logEvent(box, "route-again", {request: request.arrival.name, after: failure})
+  if (request.answerStarted) renewHold(request, now)
   if (isBudgetSpent) return requestRetry(box, request, now)
   endAttempt(box, request)
   sendOrWait(box, request, now)
--- a/src/core/box-hedges.ts
+++ b/src/core/box-hedges.ts
@@ -11,6 +11,7 @@
 } from "./box-ends.js"
 import {isOnDownPath} from "./box-paths.js"
 import {sendOrWait} from "./box-requests.js"
+import {renewHold} from "./box-retries.js"
 import {
   type Attempt,
   type BoxRequest,
@@ -33,7 +34,7 @@
   request.attempt = undefined
   request.retriedAfter = after
   if (!isOnDownPath(box, attempt)) request.failedBackends.add(backend)
-  request.holdUntil = Math.min(request.deadlineAt, now + request.arrival.route.targetMs)
+  renewHold(request, now)
   logEvent(box, "route-hedged", {
     request: request.arrival.name,
     after,
--- a/src/core/box-retries.ts
+++ b/src/core/box-retries.ts
@@ -74,5 +74,11 @@
     lastEventId: request.lastEventId ?? ""
   })
   endAttempt(box, request)
-  request.holdUntil = Math.min(request.deadlineAt, now + arrival.route.targetMs)
+  renewHold(request, now)
+}
+
+/** Sets until when a request that may have run waits for another server. */
+export function renewHold(request: BoxRequest, now: number): void {
+  const {deadlineAt, arrival} = request
+  request.holdUntil = Math.min(deadlineAt, now + arrival.route.targetMs)
 }
--- a/test/begun-answers.test.ts
+++ b/test/begun-answers.test.ts
@@ -105,3 +105,15 @@
   handleRetryAnswer(subject.box, "q", true, subject.now)
   t.same(subject.drain().summarizeEffects(), ["send 2"])
 })
+
+// The second server refused it after the time that it may wait: it was cut at the next tick,
+// before the leader could answer.
+t.test("a begun answer that is refused late may still be retried", async t => {
+  const subject = new Subject(1)
+  subject.box.boxCount = MANY_BOXES
+  begin(subject.arrive(STREAM)).fail("broken", 1, "7")
+  handleRetryAnswer(subject.box, "q", true, subject.now)
+  subject.start(2).now += STREAM.targetMs + 50
+  subject.fail("refused", 2)
+  t.same(subject.advanceTime(20).summarizeEffects(), [])
+})
