Soak: sound servers stand still inside streams and go on

Rounds now have series of pauses of 0.8 to 2 s: of all engines, half of them, one, the plain servers, or all, overlapping, beside configurations, SIGTERM, a killed leader and a leader cut off from the store. They are drawn from a series of their own, and `--no-pauses` leaves them out, so older seeds draw as before. In rounds with pauses the calls have draws of their own, as in rounds with load, so that the faults of a seed don't depend on how many calls the machine manages. Callers take streams up in these rounds, also with `--no-streams`.

A judge of its own compares what callers got with the runs of the servers. An answer with status 200 and events whose last run was closed while its sound server stood still is a violation, also if its caller takes it up elsewhere. Excused are only: the server broke off, crashed, restarted or ended; the link to it was struck; the box was killed or reached its grace period; the caller's deadline. Cut answers must be a begin of the whole one, so the bed keeps what a caller had received of an answer that broke.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -27,6 +27,7 @@
   "--no-load",
   "Engines have many places and one speed, and callers don't overload them"
 )
+cli.option("--no-pauses", "No worker stands still inside a stream and goes on")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -48,7 +49,8 @@
     sparse: options["sparse"] === true,
     cuts: options["cuts"] !== false,
     streams: options["streams"] !== false,
-    load: options["load"] !== false
+    load: options["load"] !== false,
+    pauses: options["pauses"] !== false
   })
   rounds++
   if (result.violations.length > 0) failedRounds++
--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -19,7 +19,13 @@
   readonly tenant?: string
   /** Tokens reported by the request. Undefined if it reported none. */
   readonly tokens?: number
+  /** Whether any part of its answer was sent. Recorded for streams only. */
+  hasAnswered?: boolean
   ended: "whole" | "cut" | undefined
+  /** When its stream ended. Undefined before, and for other answers. */
+  endedAt?: number
+  /** Whether its connection was closed while its worker would have gone on. */
+  isClosedByPeer?: boolean
 }
 
 /** An order received by an engine. */
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -758,6 +758,7 @@
       clearInterval(timer)
       if (run.ended) return
       run.ended = how
+      run.endedAt = performance.now()
       const remaining = (this.running_.get(run.adapter) ?? 1) - 1
       this.running_.set(run.adapter, remaining)
       if (remaining === 0) this.leaving_.delete(run.adapter)
@@ -765,6 +766,7 @@
     }
     const timer = setInterval(() => {
       if (this.isPaused) return
+      run.hasAnswered = true
       const isAtEnd = next > events.length
       if (breakOff && isBreakPoint(breakOff, sentEvents, isAtEnd)) {
         const isInside = breakOff.where === "inside-event"
@@ -798,10 +800,12 @@
       sentEvents++
     }, gapMs / this.speed)
     res.on("close", () => {
-      if (!run.ended && (this.isDown_ || this.isStopped_)) {
+      const hasWorkerEnded = this.isDown_ || this.isStopped_
+      if (!run.ended && hasWorkerEnded) {
         const {id, worker} = run
         this.judge_.breakOffs.push({id, worker, where: "between-events", how: "crash"})
       }
+      if (!run.ended) run.isClosedByPeer = !hasWorkerEnded
       end("cut")
     })
   }
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -509,11 +509,13 @@
         ...(options.body === undefined ? {} : {body: options.body})
       })
       const headers = response.headers as Record<string, string>
+      let body = ""
+      response.body.setEncoding("utf8")
       try {
-        const body = await response.body.text()
+        for await (const chunk of response.body) body += chunk
         return {id, status: response.statusCode, headers, body, broken: false}
       } catch {
-        return {id, status: response.statusCode, headers, body: "", broken: true}
+        return {id, status: response.statusCode, headers, body, broken: true}
       }
     } catch {
       return {id, status: 0, headers: {}, body: "", broken: true}
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -12,6 +12,7 @@
 import {describeCutTries, judgeCuts, listCutTries} from "./soak-judge-cuts.js"
 import {describeLoad, judgeLoad, listOverloadRefusals} from "./soak-judge-load.js"
 import {LoadCallers} from "./soak-load-callers.js"
+import {describePauses, judgePauses} from "./soak-judge-pauses.js"
 import {judgeRound} from "./soak-judge.js"
 import {countGuaranteedCalls, judgeService} from "./soak-judge-service.js"
 import {describeStreams, isWholeStream, judgeStreams} from "./soak-judge-streams.js"
@@ -74,7 +75,7 @@
 /**
  * XORed with the seed of a round, give the seeds of the incidents, of the rate faults, of
  * the cuts, of the faults of streams, of releases, of the streams' callers, of overload
- * and of its callers.
+ * and of its callers, and of the workers that stand still.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
@@ -84,10 +85,11 @@
 const STREAM_CALL_SEED_MASK = 0x5ca1
 const LOAD_SEED_MASK = 0x10ad
 const LOAD_CALL_SEED_MASK = 0x10ca
+const PAUSE_SEED_MASK = 0x9a05
 
 /**
  * XORed with the seed of a round, gives the seed of its calls if the faults are scripted
- * or the round has load.
+ * or the round has load or pauses.
  */
 const CALL_SEED_MASK = 0xca11
 
@@ -148,7 +150,7 @@
       this.violations_.push(...judgeRound(bed.judge, this.record_))
       this.violations_.push(...judgeIncidents(bed.judge, this.record_))
       this.violations_.push(...judgeCuts(this.record_))
-      if (streams) {
+      if (this.hasStreamCallers()) {
         this.violations_.push(...judgeStreams(bed.judge, this.record_))
         this.notes_.push(describeStreams(bed.judge, this.record_))
       }
@@ -157,6 +159,10 @@
         this.violations_.push(...judgeLoad(this.record_, refused))
         this.notes_.push(describeLoad(this.record_, refused))
       }
+      if (this.options_.pauses) {
+        this.violations_.push(...judgePauses(bed.judge, this.record_))
+        this.notes_.push(describePauses(bed.judge, this.record_))
+      }
       if (this.options_.cuts)
         this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
@@ -197,7 +203,7 @@
   private async play(bed: PlatformBed, faults: SoakFaults): Promise<void> {
     const end = performance.now() + this.options_.seconds * 1000
     const callTimer = setInterval(() => this.call(bed), CALL_INTERVAL_MS)
-    const streamTimer = this.options_.streams
+    const streamTimer = this.hasStreamCallers()
       ? setInterval(() => this.callStream(bed), STREAM_INTERVAL_MS)
       : undefined
     const {script, seed} = this.options_
@@ -212,7 +218,8 @@
             new SoakDraws(seed ^ RELEASE_SEED_MASK)
           ],
           new SoakDraws(seed ^ LOAD_SEED_MASK),
-          this.loadCallers(bed)
+          this.loadCallers(bed),
+          new SoakDraws(seed ^ PAUSE_SEED_MASK)
         )
     try {
       if (script) await this.playScript(faults, script)
@@ -231,6 +238,12 @@
     await Promise.all(this.pendingCalls_)
   }
 
+  /** Whether callers take streams up. Their streams outlast those of the other calls. */
+  private hasStreamCallers(): boolean {
+    const {streams = false, pauses = false} = this.options_
+    return streams || pauses
+  }
+
   private loadCallers(bed: PlatformBed): LoadCallers {
     const draws = new SoakDraws(this.options_.seed ^ LOAD_CALL_SEED_MASK)
     const {record_: record, organisations_: organisations} = this
@@ -299,17 +312,21 @@
 
   /**
    * Draws of the calls. They are those of the faults in other rounds, so that the seeds of
-   * these keep their faults. In rounds with load, whose calls come late on a busy machine,
-   * faults do not depend on the number of calls.
+   * these keep their faults. In rounds with load or pauses, whose calls come late on a busy
+   * machine, faults do not depend on the number of calls.
    */
   private drawsOfCalls(): SoakDraws {
-    const {script, load} = this.options_
-    return script || load ? this.callDraws_ : this.draws_
+    const {script, load, pauses} = this.options_
+    return script || load || pauses ? this.callDraws_ : this.draws_
   }
 
-  /** Draws from the series of the faults in rounds without load, as scripts do, too. */
+  /**
+   * Draws from the series of the faults in rounds without load and pauses, as scripts do,
+   * too.
+   */
   private pickKey(): string | undefined {
-    return this.organisations_?.pickKey(this.options_.load ? this.callDraws_ : undefined)
+    const {load, pauses} = this.options_
+    return this.organisations_?.pickKey(load || pauses ? this.callDraws_ : undefined)
   }
 
   /** Calls a stream that its caller takes up if its connection breaks. */
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -12,6 +12,7 @@
 import {StreamFaults} from "./soak-stream-faults.js"
 import type {LoadCallers} from "./soak-load-callers.js"
 import {LoadFaults} from "./soak-load-faults.js"
+import {PauseFaults} from "./soak-pause-faults.js"
 import {RateFaults} from "./soak-rate-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {VERSIONED_ADAPTER_COUNT, VersionFaults} from "./soak-version-faults.js"
@@ -67,6 +68,8 @@
    * Engines have few places and uneven speeds, and callers send more than these take.
    */
   readonly load?: boolean
+  /** Sound workers stand still inside streams and go on. */
+  readonly pauses?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -112,7 +115,8 @@
     cutDraws: SoakDraws,
     streamDraws: readonly [breaks: SoakDraws, releases: SoakDraws],
     loadDraws: SoakDraws,
-    loadCallers: LoadCallers
+    loadCallers: LoadCallers,
+    pauseDraws: SoakDraws
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isStopped: box => this.stoppedBoxes_.has(box) || box.suspendedFrom !== undefined,
@@ -143,12 +147,17 @@
       this.organisations_ !== undefined,
       () => this.haveFaultsEnded_
     )
+    const pauses = new PauseFaults(this.bed_, pauseDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_
+    })
     const {sparse = false} = this.options_
     await Promise.all([
       ...(sparse ? [] : [faults.play(), this.rates_.play()]),
       this.options_.cuts ? cuts.play() : undefined,
       this.options_.streams ? streams.play() : undefined,
-      this.options_.load ? load.play() : undefined
+      this.options_.load ? load.play() : undefined,
+      this.options_.pauses ? pauses.play() : undefined
     ])
   }
 
@@ -304,6 +313,7 @@
     const {child} = box
     this.bed_.resume(box)
     this.record_.exempt(box.name)
+    this.record_.boxEnds.push({box: box.name, signal, at: performance.now()})
     child.signal("SIGCONT")
     if (signal === "SIGKILL") await child.end(signal)
     else child.signal(signal)
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -42,7 +42,9 @@
   "server-asks-rest",
   "server-speaks-oddly",
   "plain-names-rate",
-  "plain-answers-break"
+  "plain-answers-break",
+  "plain-stand-still",
+  "servers-stand-still"
 ])
 
 /** Limit of reported findings, as they are alike. */
--- a/test/support/soak-load-callers.ts
+++ b/test/support/soak-load-callers.ts
@@ -97,14 +97,16 @@
     deadline: number
   ): Promise<Outcome> {
     const sentAt = performance.now()
+    const deadlineMs = Math.round(deadline - sentAt)
     const outcome = await this.bed_.call(box, `/${kind}/x`, {
       adapter,
       body,
-      deadlineMs: Math.round(deadline - sentAt),
+      deadlineMs,
       ...(key === undefined ? {} : {key})
     })
     const answeredAt = performance.now()
-    this.record_.calls.push({kind, box: box.name, outcome, key, sentAt, answeredAt})
+    const call = {kind, box: box.name, outcome, key, sentAt, answeredAt, deadlineMs}
+    this.record_.calls.push(call)
     return outcome
   }
 }
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -17,6 +17,8 @@
   readonly sentAt: number
   /** Undefined if not recorded. */
   readonly answeredAt?: number
+  /** Time that its caller allowed for it. Undefined for the usual time. */
+  readonly deadlineMs?: number
 }
 
 /** A stream that its caller takes up when its connection breaks. */
@@ -120,6 +122,21 @@
   readonly mayLead: boolean
 }
 
+/** A worker that stood still and went on. */
+export interface WorkerPause {
+  readonly worker: string
+  readonly from: number
+  /** Infinity while it lasts. */
+  to: number
+}
+
+/** A signal that ends a box. */
+export interface BoxEnd {
+  readonly box: string
+  readonly signal: NodeJS.Signals
+  readonly at: number
+}
+
 /** How many places of engines that nothing had struck for a while were free. */
 export interface FreePlaces {
   readonly at: number
@@ -152,6 +169,8 @@
   readonly versions: SoakVersion[] = []
   readonly replacedEngines: ReplacedEngine[] = []
   readonly cuts: BoxCut[] = []
+  readonly pauses: WorkerPause[] = []
+  readonly boxEnds: BoxEnd[] = []
   /** Samples in the order of time, in rounds with load. */
   readonly freePlaces: FreePlaces[] = []
   readonly faults: {readonly name: string; readonly at: number}[] = []
@@ -173,6 +192,15 @@
     }
   }
 
+  /** Records that a worker stands still. Returns a function that ends it. */
+  beginPause(worker: string): () => void {
+    const pause = {worker, from: performance.now(), to: Infinity}
+    this.pauses.push(pause)
+    return () => {
+      pause.to = Math.min(pause.to, performance.now())
+    }
+  }
+
   /** Records that a box's process starts. Returns a function that records its end. */
   beginStart(box: string): () => void {
     const start = {box, from: performance.now(), until: Infinity}
