--- a/src/events.ts
+++ b/src/events.ts
@@ -544,6 +544,16 @@
     level: "info",
     text: "A request has one attempt again: `heard` means that the silent server went on, `answered` that the other one has begun to answer; else, why no other server could."
   },
+  "answer-left-open": {
+    number: 273,
+    level: "warn",
+    text: "The process exits while an answer is not complete. `begun`: its head was sent; `ended`: only bytes that its caller has not accepted are missing; `carried`: it goes to another box."
+  },
+  "answer-unsent": {
+    number: 274,
+    level: "warn",
+    text: "The connection of an answer closed after the answer had ended, but before the caller had accepted all of its bytes."
+  },
   "settings-refused": {
     number: 107,
     level: "error",
