--- a/test/silent-attempts.test.ts
+++ b/test/silent-attempts.test.ts
@@ -58,6 +58,10 @@
   /** Engines that hold the adapter. */
   readonly holders?: number
   readonly organisation?: string
+  readonly deadlineMs?: number
+  readonly fingerprint?: string
+  /** Whether a request that is not streamed needs weights. */
+  readonly weights?: boolean
 }
 
 /** A box with one request; its methods return a summary of the effects. */
@@ -96,7 +100,8 @@
   }
 
   arrive(): string[] {
-    const {route = STREAM, organisation} = this.options_
+    const {route = STREAM, organisation, deadlineMs = DEADLINE_MS} = this.options_
+    const needsWeights = this.options_.weights ?? route.kind === "streaming"
     const arrival: Arrival = {
       id: "q",
       name: "n",
@@ -104,8 +109,9 @@
       service: "s",
       tokens: 10,
       rank: 1,
-      deadlineMs: DEADLINE_MS,
-      ...(route.kind === "streaming" ? {weights: WEIGHTS} : {}),
+      deadlineMs,
+      fingerprint: this.options_.fingerprint,
+      ...(needsWeights ? {weights: WEIGHTS} : {}),
       ...(organisation === undefined ? {} : {organisation})
     }
     return this.step({type: "arrive", arrival})
@@ -473,3 +479,255 @@
   t.equal(subject.lastAttempt, 1)
   checkGoesOn(t, subject)
 })
+
+/** Time in which an attempt must be closed after another server has begun the request. */
+const OVERLAP_MS = 400
+
+// The answer of a request that is not streamed has no head until its run has ended.
+test("a model request without a stream does not run at two servers", async t => {
+  const subject = new Subject({route: ROUTE, weights: true})
+  subject.arrive()
+  subject.start(1)
+  t.same(subject.pass(FIRST_SILENT_MS), ["send 2"])
+  subject.start(2)
+  t.same(subject.pass(OVERLAP_MS), ["abort 1"])
+})
+
+// The silent attempt is queued at its engine, and may begin on the replaced version.
+test("a silent attempt is closed when its version may not begin any more", async t => {
+  const route = {...STREAM, timeoutMs: 10_000}
+  const subject = new Subject({route, deadlineMs: 10_000})
+  const read = (): void => void subject.step({type: "news", at: subject.now, read: true})
+  read()
+  subject.arrive()
+  subject.start(1)
+  subject.step({type: "versions", versions: [["m/x", 2]]})
+  const engines = loadedEngines().map((engine, index) => ({
+    ...engine,
+    places: [{adapter: "m/x", version: index + 1, readyInMs: 0}]
+  }))
+  subject.step({type: "engines", engines})
+  t.same(subject.pass(FIRST_SILENT_MS), ["send 2"], "to the engine of the new version")
+  subject.start(2)
+  for (let ms = 0; ms < 4_500; ms += 100) {
+    read()
+    subject.pass(100)
+  }
+  t.ok(subject.summary.includes("abort 1"), subject.summary.join(", "))
+})
+
+// Its first attempt is still open there.
+test("a hedged request is not sent to its silent server again", async t => {
+  const route = {...STREAM, timeoutMs: 10_000, targetMs: 3_000}
+  const subject = new Subject({route, deadlineMs: 10_000, holders: 1}).begin()
+  t.same(subject.pass(SILENT_MS), ["need"])
+  subject.passAnswering(2_900, () => undefined)
+  const servers = subject.effects.flatMap(effect =>
+    effect.type === "send" ? effect.backend.id : []
+  )
+  t.same(servers, ["one"])
+})
+
+// As above, with two attempts, of which the second waits in a queue and is refused.
+test("a request that is refused late is not sent to its silent server again", async t => {
+  const route = {...STREAM, timeoutMs: 10_000, targetMs: 1_000}
+  const subject = new Subject({route, deadlineMs: 10_000}).beginHedged(t)
+  subject.pass(2_600)
+  subject.fail(2, "refused")
+  const servers = subject.effects.flatMap(effect =>
+    effect.type === "send" ? effect.backend.id : []
+  )
+  t.same(servers, ["one", "two"])
+})
+
+// As above, for a request that is moved from its second server as well.
+test("a request whose two servers are silent is not sent to the first again", async t => {
+  const route = {...STREAM, timeoutMs: 10_000, maxAttempts: 3}
+  const subject = new Subject({route, deadlineMs: 10_000}).beginHedged(t)
+  subject.passAnswering(4_000, () => undefined)
+  const servers = subject.effects.flatMap(effect =>
+    effect.type === "send" ? effect.backend.id : []
+  )
+  t.same(servers, ["one", "two"])
+})
+
+// The caller would be told that its request has not run.
+test("a request that ran in a second attempt does not end as not run", async t => {
+  const subject = new Subject({route: ROUTE})
+  subject.arrive()
+  subject.start(1)
+  t.same(subject.pass(FIRST_SILENT_MS), ["send 2"])
+  subject.start(2)
+  subject.fail(2, "broken")
+  const refuse = (): void => {
+    const {lastAttempt} = subject
+    subject.start(lastAttempt)
+    subject.fail(lastAttempt, "refused")
+  }
+  subject.fail(1, "refused")
+  refuse()
+  subject.passAnswering(2 * WAIT_MS, refuse)
+  t.same(
+    subject.summary.filter(each => each.startsWith("end")),
+    ["end unknown"],
+    subject.summary.join(", ")
+  )
+})
+
+// Refused attempts have not run, so another run is allowed.
+test("a stream whose hedge was refused goes on elsewhere when it breaks", async t => {
+  const subject = new Subject().begin()
+  subject.passAnswering(SILENT_MS + 200, () => {
+    subject.start(subject.lastAttempt)
+    subject.fail(subject.lastAttempt, "refused")
+  })
+  subject.hear(1)
+  subject.passAnswering(1_000, () => undefined)
+  subject.hear(1)
+  subject.summary.length = 0
+  subject.fail(1, "broken")
+  subject.pass(300)
+  t.notOk(subject.summary.includes("cut"), subject.summary.join(", "))
+})
+
+// As above, for a hedge that waits for a connection when the silent server goes on.
+test("a hedge that was never sent does not count as an attempt", async t => {
+  const subject = new Subject().begin()
+  t.same(subject.pass(SILENT_MS), ["send 2"])
+  t.same([...subject.hear(1)], ["abort 2"])
+  subject.pass(1_000)
+  subject.summary.length = 0
+  subject.fail(1, "broken")
+  subject.pass(300)
+  t.notOk(subject.summary.includes("cut"), subject.summary.join(", "))
+})
+
+// A stream whose connection breaks may wait for weights for its target time.
+test("a stream whose silent attempt breaks late still waits for weights", async t => {
+  const subject = new Subject({holders: 1}).begin()
+  t.same(subject.pass(SILENT_MS), ["need"])
+  subject.pass(STREAM.targetMs - TICK_MS)
+  subject.fail(1, "broken")
+  subject.pass(2 * TICK_MS)
+  t.notOk(subject.summary.includes("cut"), subject.summary.join(", "))
+})
+
+// The incident, for a request in the queue of an engine that answers others.
+test("a queued attempt is not closed for one that gets no allowance", async t => {
+  const subject = new Subject({organisation: "o"})
+  subject.arrive()
+  t.same(subject.grant({amount: 1}), ["send 1"])
+  subject.start(1)
+  subject.pass(FIRST_SILENT_MS - TICK_MS * 5)
+  subject.step({type: "server-heard", backend: "one"})
+  subject.pass(TICK_MS * 5)
+  if (subject.asks.length > 1) subject.grant({roomInMs: 5_000})
+  subject.passAnswering(WAIT_MS, () => undefined)
+  const ended = subject.summary.filter(each => /^(cut|end .*|abort 1)$/.test(each))
+  t.same(ended, [])
+})
+
+// As above, where the next engine refuses the request.
+test("a queued attempt is not closed for one that is refused", async t => {
+  const subject = new Subject()
+  subject.arrive()
+  subject.start(1)
+  subject.pass(FIRST_SILENT_MS - TICK_MS * 5)
+  subject.step({type: "server-heard", backend: "one"})
+  subject.passAnswering(WAIT_MS, () => {
+    const {lastAttempt} = subject
+    subject.start(lastAttempt)
+    subject.fail(lastAttempt, "refused")
+  })
+  const ended = subject.summary.filter(each => /^(cut|end .*|abort 1)$/.test(each))
+  t.same(ended, [])
+})
+
+// The error is an answer; a server that never goes on holds the caller to its deadline.
+test("the error of the last attempt goes to the caller if its server is dead", async t => {
+  const subject = new Subject({route: ROUTE})
+  subject.arrive()
+  subject.start(1)
+  t.same(subject.pass(FIRST_SILENT_MS), ["send 2"])
+  subject.start(2)
+  subject.receiveHead(2, {failed: true, streamed: false})
+  subject.passAnswering(1_000, () => undefined)
+  t.ok(subject.summary.includes("pass 2"), subject.summary.join(", "))
+})
+
+// A refusal that is not told to the caller is none.
+test("a stream that goes on does not count as refused", async t => {
+  const subject = new Subject({organisation: "o"})
+  subject.arrive()
+  subject.grant({amount: 1})
+  subject.start(1)
+  subject.receiveHead(1)
+  subject.step({type: "stream-began", id: "q", attempt: 1})
+  const holdings = (
+    subject.state.serving.usageAllowances as unknown as {
+      holdings_: Map<string, {refusedPerMs: number}>
+    }
+  ).holdings_
+  const before = holdings.get("o")?.refusedPerMs
+  subject.pass(SILENT_MS)
+  subject.grant({roomInMs: 5_000})
+  subject.passAnswering(WAIT_MS, () => undefined)
+  t.equal(holdings.get("o")?.refusedPerMs, before)
+})
+
+// Each silence costs one hedge; a stream that is silent for long must not repeat it.
+test("a silent stream does not ask for the same weights again and again", async t => {
+  const subject = new Subject({holders: 1}).begin()
+  subject.passAnswering(DEADLINE_MS - 300, () => undefined)
+  const needs = subject.summary.filter(each => each === "need").length
+  t.equal(needs, 1, subject.summary.join(", "))
+})
+
+// Two runs at one server, of which the first goes on if the path is up again.
+test("a hedge over another box to the same server replaces the attempt", async t => {
+  const subject = new Subject({holders: 1})
+  subject.step({type: "peers", addresses: ["10.0.0.9:1"]})
+  subject.begin()
+  subject.step({type: "path-checked", backend: "one", accepted: false})
+  const moved = subject.pass(FIRST_SILENT_MS)
+  t.same(moved.sort(), ["abort 1", "send 2"])
+})
+
+// Its first server broke; the caller's answer has begun and the limit has room in time.
+test("a begun stream waits for an allowance that comes in time", async t => {
+  const subject = new Subject({organisation: "o"})
+  subject.arrive()
+  subject.grant({amount: 1})
+  subject.start(1)
+  subject.receiveHead(1)
+  subject.step({type: "stream-began", id: "q", attempt: 1})
+  subject.pass(400)
+  subject.hear(1)
+  subject.step({
+    type: "allowances",
+    ask: subject.asks.at(-1) ?? 0,
+    grants: [{organisation: "o", amount: 0, roomInMs: 60}]
+  })
+  subject.fail(1, "broken")
+  t.notOk(subject.summary.includes("cut"), subject.summary.join(", "))
+})
+
+// The other box did not send it, so it can have crashed no server there.
+test("a hedge that was not sent on is no suspect of a crash", async t => {
+  const subject = new Subject({holders: 2, fingerprint: "f"})
+  subject.step({type: "peers", addresses: ["10.0.0.9:1"]})
+  subject.step({type: "path-checked", backend: "two", accepted: false})
+  subject.begin()
+  t.same(subject.pass(SILENT_MS), ["send 2"])
+  subject.passAnswering(WAIT_MS, () => undefined)
+  for (let i = 0; i < 6 && subject.lastAttempt > 1; i++) {
+    subject.start(subject.lastAttempt)
+    subject.fail(subject.lastAttempt, "not-carried")
+    subject.pass(10)
+  }
+  subject.passAnswering(WAIT_MS, () => undefined)
+  t.notOk(
+    subject.state.serving.crashWatch.hasRecentlyEnded("two", subject.now),
+    subject.summary.join(", ")
+  )
+})
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -75,20 +75,22 @@
   private constructor(
     private readonly bed_: PlatformBed,
     box: BedBox,
-    path: string
+    path: string,
+    private readonly length_ = LENGTH
   ) {
     this.ids = Array.from({length: STREAMS}, () => `silent-${++calls}`)
     this.answers_ = this.ids.map(id =>
-      bed_.call(box, path, {adapter: ADAPTER, id, body: streamBody(id, LENGTH)})
+      bed_.call(box, path, {adapter: ADAPTER, id, body: streamBody(id, length_)})
     )
   }
 
   static async begin(
     bed: PlatformBed,
     box: BedBox,
-    path = "/stream/x"
+    path = "/stream/x",
+    length = LENGTH
   ): Promise<Streams> {
-    const streams = new Streams(bed, box, path)
+    const streams = new Streams(bed, box, path, length)
     await until("all streams run", () =>
       streams.openRuns().every(({length}) => length === 1)
     )
@@ -108,7 +110,7 @@
 
   /** Waits for the answers, each of which must have every event once. */
   async checkComplete(t: Test): Promise<void> {
-    const expected = Array.from({length: LENGTH.events}, (_, index) => index + 1)
+    const expected = Array.from({length: this.length_.events}, (_, index) => index + 1)
     for (const {id, status, broken, body} of await Promise.all(this.answers_)) {
       const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, number]) =>
         Number(number)
@@ -267,3 +269,26 @@
   }
   await pause
 })
+
+// The box closes the hedge only if the caller's answer is still open.
+test("the hedge of a stream whose silent attempt has only to end is closed", async t => {
+  const {bed, box, holder} = await startBed()
+  t.teardown(() => bed.stop())
+  const [, other] = bed.engines as [StandInWorker, StandInWorker]
+  other.speed = 0.05
+  const length = {events: 3, gapMs: 200}
+  const streams = await Streams.begin(bed, box, "/stream/x", length)
+  // All events are sent, and the end is not.
+  await sleep(400)
+  holder.pause()
+  await until("all streams are hedged", () =>
+    streams.runs().every(runs => runs.some(({worker}) => worker === other.id))
+  )
+  holder.resume()
+  await sleep(200 + CLOSING_MS)
+  const hedges = streams.openRuns().flat()
+  t.same(hedges.map(({worker}) => worker), [], "no run goes on")
+  await streams.checkComplete(t)
+  await sleep(4_500)
+  t.same(streams.runs().map(runs => runs.map(({ended}) => ended)), streams.ids.map(() => ["whole", "cut"]))
+})
