--- a/test/silent-attempts.test.ts
+++ b/test/silent-attempts.test.ts
@@ -60,6 +60,8 @@
   readonly organisation?: string
   readonly deadlineMs?: number
   readonly fingerprint?: string
+  /** Retries that the box may send. */
+  readonly slack?: number
   /** Whether a request that is not streamed needs weights. */
   readonly weights?: boolean
 }
@@ -75,7 +77,7 @@
 
   constructor(options: SubjectOptions = {}) {
     this.options_ = options
-    const retry = {ratio: 0, slack: 100, windowMs: 10_000}
+    const retry = {ratio: 0, slack: options.slack ?? 100, windowMs: 10_000}
     const box = {dataCentre: "a", retry, handoverMs: 3_200, random: () => 0}
     this.state = {serving: createBoxServing(box), fleet: undefined}
     const records = [record("one"), record("two")]
@@ -731,3 +733,72 @@
     subject.summary.join(", ")
   )
 })
+
+// After a suspension the tick comes before the bytes that arrived meanwhile.
+test("a suspension of the box is no silence of its servers", async t => {
+  for (const ms of [1_400, 3_000]) {
+    const subject = new Subject()
+    subject.step({type: "news", at: subject.now, read: true})
+    subject.begin()
+    subject.now += ms
+    const tick = {type: "tick", mayOrder: false} as const
+    const {effects} = stepRouted(subject.state, tick, subject.now, ms)
+    t.same(effects.flatMap(summarize), [], `${ms} ms`)
+    t.equal(subject.state.serving.suspectUntil.size, 0)
+    t.equal(subject.state.serving.requests.get("q")?.silentAttempt, undefined)
+  }
+})
+
+// Each of them finds the budget unused while none of them has been sent.
+test("hedges that wait for weights stay within the retry budget", async t => {
+  const subject = new Subject({holders: 1, slack: 2}).begin()
+  for (const id of ["r", "s"]) {
+    const arrival = {id, name: id, route: STREAM, service: "s", tokens: 10, rank: 1}
+    subject.step({
+      type: "arrive",
+      arrival: {...arrival, weights: WEIGHTS, deadlineMs: DEADLINE_MS}
+    })
+    subject.step({type: "started", id, attempt: 1})
+    subject.step({type: "heard", id, attempt: 1})
+    const head = {failed: false, streamed: true}
+    subject.step({type: "head", id, attempt: 1, head})
+    subject.step({type: "stream-began", id, attempt: 1})
+  }
+  subject.pass(SILENT_MS)
+  const before = subject.summary.length
+  subject.load(2)
+  subject.pass(TICK_MS)
+  const sent = subject.summary.slice(before).filter(each => each.startsWith("send"))
+  t.equal(sent.length, 1, subject.summary.join(", "))
+})
+
+// A clock step must not make the silent server look slow.
+test("a clock step postpones the times of a silent attempt, too", async t => {
+  const subject = new Subject().beginHedged(t)
+  const {state} = subject
+  const sentAt = (): number => state.serving.requests.get("q")?.silentAttempt?.sentAt ?? 0
+  const before = sentAt()
+  const stepMs = 60_000
+  subject.now += stepMs
+  stepRouted(state, {type: "tick", mayOrder: false}, subject.now, stepMs)
+  t.equal(sentAt() - before, stepMs)
+})
+
+// A server that stands still may accept no connections, and goes on later.
+test("a silent stream goes on though new connections to its server fail", async t => {
+  const subject = new Subject().begin()
+  for (let i = 0; i < 2; i++) subject.step({type: "connect-failed", backend: "one"})
+  t.same(subject.pass(FIRST_SILENT_MS), ["send 2"])
+  subject.start(2)
+  subject.fail(2, "broken")
+  checkGoesOn(t, subject)
+})
+
+// The stop of the box is no reason to end an answer that has begun.
+test("a hedged stream goes on after a stop", async t => {
+  const subject = new Subject({holders: 1}).begin()
+  t.same(subject.pass(SILENT_MS), ["need"])
+  subject.step({type: "stop"})
+  subject.passAnswering(1_000, () => undefined)
+  checkGoesOn(t, subject)
+})
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -287,8 +287,15 @@
   holder.resume()
   await sleep(200 + CLOSING_MS)
   const hedges = streams.openRuns().flat()
-  t.same(hedges.map(({worker}) => worker), [], "no run goes on")
+  t.same(
+    hedges.map(({worker}) => worker),
+    [],
+    "no run goes on"
+  )
   await streams.checkComplete(t)
   await sleep(4_500)
-  t.same(streams.runs().map(runs => runs.map(({ended}) => ended)), streams.ids.map(() => ["whole", "cut"]))
+  t.same(
+    streams.runs().map(runs => runs.map(({ended}) => ended)),
+    streams.ids.map(() => ["whole", "cut"])
+  )
 })
