The end of a silent attempt closes its hedge

Found by the review (hedge-ends 1 and 2, silent-servers 10 failed): when only the end of a silent stream was outstanding, the relay removed the exchange before the core could close the other attempt. That one ran on, and with a slow caller it wrote to an answer that had ended, which ended the box's process.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -403,6 +403,8 @@
           }
           this.exchanges_.delete(id)
           exchange.complete(answer, this.options_.isStopping())
+          // The core's abort of another attempt would not find the exchange any more.
+          exchange.abortAll()
           post({type: "done", id, attempt, events: answer.events})
         },
         failed: cause => {
