--- a/src/core/suspensions.ts
+++ b/src/core/suspensions.ts
@@ -4,7 +4,7 @@
  * the safe choice, suspensions are left out: a step must not expire requests in progress,
  * refill window-based budgets, or end a server's back-off.
  */
-import type {BoxRequest, BoxServing} from "./box-state.js"
+import {type BoxRequest, type BoxServing, openAttempts} from "./box-state.js"
 import type {RoutedState} from "./serving-fleet.js"
 
 /**
@@ -41,10 +41,11 @@
   for (const [backend, until] of request.avoided) {
     request.avoided.set(backend, until + stepMs)
   }
-  const {attempt} = request
-  if (!attempt) return
-  attempt.sentAt += stepMs
-  if (attempt.moveRequestedAt !== undefined) attempt.moveRequestedAt += stepMs
-  if (attempt.lastByteAt !== undefined) attempt.lastByteAt += stepMs
-  if (attempt.firstByteAt !== undefined) attempt.firstByteAt += stepMs
+  for (const attempt of openAttempts(request)) {
+    attempt.sentAt += stepMs
+    if (attempt.moveRequestedAt !== undefined) attempt.moveRequestedAt += stepMs
+    if (attempt.hedgedAt !== undefined) attempt.hedgedAt += stepMs
+    if (attempt.lastByteAt !== undefined) attempt.lastByteAt += stepMs
+    if (attempt.firstByteAt !== undefined) attempt.firstByteAt += stepMs
+  }
 }
