--- a/src/core/box-choose.ts
+++ b/src/core/box-choose.ts
@@ -348,6 +348,7 @@
     const slot = key === undefined ? undefined : engine?.slots.get(key)
     if (key !== undefined && !(slot && slot.readyAt <= now)) continue
     if (!isOfVersion(request, record)) continue
+    if (request.silentAttempt?.backend === record.id) continue
     if ((request.avoided.get(record.id) ?? 0) > now) continue
     if (backoffRemainingMs(box, record.id, now) > 0) continue
     if (!engine) {
