--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -30,7 +30,7 @@
 import {choosePeer} from "./box-paths.js"
 import {recordPlainSend} from "./box-plain.js"
 import {bindResumedStream, refuseIfVersionGone} from "./box-streams.js"
-import {countSentAttempts} from "./box-retries.js"
+import {canRetry, countSentAttempts} from "./box-retries.js"
 import {softwareOf} from "./service-versions.js"
 import {runningMs} from "./suspensions.js"
 
@@ -121,6 +121,10 @@
   if (waitForFasterEngine(box, request, candidate.backend, now)) {
     return requestWeightsOrWait(box, request, now)
   }
+  // Others may have used the budget while this one waited.
+  if (request.silentAttempt && !request.hasRetryGrant && !canRetry(box, request, now)) {
+    return failRequest(box, request, "unknown", now)
+  }
   const charge = chargeSend(box, request, now)
   if (!charge) return waitForUsageAllowance(box, request, now)
   request.allowanceRequestedAt = undefined
