Silent attempts: lost paths, replaced versions, runs and waits

Found by the review, each with a test that failed: - A begun stream was cut when two connections to its silent server failed and the hedge failed, too (44). Only a failed test connection shows a path as lost; then an attempt is also replaced rather than hedged at the same server (38). - A silent attempt in a queue could begin on a version replaced too long ago (25). - A hedge's run was not counted, so that a request that may have run ended as not run (29); one that was never sent used up an attempt of its route (31). - A stream whose silent attempt broke late did not wait for its next server (32). - The error of the last attempt was dropped for a server that may be dead (35). - The same weights were asked for every half second (37).

--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -73,7 +73,7 @@
   lastEventId?: string
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAnsweringAttempt(box, id, number, now)
+  const attempt = recallAttempt(box, id, number, now)
   if (!request || !attempt) return
   if (lastEventId !== undefined) request.lastEventId = lastEventId
   attempt.lastByteAt = now
@@ -97,7 +97,7 @@
   number: number,
   now: number
 ): void {
-  const attempt = findAnsweringAttempt(box, id, number, now)
+  const attempt = recallAttempt(box, id, number, now)
   if (!attempt) return
   attempt.lastByteAt = now
   attempt.heldUp = true
@@ -118,24 +118,19 @@
   const {silentAttempt} = request
   if (silentAttempt?.number === number && isUnusable(request, head)) {
     box.effects.push({type: "discard", id, attempt: number})
-    return endSilentRun(box, request, silentAttempt)
+    return endSilentRun(box, request, silentAttempt, now)
   }
-  const attempt = findAnsweringAttempt(box, id, number, now)
+  const attempt = recallAttempt(box, id, number, now)
   if (!attempt) return
   if (!attempt.headReceived) logOldVersionStart(box, request, attempt, now)
   if (!attempt.headReceived && !head.failed) attempt.latencyMs = now - attempt.sentAt
   attempt.headReceived = true
   attempt.lastByteAt = now
-  if (isUnusable(request, head)) {
-    const mayRetry = canRetry(box, request, now)
-    if (mayRetry || request.silentAttempt) {
-      box.effects.push({type: "discard", id, attempt: number})
-      if (mayRetry) return retryRequest(box, request, "failed", now)
-      endPossibleRun(box, request, "failed", now)
-      return failRequest(box, request, "unknown", now)
-    }
-    if (isForeign(request, head)) return failRequest(box, request, "unknown", now)
+  if (isUnusable(request, head) && canRetry(box, request, now)) {
+    box.effects.push({type: "discard", id, attempt: number})
+    return retryRequest(box, request, "failed", now)
   }
+  if (isForeign(request, head)) return failRequest(box, request, "unknown", now)
   replaceSilentAttempt(box, request, now)
   // Other answers are sent to the caller once complete and can be replaced until then.
   request.answerStarted ||= head.streamed
@@ -158,10 +153,16 @@
 }
 
 /** Ends a silent attempt that has run in vain; the request goes on without it. */
-function endSilentRun(box: BoxServing, request: BoxRequest, {backend}: Attempt): void {
+function endSilentRun(
+  box: BoxServing,
+  request: BoxRequest,
+  {backend}: Attempt,
+  now: number
+): void {
   request.failedBackends.add(backend)
   endSilentAttempt(box, request)
   request.runs++
+  if (!request.attempt) renewHold(request, now)
 }
 
 /** Records how the bytes of the attempt's answer ended, for the log. */
@@ -185,7 +186,7 @@
   now: number
 ): void {
   const request = box.requests.get(id)
-  const attempt = findAnsweringAttempt(box, id, number, now)
+  const attempt = recallAttempt(box, id, number, now)
   if (!request || !attempt) return
   reportPace(box, request, attempt, events, now)
   logEvent(box, "route-ended", {
@@ -283,8 +284,9 @@
   if (failure === "broken" || failure === "broken-beyond") {
     logBrokenAttempt(box, request, silent, now)
     recordBreak(box, request, silent, failure, now)
-    return endSilentRun(box, request, silent)
+    return endSilentRun(box, request, silent, now)
   }
+  if (failure === "overtaken") return endSilentRun(box, request, silent, now)
   if (isRefusal(failure)) handleSlotRefusal(box, request, silent, failure, now)
   else request.unsent++
   refundCharge(box, silent)
@@ -391,7 +393,7 @@
  * Returns the attempt whose answer arrives. If it was silent, its hedge ends: the server
  * goes on.
  */
-function findAnsweringAttempt(
+function recallAttempt(
   box: BoxServing,
   id: string,
   number: number,
--- a/src/core/box-clock.ts
+++ b/src/core/box-clock.ts
@@ -27,7 +27,9 @@
       expireRequest(box, request, now)
       continue
     }
-    if (silentAttempt) endIfIncarnationEnded(box, request, silentAttempt, now)
+    if (silentAttempt && !endIfIncarnationEnded(box, request, silentAttempt, now)) {
+      abortIfOutdated(box, request, silentAttempt, now)
+    }
     if (expireRetryRequest(box, request, now) || expireAllowanceWait(box, request, now)) {
       continue
     } else if (!request.attempt) {
--- a/src/core/box-hedges.ts
+++ b/src/core/box-hedges.ts
@@ -9,7 +9,7 @@
   endSilentAttempt,
   withdrawWeightsRequest
 } from "./box-ends.js"
-import {isOnDownPath} from "./box-paths.js"
+import {isOnDownPath, isOnLostPath} from "./box-paths.js"
 import {sendOrWait} from "./box-requests.js"
 import {renewHold} from "./box-retries.js"
 import {
@@ -57,7 +57,7 @@
   reason: EndReason
 ): boolean {
   if (!silentAttempt || reason === "timeout") return false
-  return !isOnDownPath(box, silentAttempt)
+  return !isOnLostPath(box, silentAttempt)
 }
 
 /** Ends the hedge: the request waits for its silent attempt alone. */
@@ -69,6 +69,8 @@
 ): void {
   const {attempt, silentAttempt} = request
   if (attempt) abortAttempt(box, request, attempt, now)
+  if (attempt?.started) request.runs++
+  else if (attempt) request.unsent++
   endAttempt(box, request)
   if (request.weightsRequested) withdrawWeightsRequest(box, request)
   request.retryRequestedAt = undefined
--- a/src/core/box-paths.ts
+++ b/src/core/box-paths.ts
@@ -29,6 +29,14 @@
   return via === undefined && !box.reach.reaches(backend)
 }
 
+/**
+ * Whether the attempt was sent over a path of this box that a test found down. Requests
+ * may fail to connect to a server that goes on answering others.
+ */
+export function isOnLostPath(box: BoxServing, attempt: Attempt): boolean {
+  return isOnDownPath(box, attempt) && box.reach.hasTestFailed(attempt.backend)
+}
+
 /** Records a connection for a request that could not be opened. */
 export function recordConnectFailure(box: BoxServing, server: string, now: number): void {
   if (!isUsable(box.backends, server)) return
--- a/src/core/box-silence.ts
+++ b/src/core/box-silence.ts
@@ -3,7 +3,7 @@
 import {chooseBackend, hasOtherFastServer, hasOtherHealthyServer} from "./box-choose.js"
 import {abortAttempt, endAttempt} from "./box-ends.js"
 import {hedgeRequest} from "./box-hedges.js"
-import {isOnDownPath} from "./box-paths.js"
+import {isOnDownPath, isOnLostPath} from "./box-paths.js"
 import {isPlainRequest, plainHedgeMs, recordPlainMove} from "./box-plain.js"
 import {sendOrWait} from "./box-requests.js"
 import {canRetry, isRetryable, retryRequest} from "./box-retries.js"
@@ -120,10 +120,11 @@
 function staysOpen(
   box: BoxServing,
   request: BoxRequest,
-  {started, headReceived, backend, via}: Attempt,
+  attempt: Attempt,
   now: number
 ): boolean {
-  if (!started || request.silentAttempt) return false
+  const {started, headReceived, backend, via} = attempt
+  if (!started || request.silentAttempt || isOnLostPath(box, attempt)) return false
   if (headReceived || via !== undefined || isPlainRequest(box, request)) return true
   return box.reach.quietMs(backend, now) >= MIN_FIRST_SILENCE_MS
 }
@@ -138,11 +139,14 @@
   attempt: Attempt,
   now: number
 ): boolean {
-  const {backend, hedgedAt = -Infinity} = attempt
-  if (now - hedgedAt < HEDGE_INTERVAL_MS) return false
-  if (!isOnDownPath(box, attempt)) request.avoided.set(backend, now + SUSPECT_MS)
+  const {backend, hedgedAt} = attempt
+  if (hedgedAt !== undefined && now - hedgedAt < HEDGE_INTERVAL_MS) return false
+  const isLost = isOnLostPath(box, attempt)
+  if (!isLost) request.avoided.set(backend, now + SUSPECT_MS)
   if (chooseBackend(box, request, now)) return true
-  if (!staysOpen(box, request, attempt, now)) return false
+  // It has waited for weights before.
+  if (hedgedAt !== undefined) return false
+  if (!isLost && !staysOpen(box, request, attempt, now)) return false
   if (!hasServerOfVersion(box, request, backend)) return false
   // Servers that are all silent at once take no load orders either.
   if (!hasOtherHealthyServer(box, request, backend, now)) return false
--- a/src/core/server-reach.ts
+++ b/src/core/server-reach.ts
@@ -51,6 +51,8 @@
   /** When a test connection was last opened. */
   testedAt: number
   isProbing: boolean
+  /** Whether the last test connection was not accepted. */
+  hasTestFailed: boolean
 }
 
 /** A change of a path. */
@@ -71,6 +73,11 @@
     return this.paths_.get(server)?.downSince === undefined
   }
 
+  /** Whether the last test connection to the server was not accepted. */
+  hasTestFailed(server: string): boolean {
+    return this.paths_.get(server)?.hasTestFailed === true
+  }
+
   /** Records bytes from the server. On open connections they don't show a path is up. */
   recordHeard(server: string, now: number): void {
     const path = this.pathOf(server)
@@ -134,6 +141,7 @@
     const path = this.paths_.get(server)
     if (!path) return undefined
     path.isProbing = false
+    path.hasTestFailed = !accepted
     if (!accepted) {
       path.successes = 0
       return markDown(path, now)
@@ -171,7 +179,8 @@
       neededSuccesses: MIN_SUCCESSES,
       probeAt: Infinity,
       testedAt: -Infinity,
-      isProbing: false
+      isProbing: false,
+      hasTestFailed: false
     }
     this.paths_.set(server, path)
     return path
