--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -5,7 +5,6 @@
 import t, {type Test} from "tap"
 import type {Run} from "./stand-ins/platform-judge.js"
 import {streamBody, type StandInWorker} from "./stand-ins/platform-worker.js"
-import {passIfKnownRed} from "./support/known-red.js"
 import {
   type BedBox,
   type BedOptions,
@@ -36,7 +35,6 @@
 const DETECTION_CALL_MS = 100
 
 let calls = 0
-let testCount = 0
 
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
@@ -143,16 +141,8 @@
   for (const server of servers) server.resume()
 }
 
-/** A test that is passed over while KNOWN-RED.txt names its number. */
-function test(name: string, run: (t: Test) => Promise<void>): void {
-  const number = ++testCount
-  t.test(name, async t => {
-    if (!passIfKnownRed(`silent-servers ${number}`)) await run(t)
-  })
-}
-
 // The next server is as silent, or has yet to load the adapter.
-test("streams are not cut while all engines stand still", async t => {
+t.test("streams are not cut while all engines stand still", async t => {
   const {bed, box} = await startBed()
   t.teardown(() => bed.stop())
   const streams = await Streams.begin(bed, box)
@@ -162,7 +152,7 @@
 })
 
 // Both attempts of a request begin again at once, and only one may go on.
-test("streams run once after all engines of their adapter stood still", async t => {
+t.test("streams run once after all engines of their adapter stood still", async t => {
   const {bed, box, holder} = await startBed()
   t.teardown(() => bed.stop())
   holder.faults = {shedding: true}
@@ -175,7 +165,7 @@
 })
 
 // The incident: the box closed the attempt, and the next server did not take the stream.
-test("a silent stream is not cut if other engines refuse it", async t => {
+t.test("a silent stream is not cut if other engines refuse it", async t => {
   const {bed, box, holder} = await startBed()
   t.teardown(() => bed.stop())
   const streams = await Streams.begin(bed, box)
@@ -186,7 +176,7 @@
 })
 
 // As above, where the weights for the next server come too late.
-test("a silent stream is not cut if other engines load its adapter slowly", async t => {
+t.test("a silent stream is not cut if other engines load its adapter slowly", async t => {
   const {bed, box, holder} = await startBed({}, [{loadMs: 5_000}])
   t.teardown(() => bed.stop())
   const streams = await Streams.begin(bed, box)
@@ -196,7 +186,7 @@
 })
 
 // A stream that waits for a server that never goes on would end at its deadline.
-test("streams leave an engine that stands still for good, and end there", async t => {
+t.test("streams leave an engine that stands still for good, and end there", async t => {
   const {bed, box, holder} = await startBed()
   t.teardown(() => bed.stop())
   const streams = await Streams.begin(bed, box)
@@ -219,7 +209,7 @@
 })
 
 // Its events cannot be continued elsewhere, so another server is no help.
-test("a stream that can't be resumed stays at its engine, and runs once", async t => {
+t.test("a stream that can't be resumed stays at its engine, and runs once", async t => {
   const {bed, box} = await startBed()
   t.teardown(() => bed.stop())
   const streams = await Streams.begin(bed, box, "/once/x")
@@ -236,7 +226,7 @@
   const state = shedding
     ? "one engine stands still, others refuse"
     : "all engines stand still"
-  test(`a stream that another box sends is not cut: ${state}`, async t => {
+  t.test(`a stream that another box sends is not cut: ${state}`, async t => {
     const {bed, holder} = await startBed({boxes: 2, cuttable: true})
     t.teardown(() => bed.stop())
     const cutBox = bed.boxes.find(box => box !== bed.leader()) as BedBox
@@ -256,7 +246,7 @@
 }
 
 // The only server that takes the request answers late; the other one takes nothing.
-test("a plain request is answered by a server that stood still for 1 s", async t => {
+t.test("a plain request is answered by a server that stood still for 1 s", async t => {
   const {bed, box} = await startBed({}, [])
   t.teardown(() => bed.stop())
   for (let i = 0; i < STREAMS; i++) await bed.call(box, "/safe/x")
@@ -271,31 +261,34 @@
 })
 
 // The box closes the hedge only if the caller's answer is still open.
-test("the hedge of a stream whose silent attempt has only to end is closed", async t => {
-  const {bed, box, holder} = await startBed()
-  t.teardown(() => bed.stop())
-  const [, other] = bed.engines as [StandInWorker, StandInWorker]
-  other.speed = 0.05
-  const length = {events: 3, gapMs: 200}
-  const streams = await Streams.begin(bed, box, "/stream/x", length)
-  // All events are sent, and the end is not.
-  await sleep(400)
-  holder.pause()
-  await until("all streams are hedged", () =>
-    streams.runs().every(runs => runs.some(({worker}) => worker === other.id))
-  )
-  holder.resume()
-  await sleep(200 + CLOSING_MS)
-  const hedges = streams.openRuns().flat()
-  t.same(
-    hedges.map(({worker}) => worker),
-    [],
-    "no run goes on"
-  )
-  await streams.checkComplete(t)
-  await sleep(4_500)
-  t.same(
-    streams.runs().map(runs => runs.map(({ended}) => ended)),
-    streams.ids.map(() => ["whole", "cut"])
-  )
-})
+t.test(
+  "the hedge of a stream whose silent attempt has only to end is closed",
+  async t => {
+    const {bed, box, holder} = await startBed()
+    t.teardown(() => bed.stop())
+    const [, other] = bed.engines as [StandInWorker, StandInWorker]
+    other.speed = 0.05
+    const length = {events: 3, gapMs: 200}
+    const streams = await Streams.begin(bed, box, "/stream/x", length)
+    // All events are sent, and the end is not.
+    await sleep(400)
+    holder.pause()
+    await until("all streams are hedged", () =>
+      streams.runs().every(runs => runs.some(({worker}) => worker === other.id))
+    )
+    holder.resume()
+    await sleep(200 + CLOSING_MS)
+    const hedges = streams.openRuns().flat()
+    t.same(
+      hedges.map(({worker}) => worker),
+      [],
+      "no run goes on"
+    )
+    await streams.checkComplete(t)
+    await sleep(4_500)
+    t.same(
+      streams.runs().map(runs => runs.map(({ended}) => ended)),
+      streams.ids.map(() => ["whole", "cut"])
+    )
+  }
+)
