--- /dev/null
+++ b/test/unanswered-requests.test.ts
@@ -0,0 +1,169 @@
+/**
+ * Requests that a box has read whole: each one ends with its server's answer or with a
+ * status of the box. Guards against silence, a closed connection or a mixed answer instead.
+ */
+import {type AddressInfo, createServer, type Socket} from "node:net"
+import {setTimeout as sleep} from "node:timers/promises"
+import t from "tap"
+import {HEADER} from "../platform/words.js"
+import {passIfKnownRed} from "./support/known-red.js"
+import {type BedBox, HOST, PlatformBed} from "./support/platform-bed.js"
+import {callRaw, type RawAnswer} from "./support/raw-http.js"
+import {until} from "./support/wait.js"
+
+interface RawWorker {
+  readonly address: string
+  readonly close: () => void
+}
+
+/** Starts a server whose `answer` writes bytes to the connection of each request. */
+async function startRawWorker(
+  answer: (socket: Socket, id: string) => void
+): Promise<RawWorker> {
+  const sockets = new Set<Socket>()
+  const server = createServer(socket => {
+    sockets.add(socket)
+    socket.on("error", () => undefined)
+    socket.on("data", part => {
+      const id = /^x-request-id: *(.*)$/im.exec(part.toString("latin1"))?.[1]
+      if (id !== undefined) answer(socket, id.trim())
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    close: () => {
+      for (const socket of sockets) socket.destroy()
+      server.close()
+    }
+  }
+}
+
+/** Starts a box with one plain server, and adds `route` to its usual routes. */
+async function startBed(
+  answer: (socket: Socket, id: string) => void,
+  route?: object
+): Promise<{bed: PlatformBed; box: BedBox}> {
+  const bed = await PlatformBed.start({boxes: 1, engines: 0, plain: 1})
+  const raw = await startRawWorker(answer)
+  t.teardown(async () => {
+    raw.close()
+    await bed.stop()
+  })
+  const [worker] = bed.plain
+  if (worker) worker.announcedAddress = raw.address
+  worker?.writeEntry()
+  if (route) bed.configure([route])
+  await sleep(500)
+  return {bed, box: bed.boxes[0] as BedBox}
+}
+
+/** Returns the bytes of an answer with the headers that make it genuine. */
+function answerOf(status: number, id: string, headers: string[], body: string): string {
+  const lines = [
+    `HTTP/1.1 ${status} Any`,
+    `${HEADER.request}: ${id}`,
+    `${HEADER.signature}: ${status}`,
+    ...headers
+  ]
+  return `${lines.join("\r\n")}\r\n\r\n${body}`
+}
+
+/** Calls a box on a connection of its own. Resolves to no text if no answer comes. */
+function post(
+  {callers}: BedBox,
+  path: string,
+  {id, body = "", deadlineMs = 3_000}: {id: string; body?: string; deadlineMs?: number}
+): Promise<RawAnswer> {
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    `host: ${HOST}`,
+    `${HEADER.request}: ${id}`,
+    `${HEADER.deadline}: ${deadlineMs}`,
+    "connection: close",
+    `content-length: ${body.length}`
+  ]
+  const answer = callRaw(callers, `${lines.join("\r\n")}\r\n\r\n${body}`)
+  const silence: RawAnswer = {text: "", end: "closed"}
+  return Promise.race([answer, sleep(deadlineMs + 1_000, silence, {ref: false})])
+}
+
+const STREAM_ROUTE = {
+  name: "events",
+  pathPrefix: "/events/",
+  kind: "streaming",
+  service: "plain",
+  resumable: true,
+  maxAttempts: 3,
+  targetLatencyMs: 400,
+  gapTargetMs: 200
+}
+
+const EVENT_HEADERS = ["content-type: text/event-stream", "connection: close"]
+const EVENT = "id: 1\ndata: x\n\n"
+
+/** Headers with bytes beyond ASCII, as HTTP allows them. */
+const HEADERS: Readonly<Record<string, string>> = {
+  "latin-1": "x-place: Bogot\xe1",
+  "utf-8": `x-place: ${Buffer.from("\u015e\u0131rnak").toString("latin1")}`
+}
+
+// Such an answer was dropped: its caller got nothing, and the log said that it got an error.
+for (const [name, header] of Object.entries(HEADERS)) {
+  t.test(`an answer with a header in ${name} reaches its caller`, async t => {
+    if (passIfKnownRed("unanswered-requests 1")) return
+    const {box} = await startBed((socket, id) => {
+      socket.write(answerOf(200, id, [header, "content-length: 2"], "ok"), "latin1")
+    })
+    const answer = await post(box, "/unsafe/x", {id: "whole"})
+    t.match(answer.text, /^HTTP\/1.1 200[^]*ok$/)
+    t.ok(answer.text.includes(Buffer.from(header, "latin1").toString()), "unchanged")
+  })
+}
+
+// Such a stream ended the process of the box, with the requests of all its callers.
+t.test("a stream with a header beyond ASCII reaches its caller", async t => {
+  if (passIfKnownRed("unanswered-requests 1")) return
+  const headers = [...EVENT_HEADERS, ...Object.values(HEADERS)]
+  const {bed, box} = await startBed(
+    (socket, id) => socket.end(answerOf(200, id, headers, EVENT), "latin1"),
+    STREAM_ROUTE
+  )
+  const answer = await post(box, "/events/x", {id: "stream"})
+  t.match(answer.text, /^HTTP\/1.1 200[^]*data: x\n\n\r\n0\r\n\r\n$/)
+  t.notMatch(bed.logs(), /"event":103/, "the process goes on")
+})
+
+// The head of the broken failure reached the caller, and the next server's stream followed.
+t.test("a failure that breaks off on a streaming route is not mixed", async t => {
+  if (passIfKnownRed("unanswered-requests 2")) return
+  let calls = 0
+  const {box} = await startBed((socket, id) => {
+    const isFirst = calls++ === 0
+    if (isFirst) socket.end(answerOf(404, id, ["content-length: 10"], "part"))
+    else socket.end(answerOf(200, id, EVENT_HEADERS, EVENT))
+  }, STREAM_ROUTE)
+  const answer = await post(box, "/events/x", {id: "failed"})
+  t.match(answer.text, /^HTTP\/1.1 200[^]*data: x\n\n\r\n0\r\n\r\n$/)
+  t.match(answer.text, new RegExp(`${HEADER.signature}: 200`))
+})
+
+// The end of the grace period closed the connections of requests without an answer.
+t.test("a box that stops answers requests whose servers have not answered", async t => {
+  if (passIfKnownRed("unanswered-requests 3")) return
+  const common = {service: "plain", timeoutMs: 30_000, targetLatencyMs: 400}
+  const long = {
+    ...common,
+    name: "long",
+    pathPrefix: "/long/",
+    kind: "unsafe",
+    maxAttempts: 1
+  }
+  const {bed, box} = await startBed(() => undefined, long)
+  const call = post(box, "/long/x", {id: "long", deadlineMs: 30_000})
+  await until("it is sent", () => /"event":190,"request":"long"/.test(bed.logs()))
+  box.child.signal("SIGTERM")
+  await until("the box has ended", () => box.child.ended)
+  t.match((await call).text, /^HTTP\/1.1 504/)
+  t.notMatch(bed.logs(), /"event":273/, "no answer was left open")
+})
