A stopping entry sends ended answers before it closes connections

What callers saw: at an entry that got SIGTERM, a caller that reads late got part of an answer that the server had given whole: 4,152,113 of 14,680,064 bytes, then a closed connection.

Cause: the core counts a request as ended when its answer is ended, while its bytes may still wait for the caller. The entry then closed all connections, and idle ones by the methods of Server, which count a connection with an unsent answer as idle.

Change: the entry follows its answers as boxes do (OpenAnswers), closes idle connections by them, and waits for unsent answers before it ends.

--- a/src/adapters/entry-process.ts
+++ b/src/adapters/entry-process.ts
@@ -12,6 +12,7 @@
 import {SedgeError} from "../errors.js"
 import type {KeeperMessage} from "../types/messages.js"
 import {splitAddress} from "../utils/address.js"
+import {pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
 import {connectBoxList, pollBoxList} from "./box-list.js"
 import {cancelAttempt} from "./cancel.js"
@@ -20,6 +21,7 @@
 import {ConfigSync} from "./config-sync.js"
 import {Exchanges} from "./exchanges.js"
 import {type Loop, startLoop} from "./loop.js"
+import {OpenAnswers} from "./open-answers.js"
 import {startOpsServer} from "./ops-server.js"
 import {PeerClient} from "./peer-links.js"
 import {createLinkOptions} from "./peer-setup.js"
@@ -28,6 +30,10 @@
 import {registerKey} from "./registration.js"
 
 const TICK_MS = 50
+
+/** How often a stopping entry checks whether its answers have been sent. */
+const SEND_CHECK_MS = 50
+
 const SEED_LIMIT = 0x7fff_ffff
 
 /** Starts an entry; resolves when it listens. */
@@ -47,6 +53,7 @@
   private readonly cancelAgent_ = new Agent({connections: 8, keepAliveTimeout: 4_000})
   private readonly exchanges_: Exchanges
   private readonly server_: Server
+  private readonly answers_ = new OpenAnswers(() => this.context_.log("answer-unsent"))
   private readonly registration_ = new AbortController()
   private isStopping_ = false
   private isDraining_ = false
@@ -111,6 +118,7 @@
       check: req => this.checkRequest(req),
       handle: (req, res, body) => this.handleRequest(req, res, body)
     })
+    this.answers_.watch(this.server_)
   }
 
   async listen(): Promise<void> {
@@ -153,8 +161,7 @@
     this.context_.log("stopping")
     setTimeout(() => {
       this.isStopping_ = true
-      this.server_.close()
-      this.server_.closeIdleConnections()
+      this.answers_.closeIdle(this.server_)
       this.loop_.post({type: "stop"})
     }, this.settings_.drainMs)
   }
@@ -246,6 +253,7 @@
   private async end(): Promise<void> {
     if (this.isEnding_ || !this.isStopping_) return
     this.isEnding_ = true
+    while (this.answers_.count > 0) await pause(SEND_CHECK_MS)
     const {kv, settings, incarnation, log} = this.context_
     log("stopped")
     this.registration_.abort()
