A hedge refused for its organisation's limit counts as no refusal

What callers saw: nothing at once; callers of the organisation that were refused later were told to come back later than the refused demand asked for. Cause: refuseIfOverLimit recorded the refusal before failRequest sent the request back to its silent attempt, so each hedge of a stream that went on raised the refused demand by which callers of the organisation are spread, and had room asked for. Change: the refusal is recorded only if the request ends. The other refusals that are counted (admission) are of new requests, which have no silent attempt.

--- a/src/core/box-usage.ts
+++ b/src/core/box-usage.ts
@@ -4,6 +4,7 @@
  * time at which there may be room again.
  */
 import {failRequest} from "./box-ends.js"
+import {keepsSilentAttempt} from "./box-hedges.js"
 import {timeUntilOrdersMs} from "./box-waits.js"
 import {costFor, limitFor} from "./box-charges.js"
 import type {BoxRequest, BoxServing} from "./box-state.js"
@@ -73,13 +74,17 @@
   const fullMs = box.usageAllowances.fullForMs(organisation, now)
   if (fullMs === 0 || box.usageAllowances.holds(organisation, cost, now)) return false
   if (request.answerStarted && now + fullMs < request.holdUntil) return true
-  box.usageAllowances.recordRefusal(organisation, cost, now)
+  const isUnknown = box.usageAllowances.isUnknown(organisation)
+  const limitReason = isUnknown ? "not-run" : "over-limit"
+  const reason = request.runs > 0 ? "unknown" : limitReason
+  // Callers do not come back for an attempt that their request does without.
+  if (!keepsSilentAttempt(box, request, reason)) {
+    box.usageAllowances.recordRefusal(organisation, cost, now)
+  }
   const jitter = 1 + RETRY_JITTER_SHARE * box.options.random()
   const waitMs = fullMs + spreadMs(box, organisation, now)
   const retryAfterMs = Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter)
-  const isUnknown = box.usageAllowances.isUnknown(organisation)
-  const reason = isUnknown ? "not-run" : "over-limit"
-  failRequest(box, request, request.runs > 0 ? "unknown" : reason, now, retryAfterMs)
+  failRequest(box, request, reason, now, retryAfterMs)
   return true
 }
 
