Refused attempts do not count towards an attempt limit of their route

What callers saw: a stream that had begun was cut when its server broke off, as an earlier second attempt, which other servers had refused, had used up maxAttempts. Cause: isRetryable counted every attempt that had reached a server, though refused ones are sent again regardless of it; and a refused hedge was counted as one that may have run when the request went back to its silent attempt (one that was not sent was counted as unsent twice). Change: isRetryable counts the attempts that may have run: ended ones, and those in progress that were started. Refused sends still draw on the retry budget, and are limited by their own number. A refused hedge ends before the request goes back.

--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -315,6 +315,8 @@
   maxRefusals: number,
   now: number
 ): void {
+  // Going back to the silent attempt must not count it again, as one that may have run.
+  if (request.silentAttempt) endAttempt(box, request)
   request.refusals++
   // Pauses double: late weights may stay late, and the number of refusals is limited.
   const pauseMs = REFUSED_PAUSE_MS * 2 ** (request.refusals - 1)
--- a/src/core/box-retries.ts
+++ b/src/core/box-retries.ts
@@ -4,7 +4,13 @@
 import {endAttempt} from "./box-ends.js"
 import {isOnDownPath} from "./box-paths.js"
 import {sendOrWait} from "./box-requests.js"
-import {type BoxRequest, type BoxServing, retryBudgetOf, logEvent} from "./box-state.js"
+import {
+  type BoxRequest,
+  type BoxServing,
+  retryBudgetOf,
+  logEvent,
+  openAttempts
+} from "./box-state.js"
 import {isRetryableRoute} from "./route-table.js"
 import {runningMs} from "./suspensions.js"
 
@@ -28,11 +34,19 @@
     arrival: {route},
     answerStarted
   } = request
-  if (!isRetryableRoute(route) || countSentAttempts(request) >= route.maxAttempts)
+  if (!isRetryableRoute(route) || countPossibleRuns(request) >= route.maxAttempts)
     return false
   return !answerStarted || route.kind === "streaming"
 }
 
+/**
+ * Returns the number of attempts that may have run, with those in progress. Refused
+ * attempts have not.
+ */
+function countPossibleRuns(request: BoxRequest): number {
+  return request.runs + openAttempts(request).filter(({started}) => started).length
+}
+
 /** Returns the number of attempts that reached a backend server, or may have. */
 export function countSentAttempts({attempts, unsent}: BoxRequest): number {
   return attempts - unsent
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -39,7 +39,10 @@
   readonly gapTargetMs: number
   /** 0 is the most urgent. */
   readonly priority: number
-  /** Largest number of backend servers that one request may be sent to. */
+  /**
+   * Largest number of backend servers that may run one request. Servers that refused it
+   * have not run it.
+   */
   readonly maxAttempts: number
   readonly services: readonly WeightedService[]
 }
