A queued attempt is not closed while no other can be sent

What callers saw: a request that waited at its silent engine ended with an error, as the box closed it and only then found that its organisation had no allowance left. Change: these are checked first. A missing allowance is requested meanwhile, and the attempt goes on until it is there. Attempts that were not started, or whose path a test connection found down, are closed as before.

--- a/src/core/box-charges.ts
+++ b/src/core/box-charges.ts
@@ -19,6 +19,17 @@
   return box.usageAllowances.charge(organisation, costOf(limit, usage), now)
 }
 
+/** Whether the allowance suffices for one more send of the request. */
+export function canChargeSend(
+  box: BoxServing,
+  request: BoxRequest,
+  now: number
+): boolean {
+  const {organisation} = request.arrival
+  if (organisation === undefined || !limitFor(box, request)) return true
+  return box.usageAllowances.holds(organisation, costFor(box, request), now)
+}
+
 /** Refunds the charge of an attempt that did not run. */
 export function refundCharge(box: BoxServing, attempt: Attempt): void {
   const {charge} = attempt
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -192,6 +192,7 @@
     latencyMs: undefined,
     moveRequestedAt: undefined,
     hedgedAt: undefined,
+    needsAllowance: false,
     aborted: false,
     charge: undefined,
     answerEnd: undefined,
--- a/src/core/box-silence.ts
+++ b/src/core/box-silence.ts
@@ -1,6 +1,9 @@
 /** Tries other backend servers for requests whose servers are silent. */
+import {recheckAccess} from "./access.js"
 import {SUSPECT_MS, markSuspect} from "./box-attempt-failures.js"
+import {canChargeSend} from "./box-charges.js"
 import {chooseBackend, hasOtherFastServer, hasOtherHealthyServer} from "./box-choose.js"
+import {isQuarantined} from "./box-crashes.js"
 import {abortAttempt, endAttempt} from "./box-ends.js"
 import {hedgeRequest} from "./box-hedges.js"
 import {isOnDownPath, isOnLostPath} from "./box-paths.js"
@@ -8,6 +11,7 @@
 import {sendOrWait} from "./box-requests.js"
 import {canRetry, isRetryable, retryRequest} from "./box-retries.js"
 import {canRequestRetry} from "./box-retry-requests.js"
+import {isSnapshotStale} from "./box-snapshot-age.js"
 import {hasServerOfVersion} from "./box-streams.js"
 import {type Attempt, type BoxRequest, type BoxServing, logEvent} from "./box-state.js"
 
@@ -39,6 +43,7 @@
   attempt: Attempt,
   now: number
 ): void {
+  attempt.needsAllowance = false
   if (!isSilent(box, request, attempt, now)) {
     return moveFromSlowServer(box, request, attempt, now)
   }
@@ -137,7 +142,10 @@
   if (hedgedAt !== undefined && now - hedgedAt < HEDGE_INTERVAL_MS) return false
   const isLost = isOnLostPath(box, attempt)
   if (!isLost) request.avoided.set(backend, now + SUSPECT_MS)
-  if (chooseBackend(box, request, now)) return true
+  const mayLose = attempt.started && !isLost && !staysOpen(box, request, attempt)
+  if (chooseBackend(box, request, now)) {
+    return !mayLose || canReplace(box, request, attempt, now)
+  }
   // It has waited for weights before.
   if (hedgedAt !== undefined) return false
   if (!isLost && !staysOpen(box, request, attempt)) return false
@@ -147,6 +155,24 @@
   return request.deadlineAt - now >= MIN_MOVE_MS
 }
 
+/**
+ * Whether another attempt could be sent as soon as this one is closed. An allowance that is
+ * missing for it is requested meanwhile.
+ */
+function canReplace(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  now: number
+): boolean {
+  // The trial of a quarantined request is one send.
+  const isRefused = isQuarantined(box, {...request, attempt: undefined})
+  if (isRefused || isSnapshotStale(box, now)) return false
+  if (!recheckAccess(box, request.arrival).granted) return false
+  attempt.needsAllowance = !canChargeSend(box, request, now)
+  return !attempt.needsAllowance
+}
+
 /**
  * Requests a retry from the leader, since this box's own budget is used up. The attempt
  * goes on meanwhile, and if the leader denies it.
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -105,6 +105,8 @@
   moveRequestedAt: number | undefined
   /** When another server was last tried, as this attempt's server was silent. */
   hedgedAt: number | undefined
+  /** Whether another attempt would replace it if its organisation's allowance sufficed. */
+  needsAllowance: boolean
   /** Whether its connection is closed. */
   aborted: boolean
   /**
--- a/src/core/box-usage.ts
+++ b/src/core/box-usage.ts
@@ -125,10 +125,11 @@
 function listNeeds(box: BoxServing): Map<string, AllowanceDemand> {
   const needs = new Map<string, AllowanceDemand>()
   for (const request of box.requests.values()) {
-    const {organisation} = request.arrival
+    const {arrival, attempt, allowanceRequestedAt} = request
+    const {organisation} = arrival
     const limit = limitFor(box, request)
     if (organisation === undefined || !limit) continue
-    const isWaiting = request.allowanceRequestedAt !== undefined && !request.attempt
+    const isWaiting = attempt?.needsAllowance ?? allowanceRequestedAt !== undefined
     const {need} = needs.get(organisation) ?? {need: 0}
     needs.set(organisation, {
       need: need + (isWaiting ? costFor(box, request) : 0),
