Answers and events without end are given up

What callers saw: 504 at the deadline, or a box beyond its memory. A server that sends a body without end, or an event of a stream without end, filled the memory of the box (180 MB in 4 s at the test's pace), and its request waited for the deadline though another server could have taken it.

Cause: answers that are sent once they are complete, and the event that has not ended, were kept without a limit. They counted towards the bound of the box for unread answers, but only callers that read nothing are cut by it.

Change: an event longer than the bound of one answer (256 KB) is broken off. Of answers that are collected, one that is not smaller than their mean is given up while all together are beyond the bound of the box. Both count as broken answers: the connection is closed, and the request goes on elsewhere or ends.

--- a/src/adapters/answer-flow.ts
+++ b/src/adapters/answer-flow.ts
@@ -60,10 +60,16 @@
 
   /** Sets the number of bytes that are held but not written yet. */
   setCollected(bytes: number): void {
+    this.unread_.countCollected(this.collectedBytes_, bytes)
     this.collectedBytes_ = bytes
     this.unread_.update(this)
   }
 
+  /** Whether too many bytes are held for an answer to be sent once it is complete. */
+  get exceedsCollected(): boolean {
+    return this.unread_.exceedsCollected(this.collectedBytes_)
+  }
+
   /**
    * Handles a write to the caller; stops reading if it has too much left to read.
    * `accepted` is the result of the write: if it is false, `drain` follows.
@@ -103,7 +109,7 @@
 
   private close(): void {
     this.start(() => undefined)
-    this.collectedBytes_ = 0
+    this.setCollected(0)
     this.unread_.remove(this)
   }
 }
--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -8,7 +8,7 @@
 import {clockNow} from "./clock.js"
 import {cutAnswer} from "./cut-answer.js"
 import {countEvents, findEventsEnd, isPartialEvent} from "./event-bounds.js"
-import type {UnreadAnswers} from "./unread-answers.js"
+import {ANSWER_BOUND_BYTES, type UnreadAnswers} from "./unread-answers.js"
 
 export interface AnswerHead {
   readonly status: number
@@ -184,6 +184,11 @@
     return true
   }
 
+  /** Whether more is held of an answer or of an event of it than a sound one has. */
+  isTooLong({partialEvent}: AttemptAnswer): boolean {
+    return partialEvent.length > ANSWER_BOUND_BYTES || this.flow.exceedsCollected
+  }
+
   /** Whether a stream whose answer has ended has been broken off. */
   hasBrokenOff(answer: AttemptAnswer): boolean {
     if (!this.isStreamed(answer)) return false
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -326,6 +326,7 @@
       post({type: "failed", id, attempt, failure, lastEventId: last})
     }
     const unsent = effect.via === undefined ? "not-sent" : "not-carried"
+    const broken = effect.via === undefined ? "broken" : "broken-beyond"
     let started = false
     let begun = false
     let sentAt = 0
@@ -392,15 +393,17 @@
             begun = true
             post({type: "stream-began", id, attempt})
           }
+          if (!exchange.isTooLong(answer)) return
+          post({type: "answer-ended", id, attempt, end: answer.describeEnd("too-long")})
+          fail(broken)
+          answer.abort?.()
         },
         done: () => {
           if (!current()) return
           post({type: "answer-ended", id, attempt, end: answer.describeEnd("")})
           // Without a length or chunks, the end of the connection looks like a complete
           // answer. The server broke it off, also if another box sent the request.
-          if (exchange.hasBrokenOff(answer)) {
-            return fail(effect.via === undefined ? "broken" : "broken-beyond")
-          }
+          if (exchange.hasBrokenOff(answer)) return fail(broken)
           this.exchanges_.delete(id)
           exchange.complete(answer, this.options_.isStopping())
           // The core's abort of another attempt would not find the exchange any more.
--- a/src/adapters/unread-answers.ts
+++ b/src/adapters/unread-answers.ts
@@ -76,6 +76,9 @@
 export class UnreadAnswers {
   private readonly entries_ = new Map<UnreadAnswer, Entry>()
   private totalBytes_ = 0
+  /** Bytes of answers that are sent once they are complete, and the number of these. */
+  private collectedBytes_ = 0
+  private collecting_ = 0
   private timer_: NodeJS.Timeout | undefined
   private sampledAt_ = 0
   /** Answers whose servers were held up, since the start of the process. */
@@ -101,6 +104,21 @@
     return this.totalBytes_ > this.options_.boundBytes
   }
 
+  /** Counts the bytes of an answer that are held until it is complete. */
+  countCollected(before: number, after: number): void {
+    this.collectedBytes_ += after - before
+    this.collecting_ += Number(after > 0) - Number(before > 0)
+  }
+
+  /**
+   * Whether an answer of which this much is held is given up: all held ones together are
+   * beyond the bound of the box, and this one is not smaller than their mean.
+   */
+  exceedsCollected(bytes: number): boolean {
+    if (this.collectedBytes_ <= this.options_.boundBytes) return false
+    return bytes * this.collecting_ >= this.collectedBytes_
+  }
+
   /** Whether the unread bytes of an answer are counted. */
   tracks(answer: UnreadAnswer): boolean {
     return this.entries_.has(answer)
