Connections of unused answers without end are closed

What callers saw: nothing at first. A refused answer, one to another request and one that is replaced are read to their end, so that their connections can be reused. Without an end the box read them for ever, which took its processor time, its link and one of its few connections to the server.

Change: the rest of such an answer is read for 1 s and up to the bound of one answer (256 KB). Then its connection is closed.

--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -32,6 +32,9 @@
 
 const NO_BYTES = Buffer.alloc(0)
 
+/** Longest time for which an answer that is not used is read. */
+const MAX_DISCARD_MS = 1_000
+
 /** The answer of an attempt, as far as it has arrived. */
 export class AttemptAnswer {
   /** Closes the attempt's connection. Undefined until it is sent. */
@@ -47,6 +50,9 @@
   /** When the latest events were sent to the caller. */
   private eventsAt_: number | undefined
   private longestGapMs_ = 0
+  private discardedBytes_ = 0
+  private hasEnded_ = false
+  private discardTimer_: NodeJS.Timeout | undefined
 
   constructor(
     readonly number: number,
@@ -61,6 +67,27 @@
     this.head = {status, headers: sent, framing: readFraming(headers)}
   }
 
+  /**
+   * Reads the rest of an answer that is not used, so that its connection can be reused.
+   * Closes the connection if the rest is long or takes long.
+   */
+  discardRest(): void {
+    if (this.hasEnded_) return
+    this.discardTimer_ ??= setTimeout(() => this.abort?.(), MAX_DISCARD_MS)
+  }
+
+  /** Counts bytes of an answer that is not used any more. */
+  discard(bytes: number): void {
+    this.discardedBytes_ += bytes
+    if (this.discardedBytes_ > ANSWER_BOUND_BYTES) this.abort?.()
+  }
+
+  /** Handles the end of the answer, or of its connection. */
+  end(): void {
+    this.hasEnded_ = true
+    clearTimeout(this.discardTimer_)
+  }
+
   /** Bytes that are held but not sent to the caller. */
   get collectedBytes(): number {
     return this.bodyBytes + this.partialEvent.length
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -287,7 +287,9 @@
         const answer = exchange.find(effect.attempt)
         // Reading the answer to its end allows the connection to be reused.
         exchange.flow.release()
-        if (answer) exchange.close(answer)
+        if (!answer) return true
+        exchange.close(answer)
+        answer.discardRest()
         return true
       }
       case "abort": {
@@ -322,6 +324,7 @@
     const fail = (failure: AttemptFailure): void => {
       if (!current()) return
       exchange.close(answer)
+      if (started) answer.discardRest()
       const last = exchange.lastEventId
       post({type: "failed", id, attempt, failure, lastEventId: last})
     }
@@ -382,7 +385,7 @@
           post({type: "head", id, attempt, head})
         },
         data: (chunk, reading) => {
-          if (!current()) return
+          if (!current()) return answer.discard(chunk.length)
           const now = clockNow()
           if (now - reportedAt >= PROGRESS_INTERVAL_MS) {
             reportedAt = now
@@ -399,6 +402,7 @@
           answer.abort?.()
         },
         done: () => {
+          answer.end()
           if (!current()) return
           post({type: "answer-ended", id, attempt, end: answer.describeEnd("")})
           // Without a length or chunks, the end of the connection looks like a complete
@@ -411,6 +415,7 @@
           post({type: "done", id, attempt, events: answer.events})
         },
         failed: cause => {
+          answer.end()
           clearTimeout(patience)
           if (started && current()) {
             const end = answer.describeEnd(errorCode(cause))
