Answers of the store have a longest size

What callers saw: nothing yet; a box that an endless answer of the store brings beyond its memory ends. A call of the store ends after 450 ms, a watch after 1.35 s, and until then all that came was kept: 33 MB at the test's pace, over 100 MB on a link of 1 Gbit/s.

The same limit holds where JSON answers of other processes were read without one: etcd, engines' orders and lists, the list of boxes and the probe of an entry.

--- a/src/adapters/box-list.ts
+++ b/src/adapters/box-list.ts
@@ -1,6 +1,7 @@
 /** Polls the platform's list of boxes over HTTP. */
 import {request} from "undici"
 import type {BoxList} from "../ports/ports.js"
+import {readAnswerText} from "./answer-text.js"
 import type {Log} from "./log.js"
 
 const TIMEOUT_MS = 2_000
@@ -12,7 +13,7 @@
       const answer = await request(`${baseUrl}/v1/boxes`, {
         signal: AbortSignal.timeout(TIMEOUT_MS)
       })
-      const body = (await answer.body.json()) as {leaving?: unknown}
+      const body = JSON.parse(await readAnswerText(answer.body)) as {leaving?: unknown}
       if (answer.statusCode !== 200 || !Array.isArray(body.leaving)) {
         throw new Error(`box list answered ${answer.statusCode}`)
       }
--- a/src/adapters/engine-orders.ts
+++ b/src/adapters/engine-orders.ts
@@ -3,6 +3,7 @@
 import * as z from "zod"
 import type {EngineOrder} from "../core/cell-state.js"
 import type {OrderResult} from "../core/cell-orders.js"
+import {readAnswerText} from "./answer-text.js"
 
 export interface OrderTarget {
   readonly address: string
@@ -80,7 +81,7 @@
       bodyTimeout: 0,
       signal: AbortSignal.timeout(timeoutMs)
     })
-    const text = await answer.body.text()
+    const text = await readAnswerText(answer.body)
     return {
       status: answer.statusCode,
       notRun: String(answer.headers["x-not-run"] ?? ""),
--- a/src/adapters/kv-etcd.ts
+++ b/src/adapters/kv-etcd.ts
@@ -10,6 +10,7 @@
 } from "../ports/ports.js"
 import type {StorePosition} from "../types/store-position.js"
 import {limitTime} from "../utils/time-limit.js"
+import {readAnswerText} from "./answer-text.js"
 
 export interface EtcdOptions {
   /** Base URL, `http://host:port`. */
@@ -172,7 +173,7 @@
       throw classify(cause as NodeJS.ErrnoException)
     }
     try {
-      const text = await answer.body.text()
+      const text = await readAnswerText(answer.body)
       // With status 429 or 503 the service has not executed the call.
       if (answer.statusCode === 429 || answer.statusCode === 503) {
         throw new KvRefused(`refused with ${answer.statusCode}`)
--- a/src/adapters/probe.ts
+++ b/src/adapters/probe.ts
@@ -1,5 +1,6 @@
 /** Checks whether an entry process has ended. A missing answer is no proof of that. */
 import {request} from "undici"
+import {readAnswerText} from "./answer-text.js"
 
 const TIMEOUT_MS = 1_000
 
@@ -13,7 +14,9 @@
     const answer = await request(`http://${address}/identity`, {
       signal: AbortSignal.timeout(TIMEOUT_MS)
     })
-    const body = (await answer.body.json()) as {incarnation?: string}
+    const body = JSON.parse(await readAnswerText(answer.body)) as {
+      incarnation?: string
+    }
     if (answer.statusCode !== 200 || body.incarnation === undefined) return "silent"
     return body.incarnation === incarnation ? "alive" : "gone"
   } catch (cause) {
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -3,6 +3,7 @@
 import {LATE_ANSWER_MS} from "../core/snapshot-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {limitTime} from "../utils/time-limit.js"
+import {readAnswerText} from "./answer-text.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
 
@@ -65,7 +66,7 @@
         body: body ? JSON.stringify(body) : null,
         signal: limit.signal
       })
-      const text = await answer.body.text()
+      const text = await readAnswerText(answer.body)
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
       return {status: answer.statusCode, body: parseBody(text), era}
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -229,6 +229,14 @@
   override readonly name = "KvUnknown"
 }
 
+/** An answer is longer than any that is expected. */
+export class AnswerTooLong extends Error {
+  constructor(maxBytes: number) {
+    super(`the answer has more than ${maxBytes} bytes`)
+    this.name = "AnswerTooLong"
+  }
+}
+
 /** The RFC 9457 body of an error. */
 export interface Problem {
   readonly type: string
