Reports of engines have a longest size

What callers saw: nothing yet; a leader that an endless report brings beyond its memory ends. Reports and answers to orders were kept until their time-outs (600 and 150 ms): 24 MB of one report at the test's pace.

Change: beyond 1 MB the call is given up as if it had no answer, and its connection is closed.

Result: endless-answers 6 failed before (24 MB of each report were sent) and passes.

--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -19,6 +19,9 @@
 const REPORT_TIMEOUT_MS = 600
 const CONNECTIONS = 4
 
+/** Longest report or answer to an order. */
+const MAX_ANSWER_BYTES = 1 << 20
+
 /** Limits the length of logged findings. */
 const MAX_REASON_CHARS = 300
 
@@ -105,16 +108,18 @@
     let status = 0
     let abort: (() => void) | undefined
     const parts: Buffer[] = []
+    let readBytes = 0
     const finish = (result: CallResult): void => {
       if (ended) return
       ended = true
       clearTimeout(timer)
       end(result)
     }
-    const timer = setTimeout(() => {
+    const giveUp = (): void => {
       finish({status: undefined, sent})
       abort?.()
-    }, timeoutMs)
+    }
+    const timer = setTimeout(giveUp, timeoutMs)
     const bytes = body === undefined ? null : Buffer.from(body)
     const options = {method, path, headers: [...headers], body: bytes}
     this.options_.pools.send(orderPool(id), address, CONNECTIONS, options, {
@@ -130,7 +135,11 @@
         if (!notice || !hasNotice(notice)) return
         this.options_.post({type: "server-says", backend: id, notice})
       },
-      data: chunk => parts.push(chunk),
+      data: chunk => {
+        readBytes += chunk.length
+        if (readBytes > MAX_ANSWER_BYTES) return giveUp()
+        parts.push(chunk)
+      },
       done: () => finish({status, body: Buffer.concat(parts).toString()}),
       failed: () => finish({status: undefined, sent})
     })
