Another box's answer about a server has a longest size

What callers saw: nothing. A box that asks others whether they reach a server kept what they sent for 600 ms: 22 MB at the test's pace, for one word.

Change: beyond 64 characters the connection is closed and there is no answer.

--- a/src/adapters/peer-probe.ts
+++ b/src/adapters/peer-probe.ts
@@ -7,6 +7,9 @@
 /** Allows for the other box's own test connection and the link delays. */
 const ANSWER_TIMEOUT_MS = 600
 
+/** An answer is one of the words of `ServerState`. */
+const MAX_ANSWER_CHARS = 64
+
 /** What other boxes say of a server. */
 export type ServerState =
   /** A box could connect to it. */
@@ -45,7 +48,10 @@
     call.on("response", answer => {
       let text = ""
       answer.setEncoding("utf8")
-      answer.on("data", (part: string) => (text += part))
+      answer.on("data", (part: string) => {
+        text += part
+        if (text.length > MAX_ANSWER_CHARS) call.destroy()
+      })
       answer.on("end", () => resolve(text))
       answer.on("close", () => resolve(undefined))
     })
