A box over its limits closes new connections unread

What callers saw: 503 at one box that got most new connections and ran out of descriptors or memory. The request counts as read and refused there, and its caller waits 0.5 to 1 s.

Change: while a box is over a limit, it destroys new connections before the HTTP server reads from them. Callers may send any request again at once, and retries meet other boxes. The box is not ready meanwhile, as before.

--- a/src/adapters/box-overload.ts
+++ b/src/adapters/box-overload.ts
@@ -1,6 +1,6 @@
 /**
  * Samples the memory and the sockets of a box. While it is over one of its limits, it
- * refuses requests on new connections.
+ * closes new connections unread, so that their callers try another box at once.
  */
 import type {Server} from "node:http"
 import type {Socket} from "node:net"
@@ -16,7 +16,7 @@
 const SAMPLE_INTERVAL_MS = 2_000
 
 export interface BoxOverloadOptions {
-  /** Undefined if the settings name no limits. Nothing is sampled or refused then. */
+  /** Undefined if the settings name no limits. Nothing is sampled or closed then. */
   readonly limits: BoxLimits | undefined
   readonly log: Log
   /** Replaces the measurement, for tests. */
@@ -27,10 +27,8 @@
   private shortage_: BoxShortage = "none"
   private use_: BoxUse = {memoryBytes: 0, openSockets: 0}
   private readonly sockets_ = new SocketCounter()
-  /** Connections that were accepted while the box was over a limit. */
-  private readonly surplus_ = new WeakSet<Socket>()
   private timer_: NodeJS.Timeout | undefined
-  /** Requests that were refused, since the start of the process. */
+  /** Connections that were closed unread, since the start of the process. */
   refusedCount = 0
 
   constructor(private readonly options_: BoxOverloadOptions) {}
@@ -57,8 +55,11 @@
     this.sample()
     this.timer_ = setInterval(() => this.sample(), SAMPLE_INTERVAL_MS)
     this.timer_.unref()
-    callers.on("connection", socket => {
-      if (this.isOver) this.surplus_.add(socket)
+    // Before the HTTP server reads from the connection.
+    callers.prependListener("connection", (socket: Socket) => {
+      if (!this.isOver) return
+      this.refusedCount++
+      socket.destroy()
     })
   }
 
@@ -67,13 +68,6 @@
     this.sockets_.stop()
   }
 
-  /** Whether requests of a connection are refused: it is new, and the box is over. */
-  refuses(socket: Socket): boolean {
-    if (!this.isOver || !this.surplus_.has(socket)) return false
-    this.refusedCount++
-    return true
-  }
-
   /** Measures the use of the box now. */
   sample(): void {
     const {limits, measure = () => this.measure()} = this.options_
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -216,8 +216,7 @@
       random: draw,
       log,
       isStopping: () => this.stopping_,
-      unread: this.unread_,
-      overload: this.overload_
+      unread: this.unread_
     })
     this.streamPeers_ = new StreamPeers({
       ownAddress: settings.boxes,
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -16,7 +16,6 @@
 import {pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
 import {BackendPools, CONNECT_PATIENCE_MS} from "./backend-pools.js"
-import type {BoxOverload} from "./box-overload.js"
 import {
   BROKEN_HEADER,
   CARRY_HEADER,
@@ -72,12 +71,6 @@
  */
 const NO_CONFIG_RETRY_S = 0.5
 
-/**
- * Shortest `retry-after` while the box is over a limit. The longest is twice as long, so
- * that callers do not return together.
- */
-const OVERLOAD_RETRY_S = 0.5
-
 export interface RelayOptions {
   /** Name of this box. */
   readonly box: string
@@ -92,7 +85,6 @@
    */
   readonly isStopping: () => boolean
   readonly unread: UnreadAnswers
-  readonly overload: BoxOverload
 }
 
 /** Connections to another box that sends requests on behalf of this one. */
@@ -137,9 +129,6 @@
   async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {table} = this.options_.serving()
     const facts = this.options_.dialect.readRequest(req.headers)
-    if (this.options_.overload.refuses(req.socket)) {
-      return this.refuseConnection(res, facts.requestId)
-    }
     const limit = table?.config.limits.maxBodyBytes ?? Infinity
     const body = await readWholeBody(req, limit)
     if (body === "gone") return
@@ -242,20 +231,6 @@
     })
   }
 
-  /** Refuses a request on a new connection while the box is over one of its limits. */
-  private refuseConnection(res: ServerResponse, requestId: string): void {
-    const {dialect, log, random, serving} = this.options_
-    const reason = "box-over-limit"
-    const config = serving().table?.config.version ?? -1
-    log("route-none", {request: requestId, reason, config})
-    const retryAfterS = OVERLOAD_RETRY_S * (1 + random())
-    sendError(res, 503, problem(reason), {
-      ...dialect.ownAnswerHeaders(requestId),
-      "retry-after": retryAfterS.toFixed(2),
-      connection: "close"
-    })
-  }
-
   /**
    * Waits for a fresh store snapshot. After a process pause, requests that arrived
    * meanwhile are handled before the store has been read again. Routing waits for that
--- a/src/events.ts
+++ b/src/events.ts
@@ -522,12 +522,12 @@
   "box-over-limit": {
     number: 267,
     level: "warn",
-    text: "The box is over its limit of memory or file descriptors: it reports not ready and answers new connections with 503."
+    text: "The box is over its limit of memory or file descriptors: it reports not ready and closes new connections unread."
   },
   "box-below-limits": {
     number: 268,
     level: "info",
-    text: "The box is below its limits of memory and file descriptors again; `refused`: requests refused so far."
+    text: "The box is below its limits of memory and file descriptors again; `refused`: connections closed so far."
   },
   "service-engines": {
     number: 270,
