--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -7,6 +7,7 @@
 import {Deployment, keyOf} from "./support/deployment.js"
 import {PlatformBed} from "./support/platform-bed.js"
 import {callRaw, type RawAnswer, startRawServer} from "./support/raw-http.js"
+import {until} from "./support/wait.js"
 import {wholeStream} from "./support/whole-stream.js"
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
@@ -128,3 +129,35 @@
   const outcome = await bed.call(box, "/stream/x", {adapter: "a1"})
   t.match(outcome, {status: 200, broken: false, body: wholeStream(outcome.id)})
 })
+
+// The hop between boxes has a framing of its own, so the other box has to tell the end.
+t.test("plain answers that their connection ends, directly and over a box", async t => {
+  const bed = await PlatformBed.start({boxes: 2, cuttable: true})
+  t.teardown(() => bed.stop())
+  const box = bed.boxes.find(each => each !== bed.leader())
+  if (!box) return
+  const check = async (way: string): Promise<void> => {
+    for (const worker of bed.plain) worker.faults = {unframed: true}
+    const whole = await bed.call(box, "/unsafe/x", {body: "b"})
+    const body = `plain:${whole.id}:b`
+    t.match(whole, {status: 200, broken: false, body}, `closed, ${way}`)
+    t.equal(whole.headers["content-length"], String(body.length))
+    for (const where of ["start", "inside-event"] as const) {
+      for (const worker of bed.plain) {
+        worker.faults = {unframed: true, breakOff: {where, how: "reset"}}
+      }
+      const cut = await bed.call(box, "/unsafe/x", {body: "b"})
+      t.not(cut.status, 200, `reset, ${where}, ${way}`)
+      t.equal(bed.judge.runsOf(cut.id).length, 1)
+    }
+    for (const worker of bed.plain) worker.faults = {}
+  }
+  await check("directly")
+  bed.cut(box, bed.plain, "reset")
+  await until("the other box sends", async () => {
+    const {id, status} = await bed.call(box, "/safe/x")
+    const sent = new RegExp(`"event":241[^\\n]*"request":"${id}"`)
+    return status === 200 && sent.test(bed.logs())
+  })
+  await check("over another box")
+})
