HEAD on a streaming route is not taken for a broken stream

What callers saw: the head of the answer, then a reset connection. The request was sent to three servers, each of which counted as suspect.

Cause: a stream without length or chunks that ends before its first event counts as broken off. The answer to HEAD never has a body.

Change: the check for a first event leaves out answers to HEAD.

--- a/src/adapters/relay-exchange.ts
+++ b/src/adapters/relay-exchange.ts
@@ -192,9 +192,10 @@
 
   /**
    * Whether only the end of the connection ends a stream without events. A resumed stream
-   * may have none left.
+   * may have none left, and the answer to HEAD has no body.
    */
   private lacksFirstEvent({head}: AttemptAnswer): boolean {
+    if (this.req.method === "HEAD") return false
     const isResumed = this.lastEventId !== undefined
     return head?.framing === "connection" && !this.hasSentEvents_ && !isResumed
   }
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -208,7 +208,6 @@
 
 // An answer without a body counted as a stream that broke off before its first event.
 t.test("HEAD on a streaming route gets its server's answer", async t => {
-  if (passIfKnownRed("unanswered-requests 6")) return
   let calls = 0
   const {box} = await startBed((socket, id) => {
     calls++
