Log lines name the shared parts of a request's prompt

Cause: no line of the log tells which requests share a part of their prompt, so that a part that crashes servers can't be told from records that are lost. Change: the dialect reads the identifiers of the parts, arrivals carry their fingerprints, events 190 and 223 print them. No decision depends on them yet.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -12,7 +12,7 @@
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
 import {adapterKey} from "../types/fleet.js"
-import {fingerprintRequest} from "../utils/fingerprint.js"
+import {fingerprintPart, fingerprintRequest} from "../utils/fingerprint.js"
 import {pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
 import {BackendPools, CONNECT_PATIENCE_MS} from "./backend-pools.js"
@@ -204,6 +204,7 @@
       outputTokens,
       key,
       prefix,
+      parts = [],
       lastEventId,
       begunBy
     } = facts
@@ -213,6 +214,7 @@
         id,
         name,
         fingerprint,
+        parts: [...new Set(parts.map(fingerprintPart))],
         route,
         service,
         weights,
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -384,6 +384,7 @@
   logEvent(box, "attempt-broken", {
     request: arrival.name,
     fingerprint: arrival.fingerprint ?? "",
+    parts: arrival.parts?.join() ?? "",
     backend,
     headed: headReceived,
     afterMs: Math.round(now - sentAt),
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -213,6 +213,7 @@
     backend: backend.id,
     via: attempt?.via ?? "",
     fingerprint: arrival.fingerprint ?? "",
+    parts: arrival.parts?.join() ?? "",
     software: backend.software ?? "",
     lastEventId: request.lastEventId ?? "",
     begunBy: arrival.begunBy ?? "",
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -43,6 +43,8 @@
   readonly name: string
   /** Equal for requests of the same caller, path and body. Undefined if not known. */
   readonly fingerprint?: string
+  /** Fingerprints of the parts of its prompt that other requests may share. */
+  readonly parts?: readonly string[]
   readonly route: Route
   readonly service: string
   readonly weights?: Weights
--- a/src/events.ts
+++ b/src/events.ts
@@ -387,7 +387,7 @@
   "attempt-broken": {
     number: 223,
     level: "warn",
-    text: "The connection of a request to a backend server broke; the request may have run. Equal fingerprints mean the same request."
+    text: "The connection of a request to a backend server broke; the request may have run. Equal fingerprints mean the same request; `parts` are the shared parts of its prompt."
   },
   "server-crashed": {
     number: 224,
--- a/src/ports/fleet-ports.ts
+++ b/src/ports/fleet-ports.ts
@@ -24,6 +24,8 @@
   /** Digest of the caller's API key. Undefined if there is none. */
   readonly key?: string
   readonly prefix?: SharedPrefix
+  /** Identifiers of the parts of the prompt that other requests may share, in order. */
+  readonly parts?: readonly string[]
   readonly lastEventId?: string
   /** Id of the earlier request that brought the first event of the resumed stream. */
   readonly begunBy?: string
--- a/test/dialect.test.ts
+++ b/test/dialect.test.ts
@@ -86,6 +86,16 @@
   )
 })
 
+// A part that crashes servers was not recognised in requests that share nothing else.
+t.test("the shared parts of a prompt are read by their identifiers", async t => {
+  const partsOf = (text: string) =>
+    platformDialect.readRequest({[HEADER.prompt]: text}).parts
+  t.same(partsOf("5c1e:800,91bd:410,e440:250"), ["5c1e", "91bd"])
+  t.same(partsOf("5c1e:800, 91bd:0 ,e440:250"), ["5c1e", "91bd"])
+  t.equal(partsOf("e440:250"), undefined, "the last part is the request's own")
+  t.equal(partsOf(""), undefined)
+})
+
 const NO_NOTICE = {
   leaving: false,
   restMs: undefined,
