--- a/test/patterns/agenda.ts
+++ b/test/patterns/agenda.ts
@@ -28,9 +28,11 @@
 
   /** Runs all actions that are due by `end` and advances the time to it. */
   runUntil(end: number): void {
-    for (let due = this.actions_.pop(); due && due.at <= end; due = this.actions_.pop()) {
+    for (let due = this.actions_.at(-1); due && due.at <= end;) {
+      this.actions_.pop()
       this.now = due.at
       due.act()
+      due = this.actions_.at(-1)
     }
     this.now = end
   }
