--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -28,6 +28,7 @@
   "Engines have many places and one speed, and callers don't overload them"
 )
 cli.option("--no-pauses", "No worker stands still inside a stream and goes on")
+cli.option("--no-parts", "No shared part of prompts crashes engines")
 const {options} = cli.parse()
 
 const end = Date.now() + Number(options["minutes"]) * 60_000
@@ -50,7 +51,8 @@
     cuts: options["cuts"] !== false,
     streams: options["streams"] !== false,
     load: options["load"] !== false,
-    pauses: options["pauses"] !== false
+    pauses: options["pauses"] !== false,
+    parts: options["parts"] !== false
   })
   rounds++
   if (result.violations.length > 0) failedRounds++
--- a/test/stand-ins/platform-judge.ts
+++ b/test/stand-ins/platform-judge.ts
@@ -1,5 +1,6 @@
 /** Records what all stand-in workers observed, to be judged after a test. */
 import {AdvertisedRates} from "./advertised-rates.js"
+import {CrashingParts} from "./crashing-parts.js"
 
 /** One execution of a request on a worker. */
 export interface Run {
@@ -85,6 +86,7 @@
   readonly restarts: {readonly worker: string; readonly at: number}[] = []
   readonly leavingNotices: LeavingNotice[] = []
   readonly rates = new AdvertisedRates()
+  readonly parts = new CrashingParts()
   readonly orders: ReceivedOrder[] = []
   readonly violations: string[] = []
   /** Unloads ordered while requests ran. Harmless because they wait, but useless. */
--- a/test/stand-ins/platform-worker.ts
+++ b/test/stand-ins/platform-worker.ts
@@ -7,6 +7,7 @@
 } from "node:http"
 import type {AddressInfo, Socket} from "node:net"
 import {randomUUID} from "node:crypto"
+import {type GuiltyPart, sharedParts} from "./crashing-parts.js"
 import type {Judge, Run} from "./platform-judge.js"
 import type {StandInStore} from "./platform-store.js"
 import {WorkerQueue} from "./worker-queue.js"
@@ -297,8 +298,16 @@
     await this.goDown()
   }
 
+  /** Crashes because of a guilty part in the prompt of a request. */
+  private async crashUnder(guilty: GuiltyPart, id: string): Promise<void> {
+    if (this.isDown_) return
+    const at = performance.now()
+    this.judge_.parts.crashes.push({...guilty, id, worker: this.id, at})
+    await this.goDown()
+  }
+
   /** Crashes and starts again later under its id, empty and with reset counters. */
-  private async goDown(): Promise<void> {
+  async goDown(): Promise<void> {
     if (this.isDown_) return
     this.isDown_ = true
     this.judge_.restarts.push({worker: this.id, at: performance.now()})
@@ -456,6 +465,7 @@
     } catch {
       return
     }
+    this.recordParts(req)
     await this.resumed_
     if (res.destroyed) return
     const {faults} = this
@@ -474,6 +484,14 @@
     this.serve(id, body, req, res)
   }
 
+  private recordParts({headers}: IncomingMessage): void {
+    const parts = sharedParts(headers)
+    if (parts.length === 0) return
+    const id = String(headers["x-request-id"])
+    const at = performance.now()
+    this.judge_.parts.arrivals.push({id, worker: this.id, parts, at})
+  }
+
   private shed(id: string, res: ServerResponse): void {
     const {retryAfter} = this.faults
     const headers = {"x-not-executed": "1", "x-request-id": id}
@@ -509,12 +527,20 @@
     res: ServerResponse,
     status: number,
     headers: Readonly<Record<string, string>>,
-    text: string
+    text: string,
+    guilty: GuiltyPart | undefined
   ): void {
+    if (guilty?.moment === "before-head") return void this.crashUnder(guilty, run.id)
     const {breakOff} = this.faults
     this.recordNotices(run.id)
     const all = {...headers, ...this.noticeHeaders()}
     this.writeHead(res, status, all, () => Buffer.byteLength(text), "length")
+    if (guilty) {
+      run.ended = "cut"
+      res.write(text.slice(0, Math.ceil(text.length / 2)))
+      // The part that was written is sent before the connection breaks.
+      return void setImmediate(() => void this.crashUnder(guilty, run.id))
+    }
     if (!breakOff) {
       run.ended = "whole"
       this.permitClose(res)
@@ -612,14 +638,14 @@
     const text = `${this.options_.service}:${id}:${body}`
     const status = this.faults.failing ? 500 : 200
     const headers = {"x-request-id": id, "x-response-signature": sign(this.id, id)}
+    const guilty = this.judge_.parts.findGuilty(req.headers)
+    const answer = (): void => this.replyOfRun(run, res, status, headers, text, guilty)
     const {slowMs = 0} = this.faults
     if (slowMs > 0) {
-      setTimeout(() => {
-        void this.whenRunning(() => this.replyOfRun(run, res, status, headers, text))
-      }, slowMs)
+      setTimeout(() => void this.whenRunning(answer), slowMs)
       return
     }
-    this.replyOfRun(run, res, status, headers, text)
+    answer()
     if (crashMoment(body)) setTimeout(() => void this.crash(body), CRASH_AFTER_END_MS)
     if (this.faults.surplus) {
       const extra =
@@ -716,6 +742,8 @@
     if (this.loseAnswer(res)) return
     const crash = crashMoment(body)
     if (crash === "before-head") return void this.crash(body)
+    const guilty = this.judge_.parts.findGuilty(req.headers)
+    if (guilty?.moment === "before-head") return void this.crashUnder(guilty, id)
     this.running_.set(adapter, (this.running_.get(adapter) ?? 0) + 1)
     this.recordNotices(id)
     const events = this.listEvents(run, body)
@@ -729,7 +757,7 @@
     }
     const length = (): number => Buffer.byteLength(events.slice(last).join(""))
     this.writeHead(res, 200, headers, length, "chunks")
-    this.stream(run, last, res, body, events)
+    this.stream(run, last, res, body, events, guilty)
   }
 
   /** Returns the events of a whole stream. */
@@ -746,7 +774,8 @@
     last: number,
     res: ServerResponse,
     body: string,
-    events: readonly string[]
+    events: readonly string[],
+    guilty: GuiltyPart | undefined
   ): void {
     const crash = crashMoment(body)
     const {gapMs = 10} = streamLength(body) ?? this.options_
@@ -786,6 +815,10 @@
         end("cut")
         return void this.crash(body)
       }
+      if (guilty && sentEvents >= 1) {
+        end("cut")
+        return void this.crashUnder(guilty, run.id)
+      }
       if (cutAfterEvents !== undefined && sentEvents >= cutAfterEvents) {
         // Part of an event is sent before the connection breaks.
         if (cutBetweenEvents) res.flushHeaders()
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -12,6 +12,8 @@
 import {describeCutTries, judgeCuts, listCutTries} from "./soak-judge-cuts.js"
 import {describeLoad, judgeLoad, listOverloadRefusals} from "./soak-judge-load.js"
 import {LoadCallers} from "./soak-load-callers.js"
+import {promptOf} from "./prompt-callers.js"
+import {describeParts, judgeParts} from "./soak-judge-parts.js"
 import {describePauses, judgePauses} from "./soak-judge-pauses.js"
 import {judgeRound} from "./soak-judge.js"
 import {countGuaranteedCalls, judgeService} from "./soak-judge-service.js"
@@ -75,7 +77,8 @@
 /**
  * XORed with the seed of a round, give the seeds of the incidents, of the rate faults, of
  * the cuts, of the faults of streams, of releases, of the streams' callers, of overload
- * and of its callers, and of the workers that stand still.
+ * and of its callers, of the workers that stand still, and of the parts that crash engines
+ * and their callers.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
@@ -86,6 +89,8 @@
 const LOAD_SEED_MASK = 0x10ad
 const LOAD_CALL_SEED_MASK = 0x10ca
 const PAUSE_SEED_MASK = 0x9a05
+const PART_SEED_MASK = 0x9a47
+const PART_CALL_SEED_MASK = 0x9a4c
 
 /**
  * XORed with the seed of a round, gives the seed of its calls if the faults are scripted
@@ -106,6 +111,7 @@
   private readonly callDraws_: SoakDraws
   private readonly streamDraws_: SoakDraws
   private streamCount_ = 0
+  private promptCount_ = 0
   private readonly record_ = new SoakRecord()
   private readonly pendingCalls_: Promise<void>[] = []
   private readonly notes_: string[] = []
@@ -163,6 +169,10 @@
         this.violations_.push(...judgePauses(bed.judge, this.record_))
         this.notes_.push(describePauses(bed.judge, this.record_))
       }
+      if (this.options_.parts) {
+        this.violations_.push(...judgeParts(bed.judge, this.record_))
+        this.notes_.push(describeParts(bed.judge, this.record_))
+      }
       if (this.options_.cuts)
         this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
@@ -219,7 +229,11 @@
           ],
           new SoakDraws(seed ^ LOAD_SEED_MASK),
           this.loadCallers(bed),
-          new SoakDraws(seed ^ PAUSE_SEED_MASK)
+          new SoakDraws(seed ^ PAUSE_SEED_MASK),
+          [
+            new SoakDraws(seed ^ PART_SEED_MASK),
+            new SoakDraws(seed ^ PART_CALL_SEED_MASK)
+          ]
         )
     try {
       if (script) await this.playScript(faults, script)
@@ -296,16 +310,30 @@
     const model = kind === "stream" || kind === "once"
     const adapter = drawAdapter(draws)
     const key = this.pickKey()
+    const prompt =
+      model && this.options_.parts ? promptOf(this.promptCount_++) : undefined
     const options = {
       ...(model ? {adapter} : {}),
       ...(kind === "safe" ? {} : {body: "{}"}),
+      // Requests whose prompts differ are no repetitions of one another.
+      ...(prompt
+        ? {body: JSON.stringify(prompt), headers: {"x-prompt-prefix": prompt.header}}
+        : {}),
       ...(key === undefined ? {} : {key})
     }
     const sentAt = performance.now()
     this.pendingCalls_.push(
       bed.call(box, `/${kind}/x`, options).then(outcome => {
         const answeredAt = performance.now()
-        this.record_.calls.push({kind, box: box.name, outcome, key, sentAt, answeredAt})
+        this.record_.calls.push({
+          kind,
+          box: box.name,
+          outcome,
+          key,
+          sentAt,
+          answeredAt,
+          ...(prompt ? {parts: prompt.parts} : {})
+        })
       })
     )
   }
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -12,6 +12,7 @@
 import {StreamFaults} from "./soak-stream-faults.js"
 import type {LoadCallers} from "./soak-load-callers.js"
 import {LoadFaults} from "./soak-load-faults.js"
+import {PartFaults} from "./soak-part-faults.js"
 import {PauseFaults} from "./soak-pause-faults.js"
 import {RateFaults} from "./soak-rate-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
@@ -70,6 +71,8 @@
   readonly load?: boolean
   /** Sound workers stand still inside streams and go on. */
   readonly pauses?: boolean
+  /** Shared parts of prompts crash the engines that answer requests with them. */
+  readonly parts?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -116,7 +119,8 @@
     streamDraws: readonly [breaks: SoakDraws, releases: SoakDraws],
     loadDraws: SoakDraws,
     loadCallers: LoadCallers,
-    pauseDraws: SoakDraws
+    pauseDraws: SoakDraws,
+    partDraws: readonly [faults: SoakDraws, calls: SoakDraws]
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isStopped: box => this.stoppedBoxes_.has(box) || box.suspendedFrom !== undefined,
@@ -151,13 +155,19 @@
       restart: (box, signal) => this.restart(box, signal),
       haveFaultsEnded: () => this.haveFaultsEnded_
     })
+    const parts = new PartFaults(this.bed_, ...partDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_,
+      validKey: () => this.organisations_?.validKey
+    })
     const {sparse = false} = this.options_
     await Promise.all([
       ...(sparse ? [] : [faults.play(), this.rates_.play()]),
       this.options_.cuts ? cuts.play() : undefined,
       this.options_.streams ? streams.play() : undefined,
       this.options_.load ? load.play() : undefined,
-      this.options_.pauses ? pauses.play() : undefined
+      this.options_.pauses ? pauses.play() : undefined,
+      this.options_.parts ? parts.play() : undefined
     ])
   }
 
@@ -168,7 +178,8 @@
       this.bed_.resume(box)
       if (this.options_.cuts) this.bed_.heal(box)
     }
-    const {store, workerProxies, boxes} = this.bed_
+    const {store, workerProxies, boxes, judge} = this.bed_
+    judge.parts.repairAll()
     store.faults = {}
     for (const proxy of workerProxies) proxy.setFaults()
     for (const {storeProxy, child} of boxes) {
--- a/test/support/soak-judge-incidents.ts
+++ b/test/support/soak-judge-incidents.ts
@@ -31,18 +31,9 @@
   for (const {id, box, sentAt} of record.streams.flatMap(({tries}) => tries)) {
     calls.set(id, {box, sentAt})
   }
-  const isConnected = (id: string, at: number): boolean => {
-    const box = calls.get(id)?.box
-    const hadFault = record.exemptions.some(
-      exemption =>
-        exemption.box === box && exemption.at <= at && at - exemption.at < CONNECTED_MS
-    )
-    const healthySince = record.storeFaults.healthySince(at) ?? Infinity
-    return !hadFault && at - healthySince >= CONNECTED_MS
-  }
   const exemptions = [...record.exemptions, ...linkFaultExemptions(record)]
   return [
-    ...judgeCrashes(judge, ({id, at}) => isConnected(id, at)),
+    ...judgeCrashes(judge, ({id, at}) => isConnected(record, calls.get(id)?.box, at)),
     ...judgeNotices(judge, {calls, exemptions, restarts: judge.restarts}),
     ...judgeRates(judge, {
       calls,
@@ -53,6 +44,20 @@
   ]
 }
 
+/** Whether neither the box nor the store had a fault for some time. */
+export function isConnected(
+  record: SoakRecord,
+  box: string | undefined,
+  at: number
+): boolean {
+  const hadFault = record.exemptions.some(
+    exemption =>
+      exemption.box === box && exemption.at <= at && at - exemption.at < CONNECTED_MS
+  )
+  const healthySince = record.storeFaults.healthySince(at) ?? Infinity
+  return !hadFault && at - healthySince >= CONNECTED_MS
+}
+
 function linkFaultExemptions(record: SoakRecord): {box: string; at: number}[] {
   const boxes = new Set(record.calls.map(({box}) => box))
   return record.faults
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -19,6 +19,8 @@
   readonly answeredAt?: number
   /** Time that its caller allowed for it. Undefined for the usual time. */
   readonly deadlineMs?: number
+  /** Shared parts of its prompt, in rounds with parts that crash engines. */
+  readonly parts?: readonly string[]
 }
 
 /** A stream that its caller takes up when its connection breaks. */
@@ -112,6 +114,8 @@
   readonly box: string
   readonly outcome: Outcome
   readonly sentAt: number
+  /** Shared parts of its prompt, if one of these crashes servers. */
+  readonly parts?: readonly string[]
 }
 
 /** A box that was restarted, suspended, disconnected or removed, and when. */
