An answer that is confirmed after the crashes spares its request

Cause: whether a suspect had been answered was looked up only as a crash was added. An answer from right before the first crash counts only half a second later, and then changed nothing.

Change: such an answer is noted with the suspect once it is confirmed, and reported.

--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -225,7 +225,15 @@
     }
     box.crashes.clear(fingerprint)
   }
-  if (reported.length > 0) reportChanges(box, {records: [], cleared: reported})
+  // An answer from before the first crash may be confirmed only now.
+  const answered = suspects
+    .filter(each => box.clearedRequests.survivedAt(each) !== undefined)
+    .filter(each => box.crashes.recordAnswered(each))
+  if (reported.length === 0 && answered.length === 0) return
+  reportChanges(box, {
+    records: box.crashes.toMessages(now, answered),
+    cleared: reported
+  })
 }
 
 /**
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,5 +1,7 @@
 /** Requests that crash servers are quarantined soon, and other requests are served. */
 import t from "tap"
+import {tickCrashes} from "../src/core/box-crashes.js"
+import {createBoxServing} from "../src/core/box-state.js"
 import {CrashList, TRIAL_DELAYS_MS} from "../src/core/crash-list.js"
 import {
   type CrashingOptions,
@@ -138,3 +140,26 @@
   t.ok(crashes.size <= MOST_RECORDS)
   t.ok(crashes.isQuarantined("stopped"))
 })
+
+// A sound request that was answered right before the first crash stayed quarantined.
+t.test("an answer that is confirmed after the crashes spares its request", async t => {
+  const box = createBoxServing({
+    dataCentre: "dc",
+    retry: {ratio: 0.2, slack: 10, windowMs: 10_000},
+    handoverMs: 0,
+    random: () => 0
+  })
+  box.clearedRequests.recordAnswered("f", "sound", 0)
+  for (const [i, incarnation] of ["a", "b", "c"].entries()) {
+    box.crashes.add("f", incarnation, 100 + i)
+  }
+  tickCrashes(box, 200)
+  t.ok(box.crashes.isQuarantined("f"), "its server may still crash")
+  box.clearedRequests.recordAlive("sound", 600)
+  tickCrashes(box, 600)
+  t.notOk(box.crashes.isQuarantined("f"))
+  t.match(box.effects.at(-1), {
+    type: "crashes",
+    changes: {records: [{fingerprint: "f", answered: true}]}
+  })
+})
