Findings of the soak name the error of a connection

Safe calls with status 0 were reported without the reason, so that a connection refused by a box that had stopped listening could not be told from one that was closed with its request read. No check changes.

--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -35,6 +35,8 @@
   readonly body: string
   /** The connection broke before the response was complete. */
   readonly broken: boolean
+  /** Code of the error that ended the request without a status, such as `ECONNREFUSED`. */
+  readonly error?: string
 }
 
 export interface BedBox {
@@ -517,8 +519,9 @@
       } catch {
         return {id, status: response.statusCode, headers, body, broken: true}
       }
-    } catch {
-      return {id, status: 0, headers: {}, body: "", broken: true}
+    } catch (error) {
+      const {code = String(error)} = error as NodeJS.ErrnoException
+      return {id, status: 0, headers: {}, body: "", broken: true, error: code}
     }
   }
 
--- a/test/support/soak-judge-keyed-service.ts
+++ b/test/support/soak-judge-keyed-service.ts
@@ -47,7 +47,7 @@
     .slice(0, MAX_FINDINGS)
     .map(
       ({outcome, box, key, sentAt}) =>
-        `${outcome.id} (safe, ${outcome.status}) of ${organisations.ownerOf(key)} was not served by ${box} ` +
+        `${outcome.id} (safe, ${outcome.error ?? outcome.status}) of ${organisations.ownerOf(key)} was not served by ${box} ` +
         `at ${new Date(performance.timeOrigin + sentAt).toISOString()}, though its key is held; faults before: ` +
         record.faultsBetween(sentAt - KEYS_UNCERTAIN_MS, sentAt)
     )
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -57,7 +57,7 @@
     .slice(0, MAX_FINDINGS)
     .map(
       ({outcome, box, sentAt}) =>
-        `${outcome.id} (safe, ${outcome.status}) was not served by ${box}, which nothing had struck; faults before: ` +
+        `${outcome.id} (safe, ${outcome.error ?? outcome.status}) was not served by ${box}, which nothing had struck; faults before: ` +
         record.faultsBetween(sentAt - REPORTED_FAULTS_MS, sentAt)
     )
 }
