Test of rejected leaders calls at a fixed rate

Cause: the test sent one call after another, 505 in 5 s there. Calls are sent at 250 a second now, whatever the machine does; every check is unchanged, and more calls are in progress at once than before.

--- a/test/lease-help.test.ts
+++ b/test/lease-help.test.ts
@@ -7,6 +7,7 @@
 import {WriteHelp} from "../src/adapters/write-help.js"
 import {KvUnavailable, KvUnknown} from "../src/errors.js"
 import type {WriteRequest} from "../src/types/box-messages.js"
+import {pause} from "../src/utils/promises.js"
 import {type BedBox, PlatformBed} from "./support/platform-bed.js"
 import {until} from "./support/wait.js"
 
@@ -55,6 +56,9 @@
 /** Longer than allowances last and than a pool of a box is used up. */
 const LIMITED_MS = 5_000
 
+/** A quarter of the limit. Below a tenth of it the stored usage lasts for minutes. */
+const CALLS_PER_S = 250
+
 // Without the help of other boxes no allowance is granted while the leader is rejected.
 t.test("a leader whose calls alone are rejected goes on granting allowances", async t => {
   const tenant = {
@@ -87,10 +91,18 @@
   await until("other boxes renew its lease", () => /"event":188,/.test(bed.logs()))
   const from = performance.now()
   const refused: number[] = []
-  while (performance.now() - from < LIMITED_MS) {
-    const {status} = await bed.call(follower, "/safe/x", {key: "key-1"})
-    if (status !== 200) refused.push(Math.round(performance.now() - from))
+  // Not one call after another, whose rate would depend on the machine.
+  const calls: Promise<void>[] = []
+  for (let i = 0; i < (CALLS_PER_S * LIMITED_MS) / 1000; i++) {
+    const waitMs = from + (i * 1000) / CALLS_PER_S - performance.now()
+    if (waitMs > 0) await pause(waitMs)
+    calls.push(
+      bed.call(follower, "/safe/x", {key: "key-1"}).then(({status}) => {
+        if (status !== 200) refused.push(Math.round(performance.now() - from))
+      })
+    )
   }
+  await Promise.all(calls)
   t.same(refused, [], "no request within the limit is refused")
   t.match(bed.logs(), /"event":250,/, "other boxes store the usage projections")
   t.notMatch(bed.logs(), /"event":185,/, "no box lost the leadership")
