A target with scheme and host finds its route

Callers saw: 404 for a request whose target has its host (GET http://host/path), which each server has to accept (RFC 9112, 3.2.2). Cause: routes were matched with the target as it stands. The scheme and the host are taken off; the Host header picks the route as before.

--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -15,6 +15,7 @@
 import {fingerprintRequest} from "../utils/fingerprint.js"
 import {fingerprintPart} from "../utils/part-fingerprint.js"
 import {pause} from "../utils/promises.js"
+import {toOriginForm} from "../utils/request-target.js"
 import {clockNow} from "./clock.js"
 import {BackendPools, CONNECT_PATIENCE_MS} from "./backend-pools.js"
 import {
@@ -129,6 +130,9 @@
   /** Reads a caller's request, checks its route and key, and hands it to the core. */
   async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {table} = this.options_.serving()
+    const path = toOriginForm(req.url ?? "/")
+    // Attempts read it, too.
+    req.url = path
     const facts = this.options_.dialect.readRequest(req.headers)
     const limit = table?.config.limits.maxBodyBytes ?? Infinity
     const body = await readWholeBody(req, limit)
@@ -160,7 +164,7 @@
       const headers = {...own, "retry-after": retry}
       return sendError(res, 503, problem("no-configuration"), headers)
     }
-    const route = findRoute(currentTable, req.headers.host ?? "", req.url ?? "/")
+    const route = findRoute(currentTable, req.headers.host ?? "", path)
     const service = route && drawService(route, this.options_.random())
     if (!route || service === undefined) {
       // A stale table does not prove that the route is missing: the route may be new.
@@ -198,7 +202,7 @@
       caller: organisation?.name ?? "",
       method: req.method ?? "GET",
       host: req.headers.host ?? "",
-      path: req.url ?? "/",
+      path,
       body
     })
     const {
