The simulation of the core uses the clock of the load patterns

`CoreSim` had a queue of its own and searched all of it for each next action. The simulated clock of the load patterns has the same order (by time, then by when an action was scheduled) in a heap. Requests are numbered by themselves, as the queue's number is gone; nothing depends on their names.

--- a/test/support/core-sim.ts
+++ b/test/support/core-sim.ts
@@ -19,12 +19,16 @@
 } from "../../src/index.js"
 import type {SnapshotRecord} from "../../src/types/config.js"
 import {createRandomSource} from "../../bench/workload.js"
+import {Agenda} from "../patterns/agenda.js"
 import type {Observation} from "./trace-checker.js"
 
 const REQUEST_MS = 400
 const LOAD_MS = 150
 const TICK_MS = 50
 
+/** Simulated time at which a run begins. */
+const START_MS = 1_000
+
 export interface SimOptions {
   readonly boxes: number
   /** Number of boxes whose entry receives requests. */
@@ -66,10 +70,9 @@
 }
 
 export class CoreSim {
-  private now_ = 1_000
+  private readonly agenda_ = new Agenda()
+  private requests_ = 0
   private readonly draw_: () => number
-  private readonly queue_: {at: number; order: number; run: () => void}[] = []
-  private order_ = 0
   private readonly options_: BoxOptions[] = []
   private readonly boxes_: BoxState[] = []
   private readonly pausedUntil_: number[] = []
@@ -92,26 +95,23 @@
   private readonly sim_: SimOptions
 
   constructor(seed: number, options: Partial<SimOptions> = {}) {
+    this.agenda_.now = START_MS
     this.sim_ = {...DEFAULTS, ...options}
     this.draw_ = createRandomSource(seed)
     for (let box = 0; box < this.sim_.boxes; box++) this.addBox(box, seed)
   }
 
+  private get now_(): number {
+    return this.agenda_.now
+  }
+
   /** Runs for the given simulated time. */
   run(forMs: number): SimReport {
     const end = this.now_ + forMs
     for (let box = 0; box < this.sim_.boxes; box++) this.start(box)
     this.every(150, () => this.sendRequest())
     this.every(3_000, () => this.injectFault())
-    while (this.queue_.length > 0) {
-      const next = this.queue_.reduce((a, b) =>
-        a.at < b.at || (a.at === b.at && a.order < b.order) ? a : b
-      )
-      if (next.at > end) break
-      this.queue_.splice(this.queue_.indexOf(next), 1)
-      this.now_ = next.at
-      next.run()
-    }
+    this.agenda_.runUntil(end)
     const {unloads_: unloads, answered_: answered, takeovers_: takeovers} = this
     return {unloads, answered, takeovers, violations: this.violations_}
   }
@@ -161,7 +161,7 @@
   // Time
 
   private after(delayMs: number, run: () => void): void {
-    this.queue_.push({at: this.now_ + delayMs, order: this.order_++, run})
+    this.agenda_.schedule(delayMs, run)
   }
 
   private every(periodMs: number, run: () => void): void {
@@ -448,7 +448,7 @@
     const {requests, pendingCancels} = (this.boxes_[box] as BoxState).entry
     if (this.sim_.oneByOne && requests.size + pendingCancels.size > 0) return
     const arrival = {
-      request: `r${this.order_++}|${model}`,
+      request: `r${this.requests_++}|${model}`,
       organisation: "cotejo",
       class: "till" as const,
       target: {kind: "model" as const, model},
