Tests of endless answers run three at a time

Alone it takes 96 s, of which the processor is used for 45 s in all processes: its tests wait for deadlines and for connections to close. Each has a deployment, endless servers and a client of its own, and the file has no state at module level, so that tests can run beside one another. No test, limit or time is changed.

The file beside other work on the machine: one test after the other 96 s (load 7 to 27); three at a time 41, 35 and 42 s (load 28, 20 and 36). 344 checks each time, none failed.

--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -188,6 +188,9 @@
 const isPlain = (head: string): boolean => head.startsWith("GET /safe/")
 const isStream = (head: string): boolean => /^POST \/(stream|once)\//.test(head)
 
+// Each test has a deployment of its own, and mostly waits.
+t.jobs = 3
+
 t.test("a plain server's endless answer is replaced by another one", async t => {
   if (passIfKnownRed("endless-answers 1")) return
   const endless = await start(t, isPlain)
