Tests of silent servers run three at a time

Alone it takes 80 s beside load 38, of which the processor is used for 27 s in all processes: its tests wait for servers that stand still. Each has a deployment of its own; the one counter of the file only makes names of requests unique. No test, limit or time is changed.

The file beside other work on the machine: one test after the other 80 s (load 38); three at a time 30, 31 and 37 s (load 27, 21 and 38). 99 checks each time, none failed.

--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -141,6 +141,9 @@
   for (const server of servers) server.resume()
 }
 
+// Each test has a deployment of its own, and mostly waits.
+t.jobs = 3
+
 // The next server is as silent, or has yet to load the adapter.
 t.test("streams are not cut while all engines stand still", async t => {
   const {bed, box} = await startBed()
