Tests of boxes that start after a restore run three at a time

Alone it takes 47 s beside load 38, of which the processor is used for 24 s in all processes: its tests wait until restored entries expire and writers repeat what was lost. Each has a deployment of its own, and the file has no state at module level. No test, limit or time is changed.

--- a/test/store-era-starts.test.ts
+++ b/test/store-era-starts.test.ts
@@ -80,6 +80,9 @@
   for (const box of bed.boxes) bed.restartBox(box)
 }
 
+// Each test has a deployment of its own, and mostly waits.
+t.jobs = 3
+
 t.test(
   "a box that starts after a drill sends nothing to a server that had left",
   async t => {
