Tests of an uneven balancer run two at a time

Alone it takes 168 s beside load 37, of which the processor is used for 114 s in all processes, two thirds of a core. Each test has a deployment of its own and compares the service of the same deployment before and after; the one counter of the file only makes names of requests unique. Calls are sent by a schedule that catches up, so that no fewer are sent. No test, limit or time is changed.

The file beside other work on the machine: one test after the other 168 s (load 37); two at a time 99, 94 and 90 s (load 35 falling to 20). 16 checks each time, none failed.

--- a/test/uneven-balancer.test.ts
+++ b/test/uneven-balancer.test.ts
@@ -135,6 +135,9 @@
   {path: "/unsafe/x"}
 ])
 
+// Each test has a deployment of its own, and mostly waits.
+t.jobs = 2
+
 t.test("streams and plain requests", t => compare(t, {}, {calls: MIXED, roundMs: 160}))
 
 for (const unit of ["tokens", "requests"] as const) {
