Judge of service excuses refused connections to stopping boxes

Cause: a box stops listening 2.6 s after SIGTERM, by design, and then waits for its answers until its grace period (8 s in the bed) ends. The judge excused 3 s from the signal on, and refused connections from the end of the process on; what lay between was held against the box, though a SIGTERM is planned work until 1 s after the grace period.

The record has the time from SIGTERM to the end of the process now. A call is excused if its connection was refused in this time, and at most 1 s after the grace period; a further SIGTERM to the same process does not prolong it. A reset or closed connection, a 503, an unknown error, a refused connection without SIGTERM, later, or once the next process listens is reported as before.

--- a/test/soak-judge.test.ts
+++ b/test/soak-judge.test.ts
@@ -4,6 +4,7 @@
  */
 import t from "tap"
 import {Judge} from "./stand-ins/platform-judge.js"
+import type {Outcome} from "./support/platform-bed.js"
 import {judgeRound} from "./support/soak-judge.js"
 import {judgeService} from "./support/soak-judge-service.js"
 import {judgeKeyedService} from "./support/soak-judge-keyed-service.js"
@@ -106,9 +107,13 @@
   t.ok(isReportedLate(record, 6_501))
 })
 
-/** Whether the judge of service reports a plain call that got this status. */
-function isReportedUnserved(record: SoakRecord, sentAt: number, status: number): boolean {
-  const outcome = {id: "r-1", status, headers: {}, body: "", broken: status === 0}
+/** Whether the judge of service reports a plain call that ended like this. */
+function isReportedUnserved(
+  record: SoakRecord,
+  sentAt: number,
+  end: Pick<Outcome, "status" | "error">
+): boolean {
+  const outcome = {id: "r-1", headers: {}, body: "", broken: end.status === 0, ...end}
   record.calls.splice(0)
   record.calls.push({kind: "safe", box: "box-0", outcome, sentAt, answeredAt: sentAt + 5})
   return judgeService(record).length > 0
@@ -119,10 +124,62 @@
   const record = new SoakRecord()
   record.starts.push({box: "box-0", from: 1_000, until: 6_000})
   record.starts.push({box: "box-1", from: 0, until: 9_000})
-  t.notOk(isReportedUnserved(record, 5_500, 0))
-  t.ok(isReportedUnserved(record, 5_500, 503), "it listened, and refused")
-  t.ok(isReportedUnserved(record, 999, 0), "the process had not ended yet")
-  t.ok(isReportedUnserved(record, 6_000, 0), "it listened")
+  t.notOk(isReportedUnserved(record, 5_500, {status: 0}))
+  t.ok(isReportedUnserved(record, 5_500, {status: 503}), "it listened, and refused")
+  t.ok(isReportedUnserved(record, 999, {status: 0}), "the process had not ended yet")
+  t.ok(isReportedUnserved(record, 6_000, {status: 0}), "it listened")
+})
+
+/** Connections that an ending box or its system closes. */
+const REFUSED = {status: 0, error: "ECONNREFUSED"}
+const RESET = {status: 0, error: "ECONNRESET"}
+const CLOSED = {status: 0, error: "UND_ERR_SOCKET"}
+
+// Soak seeds 1 and 74002: a box stops listening 2.6 s after SIGTERM and waits for its
+// answers, for up to its grace period.
+t.test("only a refused connection to a stopping box is excused", async t => {
+  const record = new SoakRecord()
+  record.stops.push({box: "box-0", from: 1_000, until: 7_000})
+  record.stops.push({box: "box-1", from: 0, until: 9_000})
+  record.starts.push({box: "box-0", from: 7_000, until: 8_000})
+  t.notOk(isReportedUnserved(record, 1_000, REFUSED))
+  t.notOk(isReportedUnserved(record, 6_999, REFUSED), "its process has not ended")
+  t.notOk(isReportedUnserved(record, 7_999, REFUSED), "the next one does not listen")
+  t.ok(isReportedUnserved(record, 999, REFUSED), "no SIGTERM yet")
+  t.ok(isReportedUnserved(record, 8_000, REFUSED), "the next process listened")
+  t.ok(isReportedUnserved(record, 5_000, RESET))
+  t.ok(isReportedUnserved(record, 5_000, CLOSED))
+  t.ok(isReportedUnserved(record, 5_000, {status: 0}), "no error is known")
+  t.ok(isReportedUnserved(record, 5_000, {status: 503}))
+})
+
+t.test("a box that is still stopping after its grace period is not excused", async t => {
+  const record = new SoakRecord()
+  record.stops.push({box: "box-0", from: 1_000, until: Infinity})
+  t.notOk(isReportedUnserved(record, 9_999, REFUSED))
+  t.ok(isReportedUnserved(record, 10_000, REFUSED))
+})
+
+t.test("a refused connection to a box that was not stopped is reported", async t => {
+  const record = new SoakRecord()
+  record.boxEnds.push({box: "box-0", signal: "SIGKILL", at: 1_000})
+  record.stops.push({box: "box-1", from: 1_000, until: 7_000})
+  t.ok(isReportedUnserved(record, 5_000, REFUSED))
+})
+
+t.test("a second SIGTERM does not prolong the excuse of a stopping box", async t => {
+  const record = new SoakRecord()
+  const end = record.beginStop("box-0")
+  const endAgain = record.beginStop("box-0")
+  t.equal(record.stops.length, 1)
+  t.equal(record.stops[0]?.until, Infinity)
+  end()
+  const until = record.stops[0]?.until
+  t.not(until, Infinity)
+  endAgain()
+  t.equal(record.stops[0]?.until, until)
+  record.beginStop("box-0")
+  t.equal(record.stops.length, 2, "the next process")
 })
 
 /** Whether the judge reports that many runs of an organisation within a second. */
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -21,6 +21,9 @@
 /** Time within which every box must reject a revoked key. */
 export const KEY_REVOCATION_MS = 5_000
 
+/** Time that boxes have for their answers after SIGTERM. */
+export const GRACE_S = 8
+
 /** Characters at the end of the boxes' output that a failed start reports. */
 const MAX_REPORTED_CHARACTERS = 6_000
 
@@ -244,7 +247,7 @@
       ...this.keySettings(),
       ...(limits ? {limits} : {}),
       usage: {windowS: this.options_.usageWindowS ?? 8, overage: 0.1, slack: 0},
-      graceS: 8,
+      graceS: GRACE_S,
       retry: {ratio: 0.2, slack: 60, windowS: 10},
       log: {level: "info"}
     }
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -325,10 +325,13 @@
     this.bed_.resume(box)
     this.record_.exempt(box.name)
     this.record_.boxEnds.push({box: box.name, signal, at: performance.now()})
+    const endStop =
+      signal === "SIGTERM" ? this.record_.beginStop(box.name) : () => undefined
     child.signal("SIGCONT")
     if (signal === "SIGKILL") await child.end(signal)
     else child.signal(signal)
     void until("the box ended", () => child.ended).then(() => {
+      endStop()
       if (box.child !== child || this.hasDeploymentEnded) return
       this.record_.exempt(box.name)
       this.bed_.restartBox(box)
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -4,6 +4,7 @@
  * exempt a box that has its list of servers. In rounds with organisations, keys and
  * limits are further reasons for a refusal: see `soak-judge-keyed-service.ts`.
  */
+import {GRACE_S} from "./platform-bed.js"
 import type {SoakCall, SoakRecord} from "./soak-record.js"
 
 /** Time in which a box serves again after a restart, a suspension or a disconnection. */
@@ -24,6 +25,9 @@
 /** Longest effect of a fault of plain servers or of the links to them. */
 const SERVER_FAULT_MS = 6_000
 
+/** Time within which a box ends after SIGTERM. */
+const STOP_MS = GRACE_S * 1_000 + 1_000
+
 /** Timeout of callers. */
 const CALLER_TIMEOUT_MS = 4_000
 
@@ -70,7 +74,8 @@
 /** Whether no fault explains that the box does not serve the call. */
 export function mustBeServed(record: SoakRecord, call: SoakCall): boolean {
   const {kind, box, sentAt, answeredAt: end = sentAt + CALLER_TIMEOUT_MS} = call
-  if (kind !== "safe" || isRefusedByStart(record, call)) return false
+  if (kind !== "safe") return false
+  if (isRefusedByStop(record, call) || isRefusedByStart(record, call)) return false
   if (isExemptWithin(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (isCutOff(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (hasUnconfirmedServers(record, box, sentAt)) return false
@@ -79,6 +84,18 @@
   )
 }
 
+/**
+ * Whether the connection was refused after SIGTERM: a box stops listening before its
+ * process ends.
+ */
+function isRefusedByStop({stops}: SoakRecord, {box, outcome, sentAt}: SoakCall): boolean {
+  if (outcome.error !== "ECONNREFUSED") return false
+  return stops.some(
+    ({box: stopping, from, until}) =>
+      stopping === box && from <= sentAt && sentAt < Math.min(until, from + STOP_MS)
+  )
+}
+
 /**
  * Whether no process listened when the call was sent: its connection was refused while
  * the box's next process started, which takes seconds on a busy machine.
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -165,6 +165,8 @@
   readonly exemptions: BoxExemption[] = []
   /** Returns the box that leads, as far as the store knows. */
   leader: () => string | undefined = () => undefined
+  /** When boxes were stopping: from SIGTERM until their processes ended. */
+  readonly stops: {readonly box: string; readonly from: number; until: number}[] = []
   /** When boxes were starting: their processes did not listen yet. */
   readonly starts: {readonly box: string; readonly from: number; until: number}[] = []
   readonly storeFaults = new StoreFaultPeriods()
@@ -205,6 +207,22 @@
     }
   }
 
+  /**
+   * Records that a box's process got SIGTERM. Returns a function that records its end. A
+   * further SIGTERM to the same process has no effect.
+   */
+  beginStop(box: string): () => void {
+    const isStopping = this.stops.some(
+      stop => stop.box === box && stop.until === Infinity
+    )
+    if (isStopping) return () => undefined
+    const stop = {box, from: performance.now(), until: Infinity}
+    this.stops.push(stop)
+    return () => {
+      stop.until = Math.min(stop.until, performance.now())
+    }
+  }
+
   /** Records that a box's process starts. Returns a function that records its end. */
   beginStart(box: string): () => void {
     const start = {box, from: performance.now(), until: Infinity}
