An unload without an answer frees no slot later

Engines that are ordered to load more adapters than they have slots end, with all their requests.

Cause, by reading: "done" for an unload frees the slot if this leader ordered the load. If an earlier unload of its own was executed and its answer lost, the engine still serves the adapter's requests and lists it; the next unload finds nothing to do and is answered "done", and the slot counted as free. The slot of an unload without an answer is known from reports only now, as one of an earlier leader.

placement: the new test failed before (2 checks: the load was ordered at once), 74 of 74 pass now; placement-cache, placement-copies, placement-index, core-sim green.

--- a/src/core/placement-orders.ts
+++ b/src/core/placement-orders.ts
@@ -45,7 +45,10 @@
     return
   }
   revertOrder(engine, order)
-  if (result === "unknown") recordUnconfirmedLoad(engine, order, now)
+  if (result === "unknown") {
+    recordUnconfirmedLoad(engine, order, now)
+    recordUnconfirmedUnload(engine, order)
+  }
   fleet.effects.push({
     type: "note",
     event: "place-trouble",
@@ -84,8 +87,8 @@
   const key = adapterKey(order.model, order.adapter)
   if (order.operation === "unload") {
     // An accepted unload waits for running requests. The slot is in use until a report
-    // lacks it. The same holds for an adapter that an earlier leader may have unloaded:
-    // the engine still runs its requests, and answers that there is nothing to unload.
+    // lacks it. The same holds for an adapter that an earlier order may have unloaded: the
+    // engine still runs its requests, and answers that there is nothing to unload.
     const isOwnLoad = engine.slots.get(key)?.isOwnLoad === true
     if (result === "done" && isOwnLoad) engine.slots.delete(key)
     else engine.nextReportAt = Math.min(engine.nextReportAt, now + REPORT_LAG_MS)
@@ -147,6 +150,13 @@
   slot.replacedVersion = undefined
 }
 
+/** The engine may execute an unload without an answer, and go on with its requests. */
+function recordUnconfirmedUnload(engine: FleetEngine, order: FleetOrder): void {
+  if (order.operation !== "unload") return
+  const slot = engine.slots.get(adapterKey(order.model, order.adapter))
+  if (slot) slot.isOwnLoad = false
+}
+
 /** Pauses orders and report requests for a time that doubles with each failure. */
 export function pauseAfterFailure(engine: FleetEngine, now: number): void {
   engine.failures++
--- a/src/core/placement-state.ts
+++ b/src/core/placement-state.ts
@@ -27,7 +27,10 @@
   missedCache: boolean
   /** Whether it was ordered because engines that hold the adapter were busy. */
   isReplica: boolean
-  /** Whether this leader ordered the load. Otherwise it knows the slot from reports. */
+  /**
+   * Whether this leader ordered the load, and no unload that may have been executed.
+   * Otherwise it knows the slot from reports.
+   */
   isOwnLoad: boolean
   /** The older version, which keeps a slot of its own until this one is loaded. */
   replacedVersion: number | undefined
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -425,6 +425,32 @@
   }
 )
 
+// An engine was ordered past its adapters (soak seed 74011, suspected): an unload of an
+// adapter in use got no answer. A report listed the adapter, the leader unloaded it again,
+// and the engine answered "done".
+t.test("an unload after one without an answer frees no slot at once", async t => {
+  const subject = new Subject(1).need("x").answer("e0", "accepted")
+  removeWeightsRequest(subject.fleet, "box", "r1", subject.now)
+  subject.need("y").answer("e0", "accepted")
+  const use = {engine: "e0", adapter: "base/y", begun: 1, ended: 0, tokens: 100}
+  applyUseDeltas(subject.fleet, "box", [use], subject.now)
+  subject.pass(1_000)
+  t.same(subject.need("z").orders(), ["e0 unload x"])
+  subject.answer("e0", "unknown")
+  subject.now += 500
+  const heldWhileInUse = [
+    ["x", 1],
+    ["y", 1]
+  ] as const
+  subject.reportHeld("e0", heldWhileInUse, 3)
+  t.same(subject.orders(), ["e0 unload x"])
+  t.same(subject.answer("e0", "done").orders(), [], "x may still be in use")
+  subject.now += 500
+  subject.plan()
+  subject.reportHeld("e0", [["y", 1]], 4)
+  t.same(subject.plan().orders(), ["e0 load z"])
+})
+
 t.test("a new leader does not unload an adapter that is being replaced", async t => {
   const subject = new Subject(1)
   const engine = subject.fleet.engines.get("e0") as FleetEngine
