A server's error clears no part that crashes servers

Cause: a complete answer cleared all parts of its request, and so did an error that the box passed on, as for requests that may run once only. The error shows nothing of the part: the server did not begin to write on it. Each one removed all crashes of the part, let its trial pass, and marked it as answered before, after which five crashes are needed.

Change: errors (status 500 and above) neither clear a request nor its parts, and are no sign that a server goes on with an answer.

--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -126,6 +126,7 @@
   if (!attempt.headReceived) logOldVersionStart(box, request, attempt, now)
   if (!attempt.headReceived && !head.failed) attempt.latencyMs = now - attempt.sentAt
   attempt.headReceived = true
+  attempt.isError = head.failed
   attempt.lastByteAt = now
   if (isUnusable(request, head) && canRetry(box, request, now)) {
     box.effects.push({type: "discard", id, attempt: number})
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -84,15 +84,19 @@
   return listFingerprints(arrival).filter(each => box.crashes.isQuarantined(each))
 }
 
-/** Records that a server answered the request completely. */
+/**
+ * Records that a server answered the request completely. An error shows nothing of what
+ * the request does to a server that runs it.
+ */
 export function recordCompleteAnswer(
   box: BoxServing,
   {arrival}: BoxRequest,
-  {backend}: Attempt,
+  {backend, isError}: Attempt,
   now: number
 ): void {
   const fingerprints = listFingerprints(arrival)
   box.crashWatch.recordAnswered(fingerprints, backend, now)
+  if (isError) return
   for (const fingerprint of fingerprints) {
     box.clearedRequests.recordAnswered(fingerprint, backend, now)
   }
@@ -108,8 +112,8 @@
   attempt: Attempt,
   now: number
 ): void {
-  const {firstByteAt} = attempt
-  if (attempt.hasOutlivedParts || firstByteAt === undefined) return
+  const {firstByteAt, hasOutlivedParts, isError} = attempt
+  if (hasOutlivedParts || isError || firstByteAt === undefined) return
   if (now - firstByteAt < SURVIVED_MS) return
   attempt.hasOutlivedParts = true
   for (const part of parts) box.clearedRequests.recordSurvived(part, firstByteAt)
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -190,6 +190,7 @@
     hasOutlivedParts: false,
     heldUp: false,
     headReceived: false,
+    isError: false,
     latencyMs: undefined,
     moveRequestedAt: undefined,
     hedgedAt: undefined,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -100,6 +100,8 @@
   /** Whether the box itself has stopped reading its answer, for a while at least. */
   heldUp: boolean
   headReceived: boolean
+  /** Whether its answer is an error of the server. */
+  isError: boolean
   /**
    * Time from sending to the head of its answer (ms). Undefined before, and if the head
    * reports a failure.
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -105,6 +105,12 @@
     ...THIRTY_SERVERS,
     powerLossesAt: [8_300, 9_500]
   },
+  // The errors cleared the part, so that it crashed servers on and on.
+  "servers that answer some requests with an error": {
+    ...THIRTY_SERVERS,
+    failedShare: 0.3,
+    runsOnce: true
+  },
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -53,6 +53,10 @@
   readonly madeUpParts?: number
   /** Whether servers go on running requests whose connections were closed. */
   readonly runsClosed?: boolean
+  /** Share of the requests that servers answer with an error in place of running them. */
+  readonly failedShare?: number
+  /** Whether requests may run once only, so that boxes pass on servers' errors. */
+  readonly runsOnce?: boolean
   /** Sound prompts without any of the 20 parts, as a share of all. */
   readonly plainShare?: number
   /** Whether boxes prefer one engine for prompts with the same shared parts. */
@@ -337,7 +341,11 @@
         name: id,
         fingerprint: prompt.fingerprint,
         parts: prompt.parts,
-        route: {...ROUTE, name: `r${prompt.route}`},
+        route: {
+          ...ROUTE,
+          name: `r${prompt.route}`,
+          resumable: !this.options_.runsOnce
+        },
         service: "s",
         weights: {model: MODEL},
         tokens: TOKENS,
@@ -400,6 +408,10 @@
 
   private beginAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {prompt} = this.tries_.get(sent.id) as Try
+    const {failedShare = 0} = this.options_
+    if (failedShare > 0 && this.draw_() < failedShare) {
+      return this.answerWithError(server, sent)
+    }
     if (!this.isGuilty(prompt)) {
       this.answer(sent)
       return this.continueAnswer(server, sent, restMs)
@@ -421,6 +433,15 @@
     if (one) one.begun = true
   }
 
+  private answerWithError(server: CrashServer, sent: SentAttempt): void {
+    const {box, id, attempt} = sent
+    this.loadOf(server).running.delete(sent)
+    const head = {failed: true, streamed: false}
+    this.fleet_.tell(box, {type: "head", id, attempt, head})
+    this.fleet_.tell(box, {type: "done", id, attempt, events: 0})
+    this.startNext(server)
+  }
+
   /** Posts the events of a stream, as a box does, until it ends. */
   private continueAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {running} = this.loadOf(server)
