Late bytes of an answer clear no part that crashes servers

Cause: a part was cleared once bytes arrived 500 ms or more after the first ones of an answer. After a loss of packets, a pause of the box or of the server, these may have been sent right before the crash. One such answer removed all crashes of the part and marked it as answered before, after which five crashes are needed.

Change: a pause between bytes counts as 250 ms at most, so that two at least have to follow the first ones. Streams with events every 400 ms or faster clear their parts as soon as before.

--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -19,6 +19,12 @@
 /** Shortest time after which callers of a quarantined request may retry. */
 const MIN_RETRY_AFTER_MS = 5_000
 
+/**
+ * Longest pause between bytes of an answer that counts as time in which its server ran.
+ * After a longer one they may have been sent before it crashed, and arrive late.
+ */
+const MAX_COUNTED_PAUSE_MS = SURVIVED_MS / 2
+
 /** The source of crash changes. */
 export type CrashSource =
   /** The leader's complete list, sent when a link to it starts. */
@@ -114,7 +120,10 @@
 ): void {
   const {firstByteAt, hasOutlivedParts, isError} = attempt
   if (hasOutlivedParts || isError || firstByteAt === undefined) return
-  if (now - firstByteAt < SURVIVED_MS) return
+  const pauseMs = now - (attempt.progressedAt ?? firstByteAt)
+  attempt.progressedAt = now
+  attempt.progressMs += Math.min(pauseMs, MAX_COUNTED_PAUSE_MS)
+  if (attempt.progressMs < SURVIVED_MS) return
   attempt.hasOutlivedParts = true
   for (const part of parts) box.clearedRequests.recordSurvived(part, firstByteAt)
 }
--- a/src/core/box-requests.ts
+++ b/src/core/box-requests.ts
@@ -187,6 +187,8 @@
     started: false,
     lastByteAt: undefined,
     firstByteAt: undefined,
+    progressedAt: undefined,
+    progressMs: 0,
     hasOutlivedParts: false,
     heldUp: false,
     headReceived: false,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -95,6 +95,10 @@
   lastByteAt: number | undefined
   /** When the first bytes of its answer arrived. */
   firstByteAt: number | undefined
+  /** When bytes of its answer last arrived. */
+  progressedAt: number | undefined
+  /** For how long its server was seen to go on with its answer (ms). */
+  progressMs: number
   /** Whether its server is known to survive the parts of the prompt. */
   hasOutlivedParts: boolean
   /** Whether the box itself has stopped reading its answer, for a while at least. */
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -111,6 +111,8 @@
     failedShare: 0.3,
     runsOnce: true
   },
+  // Bytes that were sent before the crash looked as if the server had outlived the part.
+  "last bytes of answers that arrive late": {...THIRTY_SERVERS, lateBytesShare: 0.6},
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -57,6 +57,11 @@
   readonly failedShare?: number
   /** Whether requests may run once only, so that boxes pass on servers' errors. */
   readonly runsOnce?: boolean
+  /**
+   * Share of the crashes whose box receives the last bytes of the answer late, as after a
+   * loss of packets.
+   */
+  readonly lateBytesShare?: number
   /** Sound prompts without any of the 20 parts, as a share of all. */
   readonly plainShare?: number
   /** Whether boxes prefer one engine for prompts with the same shared parts. */
@@ -151,6 +156,8 @@
 const EVENT_MS = 400
 /** Time until boxes learn that a server has started again. */
 const MOST_LISTED_MS = 800
+/** Delay of an answer's last bytes after a loss of packets. */
+const LATE_BYTES_MS = 900
 
 interface Prompt {
   readonly route: number
@@ -408,7 +415,7 @@
 
   private beginAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {prompt} = this.tries_.get(sent.id) as Try
-    const {failedShare = 0} = this.options_
+    const {failedShare = 0, lateBytesShare = 0} = this.options_
     if (failedShare > 0 && this.draw_() < failedShare) {
       return this.answerWithError(server, sent)
     }
@@ -416,7 +423,9 @@
       this.answer(sent)
       return this.continueAnswer(server, sent, restMs)
     }
-    if (this.draw_() < 0.5) this.answer(sent)
+    if (lateBytesShare > 0 && this.draw_() < lateBytesShare) {
+      this.answerLate(server, sent)
+    } else if (this.draw_() < 0.5) this.answer(sent)
     const crashes = this.crashedAt_.get(prompt.guilty ?? "") ?? []
     this.crashedAt_.set(prompt.guilty ?? "", [...crashes, this.agenda_.now])
     this.crash(server)
@@ -442,6 +451,17 @@
     this.startNext(server)
   }
 
+  /** Posts the begin of an answer whose last bytes and end arrive late. */
+  private answerLate(server: CrashServer, sent: SentAttempt): void {
+    const {box, id, attempt} = sent
+    this.loadOf(server).running.delete(sent)
+    this.answer(sent)
+    this.agenda_.schedule(LATE_BYTES_MS, () => {
+      this.fleet_.tell(box, {type: "heard", id, attempt})
+      this.agenda_.schedule(LINK_MS, () => this.fleet_.fail(sent, "broken"))
+    })
+  }
+
   /** Posts the events of a stream, as a box does, until it ends. */
   private continueAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {running} = this.loadOf(server)
