Boxes send no request for others that they know to crash servers

Cause: a box that sends a request for another one repeats all checks right before its bytes leave but that of the quarantine. The other box may not know of it: a cut may part it from the leader, too.

Change: the box that sends checks the fingerprint of the request, which the other one names, and the parts in its headers; trials pass. The other box ends the request as one that crashes servers, and goes on asking for others there.

--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -4,12 +4,17 @@
  * truthfully whether it sent them.
  */
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {type CarryObstacle, findCarryObstacle} from "../core/carry-checks.js"
+import {
+  type CarriedSend,
+  type CarryObstacle,
+  findCarryObstacle
+} from "../core/carry-checks.js"
 import type {BoxServing} from "../core/box-state.js"
 import {hasNotice} from "../core/server-notices.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
 import type {BackendRecord} from "../types/fleet.js"
+import {fingerprintPart} from "../utils/part-fingerprint.js"
 import {AnswerFlow} from "./answer-flow.js"
 import {CONNECT_PATIENCE_MS, type BackendPools} from "./backend-pools.js"
 import {
@@ -78,9 +83,16 @@
   ): void {
     const {pools, serving, post, dialect} = this.options_
     const backend = serving().backends.known.get(facts.server)?.record
-    const obstacle = this.findObstacle(facts)
+    const {requestId, parts = []} = dialect.readRequest(req.headers)
+    const {fingerprint} = facts
+    const fingerprints = [
+      ...(fingerprint === undefined ? [] : [fingerprint]),
+      ...parts.map(fingerprintPart)
+    ]
+    const findObstacle = (): NotCarried | undefined =>
+      this.findObstacle({...facts, fingerprints})
+    const obstacle = findObstacle()
     if (obstacle || !backend) return this.refuse(req, res, facts, obstacle ?? "unusable")
-    const requestId = dialect.readRequest(req.headers).requestId
     let abort: (() => void) | undefined
     let hasStarted = false
     let hasEnded = false
@@ -116,7 +128,7 @@
       {
         started: abortSend => {
           if (hasEnded) return false
-          const late = this.findObstacle(facts)
+          const late = findObstacle()
           if (late) {
             refuseOnce(late)
             return false
@@ -176,10 +188,10 @@
     })
   }
 
-  private findObstacle(facts: CarryFacts): NotCarried | undefined {
+  private findObstacle(carried: CarriedSend): NotCarried | undefined {
     if (this.options_.isStopping()) return "stopping"
     if (this.inProgress_ > MAX_CARRIED) return "busy"
-    return findCarryObstacle(this.options_.serving(), facts, clockNow())
+    return findCarryObstacle(this.options_.serving(), carried, clockNow())
   }
 
   private refuse(
--- a/src/adapters/carry-headers.ts
+++ b/src/adapters/carry-headers.ts
@@ -10,6 +10,9 @@
 /** Header of an answer: the request was not sent, for the given reason. */
 export const NOT_CARRIED_HEADER = "sedge-not-carried"
 
+/** Its reason if the request, or a part of its prompt, crashes servers. */
+export const QUARANTINED_REASON = "quarantined"
+
 /** Header of an answer: the request was sent, and the server broke the connection. */
 export const BROKEN_HEADER = "sedge-broken"
 
@@ -48,7 +51,11 @@
   lastEventId: z.string().optional(),
   organisation: z.string().optional(),
   /** Whether the box holds an allowance for a rate-limited server. */
-  isAllowed: z.boolean()
+  isAllowed: z.boolean(),
+  /** Fingerprint of the whole request. Its headers name the parts of its prompt. */
+  fingerprint: z.string().optional(),
+  /** Whether it is sent to find out if it crashes another server. */
+  isTrial: z.boolean().optional()
 })
 
 export type CarryFacts = z.infer<typeof schema>
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -22,6 +22,7 @@
   CARRY_HEADER,
   NOT_CARRIED_HEADER,
   packCarryFacts,
+  QUARANTINED_REASON,
   stripOwn
 } from "./carry-headers.js"
 import type {Log} from "./log.js"
@@ -447,7 +448,9 @@
       asker: box,
       adapter,
       software: request?.software,
-      isAllowed
+      isAllowed,
+      fingerprint: arrival?.fingerprint,
+      isTrial: request?.isTrial
     }
     return {
       pools: this.peerPools_,
@@ -457,7 +460,9 @@
       headers: [...headers, CARRY_HEADER, packCarryFacts(carried)],
       readFailure: raw => {
         const found = mapHeaders(raw)
-        if (found.has(NOT_CARRIED_HEADER)) return "not-carried"
+        const reason = found.get(NOT_CARRIED_HEADER)
+        if (reason === QUARANTINED_REASON) return "quarantined"
+        if (reason !== undefined) return "not-carried"
         return found.has(BROKEN_HEADER) ? "broken-beyond" : undefined
       }
     }
--- a/src/core/box-attempt-failures.ts
+++ b/src/core/box-attempt-failures.ts
@@ -7,6 +7,8 @@
   | "not-sent"
   /** The box that was to send it did not. */
   | "not-carried"
+  /** The same, as that box knows that the request crashes servers. */
+  | "quarantined"
   /** The backend server reported that it did not run it. */
   | "refused"
   /** As above, because it does not hold the weights or is not the expected server. */
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -10,7 +10,12 @@
   REFUSED_PAUSE_MS,
   markSuspect
 } from "./box-attempt-failures.js"
-import {recordCompleteAnswer, recordProgress, suspectCrash} from "./box-crashes.js"
+import {
+  recordCompleteAnswer,
+  recordProgress,
+  refuseUncarried,
+  suspectCrash
+} from "./box-crashes.js"
 import {
   removeRequest,
   failRequest,
@@ -249,6 +254,7 @@
   if (failure === "not-sent" || failure === "not-carried") {
     return handleUnsentAttempt(box, request, attempt, failure, now)
   }
+  if (failure === "quarantined") return refuseUncarried(box, request, attempt, now)
   const isBroken = failure === "broken" || failure === "broken-beyond"
   const mayHaveRun = attempt.started && (isBroken || failure === "overtaken")
   if (attempt.started && isBroken) logBrokenAttempt(box, request, attempt, now)
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -5,7 +5,8 @@
  */
 import type {CrashUpdate} from "../types/crash-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
-import {failRequest} from "./box-ends.js"
+import {refundCharge} from "./box-charges.js"
+import {endAttempt, failRequest} from "./box-ends.js"
 import {
   type Attempt,
   type BoxRequest,
@@ -67,6 +68,20 @@
   return true
 }
 
+/** Refuses a request that another box did not send, as it knows it to be quarantined. */
+export function refuseUncarried(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  now: number
+): void {
+  refundCharge(box, attempt)
+  request.unsent++
+  endAttempt(box, request)
+  const reason = request.runs > 0 ? "unknown" : "crashes-servers"
+  failRequest(box, request, reason, now, MIN_RETRY_AFTER_MS)
+}
+
 function startTrial(box: BoxServing, request: BoxRequest, now: number): void {
   const tried = listQuarantined(box, request)
   for (const fingerprint of tried) box.crashes.recordTrial(fingerprint, now)
--- a/src/core/carry-checks.ts
+++ b/src/core/carry-checks.ts
@@ -17,6 +17,10 @@
   readonly software?: string | undefined
   /** Whether that box holds an allowance for a rate-limited server. */
   readonly isAllowed: boolean
+  /** Fingerprints of the request and of the shared parts of its prompt. */
+  readonly fingerprints?: readonly string[] | undefined
+  /** Whether it is sent to find out if it crashes another server. */
+  readonly isTrial?: boolean | undefined
 }
 
 export type CarryObstacle =
@@ -28,6 +32,8 @@
   /** The server runs another software version than the one that began the stream. */
   | "other-software"
   | "stale-snapshot"
+  /** The request crashes servers, as only this box knows yet. */
+  | "quarantined"
 
 /**
  * Returns why the request must not be sent now, or undefined if it may be. What only the
@@ -35,9 +41,14 @@
  */
 export function findCarryObstacle(
   box: BoxServing,
-  {server, adapter, expectedVersion, software, isAllowed}: CarriedSend,
+  carried: CarriedSend,
   now: number
 ): CarryObstacle | undefined {
+  const {server, adapter, expectedVersion, software, isAllowed} = carried
+  const {fingerprints = [], isTrial = false} = carried
+  if (!isTrial && fingerprints.some(each => box.crashes.isQuarantined(each))) {
+    return "quarantined"
+  }
   if (!isUsable(box.backends, server)) return "unusable"
   const record = box.backends.known.get(server)?.record
   if (software !== undefined && record && softwareOf(record) !== software) {
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -113,6 +113,11 @@
   },
   // Bytes that were sent before the crash looked as if the server had outlived the part.
   "last bytes of answers that arrive late": {...THIRTY_SERVERS, lateBytesShare: 0.6},
+  // Boxes that knew better sent them for boxes that the leader did not reach.
+  "boxes cut off from servers and leader, for which others send": {
+    ...SIX_SERVERS,
+    cut: {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
+  },
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
--- a/test/patterns/crash-fleet.ts
+++ b/test/patterns/crash-fleet.ts
@@ -2,7 +2,10 @@
  * Shared by the patterns of crashing requests: boxes, one of which leads, and servers that
  * crash and start again. The real core of each box runs under one simulated clock.
  */
+import type {AttemptFailure} from "../../src/core/box-attempt-failures.js"
 import {createBoxServing} from "../../src/core/box-state.js"
+import {findCarryObstacle} from "../../src/core/carry-checks.js"
+import {listFingerprints} from "../../src/core/request-fingerprints.js"
 import type {RoutedEffect, RoutedEvent} from "../../src/core/serving-events.js"
 import type {RoutedState} from "../../src/core/serving-fleet.js"
 import {nextTickMs, stepRouted} from "../../src/core/serving.js"
@@ -36,11 +39,26 @@
 const MOST_UPDATES_EACH = 4
 const MOST_UPDATES_MORE = 1_000
 
+/** How an attempt fails, as the box learns that sends it. */
+type Failure = Extract<
+  AttemptFailure,
+  "broken" | "not-sent" | "misplaced" | "quarantined"
+>
+
 /** An attempt that was sent to a server. */
 export interface SentAttempt {
   readonly box: number
   readonly id: string
   readonly attempt: number
+  /** The box that sends it for that one. Undefined if that one sends it itself. */
+  readonly via?: string | undefined
+}
+
+/** Boxes that reach neither servers nor the leader, but other boxes (ms). */
+export interface CutBoxes {
+  readonly boxes: readonly number[]
+  readonly from: number
+  readonly to: number
 }
 
 export interface CrashServer {
@@ -58,6 +76,7 @@
   readonly models?: readonly LoadedModel[]
   /** Period without messages between boxes and their leader (ms). */
   readonly leaderAway?: readonly [from: number, to: number]
+  readonly cut?: CutBoxes
   /** Handles a send that arrives at an address. */
   readonly onDelivery: (
     sent: SentAttempt,
@@ -100,6 +119,7 @@
     this.step(0, {type: "lead"})
     for (let i = 0; i < boxes; i++) this.scheduleTick(i)
     this.scheduleReturnOfLeader()
+    this.scheduleReturnOfCutBoxes()
   }
 
   isUp(box: number): boolean {
@@ -122,11 +142,8 @@
   }
 
   /** Ends an attempt whose connection broke, or which its server did not run. */
-  fail(
-    {box, id, attempt}: SentAttempt,
-    failure: "broken" | "not-sent" | "misplaced"
-  ): void {
-    this.step(box, {type: "failed", id, attempt, failure, lastEventId: undefined})
+  fail(sent: SentAttempt, failure: Failure): void {
+    this.step(sent.box, toFailedEvent(sent, failure))
   }
 
   listServers(box: number): void {
@@ -189,6 +206,7 @@
     })
     this.boxes[index] = {serving, fleet: undefined}
     this.step(index, {type: "boxes", boxes: this.options_.boxes})
+    if (this.options_.cut) this.step(index, {type: "peers", addresses: this.listPeers()})
     this.step(index, {type: "orders", hasLeader: this.leader_ !== undefined, inMs: 0})
     this.listServers(index)
   }
@@ -239,11 +257,14 @@
     const {agenda, onDelivery, onEffect} = this.options_
     switch (effect.type) {
       case "send": {
-        const {id, attempt, backend} = effect
+        const {id, attempt, backend, via} = effect
         const server = this.serverOf(backend)
-        return agenda.schedule(LINK_MS, () =>
-          onDelivery({box, id, attempt}, server, backend.id)
-        )
+        const sent = {box, id, attempt, via}
+        return agenda.schedule(LINK_MS, () => {
+          if (via !== undefined) return this.carry(sent, Number(via), server, backend.id)
+          if (this.isCut(box)) return this.fail(sent, "not-sent")
+          onDelivery(sent, server, backend.id)
+        })
       }
       case "probe": {
         const {id} = effect.backend
@@ -252,12 +273,12 @@
       }
       case "check-path": {
         const {id} = effect.backend
-        const accepted = this.serverOf(effect.backend).up
+        const accepted = this.serverOf(effect.backend).up && !this.isCut(box)
         return this.tell(box, {type: "path-checked", backend: id, accepted}, 2 * LINK_MS)
       }
       case "ask-retry": {
         const {id, service} = effect
-        if (this.leader_ === undefined) return
+        if (this.leader_ === undefined || this.isCut(box)) return
         return this.tell(this.leader_, {
           type: "ask-retry",
           box: String(box),
@@ -284,13 +305,14 @@
     const leader = this.leader_
     this.countUpdate()
     if (box === leader) this.saveSoon(leader)
-    if (leader === undefined || this.isLeaderAway()) return
+    if (leader === undefined || this.isLeaderAway() || this.isCut(box)) return
     if (box !== leader) {
       return this.tell(leader, {type: "crashes", changes, source: "box"})
     }
     this.leaderCharacters += JSON.stringify(changes).length
     for (let i = 0; i < this.boxes.length; i++) {
-      if (i !== leader) this.tell(i, {type: "crashes", changes, source: "leader"})
+      if (i === leader || this.isCut(i)) continue
+      this.tell(i, {type: "crashes", changes, source: "leader"})
     }
   }
 
@@ -316,6 +338,48 @@
     })
   }
 
+  /** Has a box send a request for another one, unless an obstacle forbids it. */
+  private carry(
+    sent: SentAttempt,
+    carrier: number,
+    server: CrashServer,
+    incarnation: string
+  ): void {
+    const {serving} = this.boxes[carrier] as RoutedState
+    const request = this.boxes[sent.box]?.serving.requests.get(sent.id)
+    if (!request || !this.isUp(carrier) || this.isCut(carrier)) {
+      return this.fail(sent, "not-sent")
+    }
+    const {arrival, isTrial} = request
+    const fingerprints = listFingerprints(arrival)
+    const carried = {server: incarnation, isAllowed: true, fingerprints, isTrial}
+    const obstacle = findCarryObstacle(serving, carried, this.options_.agenda.now)
+    if (obstacle === "quarantined") return this.fail(sent, obstacle)
+    if (obstacle) return this.fail(sent, "not-sent")
+    this.options_.agenda.schedule(LINK_MS, () =>
+      this.options_.onDelivery(sent, server, incarnation)
+    )
+  }
+
+  private listPeers(): string[] {
+    return Array.from({length: this.options_.boxes}, (_, i) => String(i))
+  }
+
+  private isCut(box: number): boolean {
+    const {cut, agenda} = this.options_
+    if (!cut?.boxes.includes(box)) return false
+    return agenda.now >= cut.from && agenda.now < cut.to
+  }
+
+  /** Links boxes to the leader again when they are no longer cut off. */
+  private scheduleReturnOfCutBoxes(): void {
+    const {cut, agenda} = this.options_
+    if (!cut) return
+    agenda.schedule(cut.to, () => {
+      for (const box of cut.boxes) this.follow(box)
+    })
+  }
+
   /** Whether messages between boxes and the leader are lost now. */
   private isLeaderAway(): boolean {
     const [from, to] = this.options_.leaderAway ?? [Infinity, Infinity]
@@ -337,6 +401,26 @@
   }
 }
 
+/** Returns the event of a failed attempt, at the box that has the request. */
+export function toFailedEvent(
+  {id, attempt, via}: SentAttempt,
+  failure: Failure
+): RoutedEvent {
+  return {
+    type: "failed",
+    id,
+    attempt,
+    failure: via === undefined ? failure : toCarriedFailure(failure),
+    lastEventId: undefined
+  }
+}
+
+/** Returns what the box that has the request learns of a failure at another one. */
+function toCarriedFailure(failure: Failure): AttemptFailure {
+  if (failure === "broken") return "broken-beyond"
+  return failure === "not-sent" ? "not-carried" : failure
+}
+
 /** Draws the time until the next of events with the given rate (ms). */
 export function drawGapMs(draw: () => number, perSecond: number): number {
   return (-Math.log(1 - draw()) * 1_000) / perSecond
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -15,10 +15,12 @@
 import {
   CrashFleet,
   type CrashServer,
+  type CutBoxes,
   drawGapMs,
   LINK_MS,
   RETRY_DELAY_MS,
   type SentAttempt,
+  toFailedEvent,
   TRIES
 } from "./crash-fleet.js"
 import {drawFrom} from "./fleet.js"
@@ -77,6 +79,8 @@
   readonly losesLeader?: boolean
   /** Period without messages between boxes and their leader (ms). */
   readonly leaderAway?: readonly [from: number, to: number]
+  /** Boxes whose requests are sent by others, as they reach no server. */
+  readonly cut?: CutBoxes
 }
 
 export interface CrashingPartsResult {
@@ -208,7 +212,7 @@
   private crashes_ = 0
 
   constructor(private readonly options_: CrashingPartsOptions) {
-    const {boxes, servers, leaderAway, seed} = options_
+    const {boxes, servers, leaderAway, cut, seed} = options_
     this.draw_ = drawFrom(seed)
     this.loads_ = Array.from({length: servers}, () => ({running: new Set(), queue: []}))
     let sum = 0
@@ -220,6 +224,7 @@
       servers,
       models: MODELS,
       ...(leaderAway && {leaderAway}),
+      ...(cut && {cut}),
       onDelivery: (sent, server, incarnation) => this.deliver(sent, server, incarnation),
       onEffect: (box, effect) => this.handleEffect(box, effect)
     })
@@ -509,13 +514,7 @@
     running.clear()
     queue.splice(0)
     for (const sent of interrupted) {
-      this.fleet_.tell(sent.box, {
-        type: "failed",
-        id: sent.id,
-        attempt: sent.attempt,
-        failure: "broken",
-        lastEventId: undefined
-      })
+      this.fleet_.tell(sent.box, toFailedEvent(sent, "broken"))
     }
   }
 
--- a/test/server-paths-core.test.ts
+++ b/test/server-paths-core.test.ts
@@ -130,6 +130,33 @@
   t.equal(findCarryObstacle(box, {...send, server: "two"}, now), "unusable")
 })
 
+// Another box, which the leader does not reach, asked to send it on and on.
+t.test("a box sends no request that it knows to crash servers for others", async t => {
+  const {box, now} = new Subject()
+  for (const server of ["a", "b", "c"]) box.crashes.add("part:bad", server, now)
+  const send = {server: "one", isAllowed: false, fingerprints: ["f", "part:bad"]}
+  t.equal(findCarryObstacle(box, send, now), "quarantined")
+  t.equal(findCarryObstacle(box, {...send, isTrial: true}, now), undefined)
+  t.equal(findCarryObstacle(box, {...send, fingerprints: ["f"]}, now), undefined)
+})
+
+// As a box that does not reach the server, it would be asked for no other request.
+t.test(
+  "a box that knows a request to crash servers ends it and is asked again",
+  async t => {
+    const subject = new Subject(0)
+    subject.box.peers.add([PEER])
+    for (const server of ["one", "two"]) {
+      subject.box.reach.requestCheck(server, subject.now)
+      handlePathProbe(subject.box, server, false, subject.now)
+    }
+    subject.arrive(ROUTE).start().fail("quarantined")
+    t.match(subject.summarizeEffects().at(-1), "end crashes-servers")
+    t.equal(subject.box.requests.size, 0)
+    t.equal(sendOf(subject.arrive(ROUTE).effects).via, PEER)
+  }
+)
+
 t.test("boxes that failed come last, and are asked again later", async t => {
   const peers = new PeerPaths()
   peers.add(["a", "b"])
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -325,12 +325,17 @@
     setClocks(box)
   }
 
-  /** Cuts a box off from these servers and from no others. */
-  cut(box: BedBox, servers: readonly StandInWorker[], how: CutKind): void {
+  /** Cuts a box off from these servers and other ports, and from nothing else. */
+  cut(
+    box: BedBox,
+    servers: readonly StandInWorker[],
+    how: CutKind,
+    otherPorts: readonly number[] = []
+  ): void {
     const ports = servers
       .filter(server => !server.isClosed)
       .map(server => portOf(server.announcedAddress ?? server.address))
-    this.writeCut(box, {ports, how})
+    this.writeCut(box, {ports: [...ports, ...otherPorts], how})
   }
 
   /** Ends the cut of a box. */
@@ -379,6 +384,14 @@
     return this.boxes.find(box => box.name === name)
   }
 
+  /** Returns the port at which the leader accepts links of other boxes. */
+  leaderPort(): number | undefined {
+    const text = this.store.read("sedge/leader")
+    return text === undefined
+      ? undefined
+      : portOf((JSON.parse(text) as {address: string}).address)
+  }
+
   /** Writes the next configuration, with `extraRoutes` added to the usual routes. */
   configure(extraRoutes: readonly object[] = []): number {
     const version = this.version_++
