Crashes under requests that a box sends for another one are reported

Cause: only the box that had received a request suspected it when its server crashed. Cut off from the leader it could report nothing, and the boxes that sent its requests saw only sound ones in progress there.

Change: a box knows what it sends for others, with the fingerprints that it checks anyway, and suspects it like its own requests. Who is cleared is still decided by the box that received the request.

--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -9,6 +9,7 @@
   type CarryObstacle,
   findCarryObstacle
 } from "../core/carry-checks.js"
+import type {CarriedEnd} from "../core/box-crashes.js"
 import type {BoxServing} from "../core/box-state.js"
 import {hasNotice} from "../core/server-notices.js"
 import type {ServingEvent} from "../core/serving-events.js"
@@ -53,6 +54,7 @@
 
 export class Carrier {
   private inProgress_ = 0
+  private sends_ = 0
 
   constructor(private readonly options_: CarrierOptions) {}
 
@@ -96,16 +98,19 @@
     let abort: (() => void) | undefined
     let hasStarted = false
     let hasEnded = false
+    let isRefused = false
+    const id = String(this.sends_++)
     this.inProgress_++
-    const end = (): boolean => {
+    const end = (how: CarriedEnd): boolean => {
       if (hasEnded) return false
       hasEnded = true
       clearTimeout(timer)
       this.inProgress_--
+      if (hasStarted) post({type: "carried-ended", id, end: how})
       return true
     }
     const refuseOnce = (reason: NotCarried): void => {
-      if (end()) this.refuse(req, res, facts, reason)
+      if (end("refused")) this.refuse(req, res, facts, reason)
     }
     const timer = setTimeout(() => {
       if (hasStarted) return
@@ -113,7 +118,7 @@
       refuseOnce("not-sent")
     }, CONNECT_PATIENCE_MS)
     res.on("close", () => {
-      if (end()) abort?.()
+      if (end("closed")) abort?.()
     })
     const heldMs = clockNow() - receivedAt
     const {method = "GET", url: path = "/"} = req
@@ -135,6 +140,7 @@
           }
           abort = abortSend
           hasStarted = true
+          post({type: "carried", id, backend: backend.id, fingerprints})
           this.options_.log("carried", {
             request: requestId,
             asker: facts.asker,
@@ -145,7 +151,8 @@
         head: (status, raw) => {
           if (hasEnded) return
           post({type: "server-heard", backend: backend.id})
-          const {notice} = dialect.readAnswer(status, mapHeaders(raw))
+          const {notice, notRun} = dialect.readAnswer(status, mapHeaders(raw))
+          isRefused = notRun !== undefined
           if (notice && hasNotice(notice)) {
             post({type: "server-says", backend: backend.id, notice})
           }
@@ -157,11 +164,11 @@
           if (!hasEnded) flow.handleWrite(res.write(chunk), reading)
         },
         done: () => {
-          if (end()) res.end()
+          if (end(isRefused ? "refused" : "answered")) res.end()
         },
         failed: () => {
           if (hasStarted) {
-            if (end()) reportBroken(req, res)
+            if (end("broken")) reportBroken(req, res)
             return
           }
           post({type: "connect-failed", backend: backend.id})
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -36,6 +36,16 @@
   /** The record that an earlier leader stored. */
   | "store"
 
+/** How a request ends that this box sends for another one. */
+export type CarriedEnd =
+  | "answered"
+  /** The server reported that it did not run it. */
+  | "refused"
+  /** The other box closed it. */
+  | "closed"
+  /** The connection to the server broke. */
+  | "broken"
+
 /** Whether the request is quarantined and this send is not its trial. */
 export function isQuarantined(
   box: BoxServing,
@@ -143,6 +153,27 @@
   for (const part of parts) box.clearedRequests.recordSurvived(part, firstByteAt)
 }
 
+/**
+ * Handles the end of a request that this box sent for another one. The other box may not
+ * be able to report that the server crashed.
+ */
+export function handleCarriedEnd(
+  box: BoxServing,
+  id: string,
+  end: CarriedEnd,
+  now: number
+): void {
+  const carried = box.carried.get(id)
+  if (!carried) return
+  box.carried.delete(id)
+  const {backend, fingerprints} = carried
+  if (end === "answered") box.crashWatch.recordAnswered(fingerprints, backend, now)
+  if (end === "closed" || end === "broken") {
+    box.crashWatch.recordClosed(fingerprints, backend, now)
+  }
+  if (end === "broken") suspectCrash(box, backend, now)
+}
+
 /**
  * Handles a connection that broke or could not be opened. If the server crashed, its
  * address refuses a new connection, unlike after a cut link or a connection reset; a
@@ -286,9 +317,12 @@
       openAttempts(request).some(each => each.started && each.backend === backend)
     )
     .flatMap(({arrival}) => listFingerprints(arrival))
+  const carried = [...box.carried.values()]
+    .filter(each => each.backend === backend)
+    .flatMap(({fingerprints}) => fingerprints)
   const ended = box.crashWatch.handleCrash(backend, now)
   const answered = box.clearedRequests.handleCrash(backend, now)
-  const suspects = new Set([...inProgress, ...ended, ...answered])
+  const suspects = new Set([...inProgress, ...carried, ...ended, ...answered])
   const added = logQuarantined(box, () =>
     [...suspects].filter(fingerprint => addCrash(box, fingerprint, backend, now))
   )
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -226,6 +226,12 @@
   readonly usage?: UsageOptions | undefined
 }
 
+/** A request in progress that this box sends for another one. */
+export interface CarriedRequest {
+  readonly backend: string
+  readonly fingerprints: readonly string[]
+}
+
 export interface BoxServing {
   readonly options: BoxOptions
   table: RouteTable | undefined
@@ -293,6 +299,8 @@
   /** Requests that crash backend servers, as reported by all boxes. */
   readonly crashes: CrashList
   readonly crashWatch: CrashWatch
+  /** Requests that this box sends for others. Those boxes decide everything else. */
+  readonly carried: Map<string, CarriedRequest>
   /** Requests that servers have answered and outlived, as this box observed. */
   readonly clearedRequests: ClearedRequests
   readonly retryBudgets: Map<string, RetryBudget>
@@ -482,6 +490,7 @@
     peers: new PeerPaths(),
     crashes: new CrashList(),
     crashWatch: new CrashWatch(),
+    carried: new Map(),
     clearedRequests: new ClearedRequests(),
     retryBudgets: new Map(),
     usageAllowances: new AllowancePool(options.usage),
--- a/src/core/serving-events.ts
+++ b/src/core/serving-events.ts
@@ -11,7 +11,7 @@
 import type {BackendRecord, FleetConfig} from "../types/fleet.js"
 import type {AnswerEnd} from "./answer-end.js"
 import type {StoreRead} from "./backend-list.js"
-import type {CrashSource} from "./box-crashes.js"
+import type {CarriedEnd, CrashSource} from "./box-crashes.js"
 import type {AttemptFailure} from "./box-attempt-failures.js"
 import type {Arrival, BoxEffect} from "./box-state.js"
 import type {OriginAnswer} from "./box-streams.js"
@@ -182,6 +182,15 @@
   | {readonly type: "connect-failed"; readonly backend: string}
   /** A server answered a request of another box. */
   | {readonly type: "server-heard"; readonly backend: string}
+  /** This box begins to send a request for another box. */
+  | {
+      readonly type: "carried"
+      readonly id: string
+      readonly backend: string
+      readonly fingerprints: readonly string[]
+    }
+  /** That ends. */
+  | {readonly type: "carried-ended"; readonly id: string; readonly end: CarriedEnd}
   /** Addresses at which other boxes accept links. */
   | {readonly type: "peers"; readonly addresses: readonly string[]}
   /** Updates from other processes about requests that crash servers. */
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -16,6 +16,7 @@
 import {reportDemand} from "./box-admission.js"
 import {expireUnanswered, tickRequests} from "./box-clock.js"
 import {
+  handleCarriedEnd,
   handleEndedIncarnation,
   applyCrashChanges,
   handleProbeResult,
@@ -196,6 +197,13 @@
       return recordConnectFailure(serving, event.backend, now)
     case "server-heard":
       return serving.reach.recordHeard(event.backend, now)
+    case "carried": {
+      const {backend, fingerprints} = event
+      serving.carried.set(event.id, {backend, fingerprints})
+      return
+    }
+    case "carried-ended":
+      return handleCarriedEnd(serving, event.id, event.end, now)
     case "peers":
       return serving.peers.add(event.addresses)
     case "crashes":
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -137,6 +137,21 @@
   checkFewRefused(t, result)
 })
 
+// Crashes were known only to boxes that could not report them.
+for (const seed of [4, 7]) {
+  const cut = {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
+  const options = {...SIX_SERVERS, cut, seed}
+  test(
+    `crashes under requests of boxes that are cut off, seed ${seed}`,
+    options,
+    (t, result) => {
+      checkGuilty(t, result)
+      checkSound(t, result)
+      checkFewRefused(t, result)
+    }
+  )
+}
+
 // No answer tells the guilty part from the others yet.
 for (const seed of [1, 2]) {
   for (const [name, options] of Object.entries({SIX_SERVERS, THIRTY_SERVERS})) {
--- a/test/patterns/crash-fleet.ts
+++ b/test/patterns/crash-fleet.ts
@@ -3,6 +3,7 @@
  * crash and start again. The real core of each box runs under one simulated clock.
  */
 import type {AttemptFailure} from "../../src/core/box-attempt-failures.js"
+import type {CarriedEnd} from "../../src/core/box-crashes.js"
 import {createBoxServing} from "../../src/core/box-state.js"
 import {findCarryObstacle} from "../../src/core/carry-checks.js"
 import {listFingerprints} from "../../src/core/request-fingerprints.js"
@@ -143,6 +144,7 @@
 
   /** Ends an attempt whose connection broke, or which its server did not run. */
   fail(sent: SentAttempt, failure: Failure): void {
+    if (failure !== "broken") this.endCarried(sent, "refused")
     this.step(sent.box, toFailedEvent(sent, failure))
   }
 
@@ -356,11 +358,20 @@
     const obstacle = findCarryObstacle(serving, carried, this.options_.agenda.now)
     if (obstacle === "quarantined") return this.fail(sent, obstacle)
     if (obstacle) return this.fail(sent, "not-sent")
+    const id = toCarriedId(sent)
+    this.step(carrier, {type: "carried", id, backend: incarnation, fingerprints})
     this.options_.agenda.schedule(LINK_MS, () =>
       this.options_.onDelivery(sent, server, incarnation)
     )
   }
 
+  /** Ends a request at the box that sends it for another one, if one does. */
+  endCarried(sent: SentAttempt, end: CarriedEnd): void {
+    const {via} = sent
+    if (via === undefined) return
+    this.tell(Number(via), {type: "carried-ended", id: toCarriedId(sent), end})
+  }
+
   private listPeers(): string[] {
     return Array.from({length: this.options_.boxes}, (_, i) => String(i))
   }
@@ -401,6 +412,10 @@
   }
 }
 
+function toCarriedId({box, id, attempt}: SentAttempt): string {
+  return [box, id, attempt].join()
+}
+
 /** Returns the event of a failed attempt, at the box that has the request. */
 export function toFailedEvent(
   {id, attempt, via}: SentAttempt,
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -478,6 +478,7 @@
         return this.continueAnswer(server, sent, restMs - EVENT_MS)
       }
       running.delete(sent)
+      this.fleet_.endCarried(sent, "answered")
       this.fleet_.tell(box, {type: "done", id, attempt, events: 5})
       this.startNext(server)
     })
@@ -514,6 +515,7 @@
     running.clear()
     queue.splice(0)
     for (const sent of interrupted) {
+      this.fleet_.endCarried(sent, "broken")
       this.fleet_.tell(sent.box, toFailedEvent(sent, "broken"))
     }
   }
@@ -560,7 +562,8 @@
         const isClosed = (each: SentAttempt): boolean =>
           each.box === box && each.id === id && each.attempt === attempt
         const [waiting, closed] = [queue.findIndex(isClosed), [...running].find(isClosed)]
-        if (waiting >= 0) queue.splice(waiting, 1)
+        const [left] = waiting >= 0 ? queue.splice(waiting, 1) : [closed]
+        if (left) this.fleet_.endCarried(left, "closed")
         if (closed && running.delete(closed)) this.startNext(server)
       }
     })
--- a/test/server-paths-core.test.ts
+++ b/test/server-paths-core.test.ts
@@ -4,6 +4,11 @@
  * because the link to them was down, and a link that flaps was used again at once.
  */
 import t from "tap"
+import {
+  type CarriedEnd,
+  handleCarriedEnd,
+  handleProbeResult
+} from "../src/core/box-crashes.js"
 import {checkQuietPath, handlePathProbe} from "../src/core/box-paths.js"
 import type {Attempt, BoxEffect} from "../src/core/box-state.js"
 import {findCarryObstacle} from "../src/core/carry-checks.js"
@@ -157,6 +162,23 @@
   }
 )
 
+// The box that asked for it may be cut off from the leader.
+t.test("a box reports crashes under requests that it sends for others", async t => {
+  const suspectsOf = (end: CarriedEnd): readonly string[] => {
+    const subject = new Subject()
+    const {box, now} = subject
+    box.carried.set("0", {backend: "one", fingerprints: ["f", "part:bad"]})
+    handleCarriedEnd(box, "0", end, now)
+    t.equal(box.carried.size, 0)
+    handleProbeResult(box, "one", false, now + 100)
+    return box.crashes.fingerprints()
+  }
+  t.same(suspectsOf("broken"), ["f", "part:bad"])
+  t.same(suspectsOf("closed"), ["f", "part:bad"])
+  t.same(suspectsOf("answered"), ["f", "part:bad"], "it may crash right after its answer")
+  t.same(suspectsOf("refused"), [])
+})
+
 t.test("boxes that failed come last, and are asked again later", async t => {
   const peers = new PeerPaths()
   peers.add(["a", "b"])
