A full list of crashes is searched once for the record to remove

Cause: each addition to a full list of 512 records built four arrays of its records. A new leader of 550 boxes, each with 512 records of one crash that it lacks (the worst case), merged them in 26.2 s, in which it did nothing else.

Change: one pass over the records, with the same choice as before.

--- a/src/core/crash-list.ts
+++ b/src/core/crash-list.ts
@@ -244,12 +244,15 @@
    * oldest, many suspects of one crash would displace those of the crash before.
    */
   private removeOne(): void {
-    const fewest = Math.min(
-      ...[...this.records_.values()].map(({incarnations}) => incarnations.length)
-    )
-    const weakest = [...this.records_]
-      .filter(([, {incarnations}]) => incarnations.length === fewest)
-      .map(([fingerprint]) => fingerprint)
+    let fewest = Infinity
+    let weakest: string[] = []
+    for (const [fingerprint, {incarnations}] of this.records_) {
+      if (incarnations.length < fewest) {
+        fewest = incarnations.length
+        weakest = []
+      }
+      if (incarnations.length === fewest) weakest.push(fingerprint)
+    }
     const removed = weakest[(this.removals_ += REMOVAL_STEP) % weakest.length]
     if (removed !== undefined) this.remove(removed)
   }
