--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -4,12 +4,18 @@
  * truthfully whether it sent them.
  */
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {type CarryObstacle, findCarryObstacle} from "../core/carry-checks.js"
+import {
+  type CarriedSend,
+  type CarryObstacle,
+  findCarryObstacle
+} from "../core/carry-checks.js"
+import type {CarriedEnd} from "../core/box-crashes.js"
 import type {BoxServing} from "../core/box-state.js"
 import {hasNotice} from "../core/server-notices.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
 import type {BackendRecord} from "../types/fleet.js"
+import {fingerprintPart} from "../utils/part-fingerprint.js"
 import {AnswerFlow} from "./answer-flow.js"
 import {CONNECT_PATIENCE_MS, type BackendPools} from "./backend-pools.js"
 import {
@@ -48,6 +54,7 @@
 
 export class Carrier {
   private inProgress_ = 0
+  private sends_ = 0
 
   constructor(private readonly options_: CarrierOptions) {}
 
@@ -78,22 +85,32 @@
   ): void {
     const {pools, serving, post, dialect} = this.options_
     const backend = serving().backends.known.get(facts.server)?.record
-    const obstacle = this.findObstacle(facts)
+    const {requestId, parts = []} = dialect.readRequest(req.headers)
+    const {fingerprint} = facts
+    const fingerprints = [
+      ...(fingerprint === undefined ? [] : [fingerprint]),
+      ...parts.map(fingerprintPart)
+    ]
+    const findObstacle = (): NotCarried | undefined =>
+      this.findObstacle({...facts, fingerprints})
+    const obstacle = findObstacle()
     if (obstacle || !backend) return this.refuse(req, res, facts, obstacle ?? "unusable")
-    const requestId = dialect.readRequest(req.headers).requestId
     let abort: (() => void) | undefined
     let hasStarted = false
     let hasEnded = false
+    let isRefused = false
+    const id = String(this.sends_++)
     this.inProgress_++
-    const end = (): boolean => {
+    const end = (how: CarriedEnd): boolean => {
       if (hasEnded) return false
       hasEnded = true
       clearTimeout(timer)
       this.inProgress_--
+      if (hasStarted) post({type: "carried-ended", id, end: how})
       return true
     }
     const refuseOnce = (reason: NotCarried): void => {
-      if (end()) this.refuse(req, res, facts, reason)
+      if (end("refused")) this.refuse(req, res, facts, reason)
     }
     const timer = setTimeout(() => {
       if (hasStarted) return
@@ -101,7 +118,7 @@
       refuseOnce("not-sent")
     }, CONNECT_PATIENCE_MS)
     res.on("close", () => {
-      if (end()) abort?.()
+      if (end("closed")) abort?.()
     })
     const heldMs = clockNow() - receivedAt
     const {method = "GET", url: path = "/"} = req
@@ -116,13 +133,14 @@
       {
         started: abortSend => {
           if (hasEnded) return false
-          const late = this.findObstacle(facts)
+          const late = findObstacle()
           if (late) {
             refuseOnce(late)
             return false
           }
           abort = abortSend
           hasStarted = true
+          post({type: "carried", id, backend: backend.id, fingerprints})
           this.options_.log("carried", {
             request: requestId,
             asker: facts.asker,
@@ -133,7 +151,8 @@
         head: (status, raw) => {
           if (hasEnded) return
           post({type: "server-heard", backend: backend.id})
-          const {notice} = dialect.readAnswer(status, mapHeaders(raw))
+          const {notice, notRun} = dialect.readAnswer(status, mapHeaders(raw))
+          isRefused = notRun !== undefined
           if (notice && hasNotice(notice)) {
             post({type: "server-says", backend: backend.id, notice})
           }
@@ -145,11 +164,11 @@
           if (!hasEnded) flow.handleWrite(res.write(chunk), reading)
         },
         done: () => {
-          if (end()) res.end()
+          if (end(isRefused ? "refused" : "answered")) res.end()
         },
         failed: () => {
           if (hasStarted) {
-            if (end()) reportBroken(req, res)
+            if (end("broken")) reportBroken(req, res)
             return
           }
           post({type: "connect-failed", backend: backend.id})
@@ -176,10 +195,10 @@
     })
   }
 
-  private findObstacle(facts: CarryFacts): NotCarried | undefined {
+  private findObstacle(carried: CarriedSend): NotCarried | undefined {
     if (this.options_.isStopping()) return "stopping"
     if (this.inProgress_ > MAX_CARRIED) return "busy"
-    return findCarryObstacle(this.options_.serving(), facts, clockNow())
+    return findCarryObstacle(this.options_.serving(), carried, clockNow())
   }
 
   private refuse(
--- a/src/core/box-attempts.ts
+++ b/src/core/box-attempts.ts
@@ -10,7 +10,12 @@
   REFUSED_PAUSE_MS,
   markSuspect
 } from "./box-attempt-failures.js"
-import {recordCompleteAnswer, recordProgress, suspectCrash} from "./box-crashes.js"
+import {
+  recordCompleteAnswer,
+  recordProgress,
+  refuseUncarried,
+  suspectCrash
+} from "./box-crashes.js"
 import {
   removeRequest,
   failRequest,
@@ -126,6 +131,7 @@
   if (!attempt.headReceived) logOldVersionStart(box, request, attempt, now)
   if (!attempt.headReceived && !head.failed) attempt.latencyMs = now - attempt.sentAt
   attempt.headReceived = true
+  attempt.isError = head.failed
   attempt.lastByteAt = now
   if (isUnusable(request, head) && canRetry(box, request, now)) {
     box.effects.push({type: "discard", id, attempt: number})
@@ -248,6 +254,7 @@
   if (failure === "not-sent" || failure === "not-carried") {
     return handleUnsentAttempt(box, request, attempt, failure, now)
   }
+  if (failure === "quarantined") return refuseUncarried(box, request, attempt, now)
   const isBroken = failure === "broken" || failure === "broken-beyond"
   const mayHaveRun = attempt.started && (isBroken || failure === "overtaken")
   if (attempt.started && isBroken) logBrokenAttempt(box, request, attempt, now)
--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -5,7 +5,8 @@
  */
 import type {CrashUpdate} from "../types/crash-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
-import {failRequest} from "./box-ends.js"
+import {refundCharge} from "./box-charges.js"
+import {endAttempt, failRequest} from "./box-ends.js"
 import {
   type Attempt,
   type BoxRequest,
@@ -19,6 +20,12 @@
 /** Shortest time after which callers of a quarantined request may retry. */
 const MIN_RETRY_AFTER_MS = 5_000
 
+/**
+ * Longest pause between bytes of an answer that counts as time in which its server ran.
+ * After a longer one they may have been sent before it crashed, and arrive late.
+ */
+const MAX_COUNTED_PAUSE_MS = SURVIVED_MS / 2
+
 /** The source of crash changes. */
 export type CrashSource =
   /** The leader's complete list, sent when a link to it starts. */
@@ -29,6 +36,16 @@
   /** The record that an earlier leader stored. */
   | "store"
 
+/** How a request ends that this box sends for another one. */
+export type CarriedEnd =
+  | "answered"
+  /** The server reported that it did not run it. */
+  | "refused"
+  /** The other box closed it. */
+  | "closed"
+  /** The connection to the server broke. */
+  | "broken"
+
 /** Whether the request is quarantined and this send is not its trial. */
 export function isQuarantined(
   box: BoxServing,
@@ -61,6 +78,20 @@
   return true
 }
 
+/** Refuses a request that another box did not send, as it knows it to be quarantined. */
+export function refuseUncarried(
+  box: BoxServing,
+  request: BoxRequest,
+  attempt: Attempt,
+  now: number
+): void {
+  refundCharge(box, attempt)
+  request.unsent++
+  endAttempt(box, request)
+  const reason = request.runs > 0 ? "unknown" : "crashes-servers"
+  failRequest(box, request, reason, now, MIN_RETRY_AFTER_MS)
+}
+
 function startTrial(box: BoxServing, request: BoxRequest, now: number): void {
   const tried = listQuarantined(box, request)
   for (const fingerprint of tried) box.crashes.recordTrial(fingerprint, now)
@@ -84,15 +115,19 @@
   return listFingerprints(arrival).filter(each => box.crashes.isQuarantined(each))
 }
 
-/** Records that a server answered the request completely. */
+/**
+ * Records that a server answered the request completely. An error shows nothing of what
+ * the request does to a server that runs it.
+ */
 export function recordCompleteAnswer(
   box: BoxServing,
   {arrival}: BoxRequest,
-  {backend}: Attempt,
+  {backend, isError}: Attempt,
   now: number
 ): void {
   const fingerprints = listFingerprints(arrival)
   box.crashWatch.recordAnswered(fingerprints, backend, now)
+  if (isError) return
   for (const fingerprint of fingerprints) {
     box.clearedRequests.recordAnswered(fingerprint, backend, now)
   }
@@ -108,13 +143,37 @@
   attempt: Attempt,
   now: number
 ): void {
-  const {firstByteAt} = attempt
-  if (attempt.hasOutlivedParts || firstByteAt === undefined) return
-  if (now - firstByteAt < SURVIVED_MS) return
+  const {firstByteAt, hasOutlivedParts, isError} = attempt
+  if (hasOutlivedParts || isError || firstByteAt === undefined) return
+  const pauseMs = now - (attempt.progressedAt ?? firstByteAt)
+  attempt.progressedAt = now
+  attempt.progressMs += Math.min(pauseMs, MAX_COUNTED_PAUSE_MS)
+  if (attempt.progressMs < SURVIVED_MS) return
   attempt.hasOutlivedParts = true
   for (const part of parts) box.clearedRequests.recordSurvived(part, firstByteAt)
 }
 
+/**
+ * Handles the end of a request that this box sent for another one. The other box may not
+ * be able to report that the server crashed.
+ */
+export function handleCarriedEnd(
+  box: BoxServing,
+  id: string,
+  end: CarriedEnd,
+  now: number
+): void {
+  const carried = box.carried.get(id)
+  if (!carried) return
+  box.carried.delete(id)
+  const {backend, fingerprints} = carried
+  if (end === "answered") box.crashWatch.recordAnswered(fingerprints, backend, now)
+  if (end === "closed" || end === "broken") {
+    box.crashWatch.recordClosed(fingerprints, backend, now)
+  }
+  if (end === "broken") suspectCrash(box, backend, now)
+}
+
 /**
  * Handles a connection that broke or could not be opened. If the server crashed, its
  * address refuses a new connection, unlike after a cut link or a connection reset; a
@@ -258,9 +317,12 @@
       openAttempts(request).some(each => each.started && each.backend === backend)
     )
     .flatMap(({arrival}) => listFingerprints(arrival))
+  const carried = [...box.carried.values()]
+    .filter(each => each.backend === backend)
+    .flatMap(({fingerprints}) => fingerprints)
   const ended = box.crashWatch.handleCrash(backend, now)
   const answered = box.clearedRequests.handleCrash(backend, now)
-  const suspects = new Set([...inProgress, ...ended, ...answered])
+  const suspects = new Set([...inProgress, ...carried, ...ended, ...answered])
   const added = logQuarantined(box, () =>
     [...suspects].filter(fingerprint => addCrash(box, fingerprint, backend, now))
   )
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -95,11 +95,17 @@
   lastByteAt: number | undefined
   /** When the first bytes of its answer arrived. */
   firstByteAt: number | undefined
+  /** When bytes of its answer last arrived. */
+  progressedAt: number | undefined
+  /** For how long its server was seen to go on with its answer (ms). */
+  progressMs: number
   /** Whether its server is known to survive the parts of the prompt. */
   hasOutlivedParts: boolean
   /** Whether the box itself has stopped reading its answer, for a while at least. */
   heldUp: boolean
   headReceived: boolean
+  /** Whether its answer is an error of the server. */
+  isError: boolean
   /**
    * Time from sending to the head of its answer (ms). Undefined before, and if the head
    * reports a failure.
@@ -220,6 +226,12 @@
   readonly usage?: UsageOptions | undefined
 }
 
+/** A request in progress that this box sends for another one. */
+export interface CarriedRequest {
+  readonly backend: string
+  readonly fingerprints: readonly string[]
+}
+
 export interface BoxServing {
   readonly options: BoxOptions
   table: RouteTable | undefined
@@ -287,6 +299,8 @@
   /** Requests that crash backend servers, as reported by all boxes. */
   readonly crashes: CrashList
   readonly crashWatch: CrashWatch
+  /** Requests that this box sends for others. Those boxes decide everything else. */
+  readonly carried: Map<string, CarriedRequest>
   /** Requests that servers have answered and outlived, as this box observed. */
   readonly clearedRequests: ClearedRequests
   readonly retryBudgets: Map<string, RetryBudget>
@@ -476,6 +490,7 @@
     peers: new PeerPaths(),
     crashes: new CrashList(),
     crashWatch: new CrashWatch(),
+    carried: new Map(),
     clearedRequests: new ClearedRequests(),
     retryBudgets: new Map(),
     usageAllowances: new AllowancePool(options.usage),
--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -105,6 +105,19 @@
     ...THIRTY_SERVERS,
     powerLossesAt: [8_300, 9_500]
   },
+  // The errors cleared the part, so that it crashed servers on and on.
+  "servers that answer some requests with an error": {
+    ...THIRTY_SERVERS,
+    failedShare: 0.3,
+    runsOnce: true
+  },
+  // Bytes that were sent before the crash looked as if the server had outlived the part.
+  "last bytes of answers that arrive late": {...THIRTY_SERVERS, lateBytesShare: 0.6},
+  // Boxes that knew better sent them for boxes that the leader did not reach.
+  "boxes cut off from servers and leader, for which others send": {
+    ...SIX_SERVERS,
+    cut: {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
+  },
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
@@ -124,6 +137,21 @@
   checkFewRefused(t, result)
 })
 
+// Crashes were known only to boxes that could not report them.
+for (const seed of [4, 7]) {
+  const cut = {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
+  const options = {...SIX_SERVERS, cut, seed}
+  test(
+    `crashes under requests of boxes that are cut off, seed ${seed}`,
+    options,
+    (t, result) => {
+      checkGuilty(t, result)
+      checkSound(t, result)
+      checkFewRefused(t, result)
+    }
+  )
+}
+
 // No answer tells the guilty part from the others yet.
 for (const seed of [1, 2]) {
   for (const [name, options] of Object.entries({SIX_SERVERS, THIRTY_SERVERS})) {
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -15,10 +15,12 @@
 import {
   CrashFleet,
   type CrashServer,
+  type CutBoxes,
   drawGapMs,
   LINK_MS,
   RETRY_DELAY_MS,
   type SentAttempt,
+  toFailedEvent,
   TRIES
 } from "./crash-fleet.js"
 import {drawFrom} from "./fleet.js"
@@ -53,6 +55,15 @@
   readonly madeUpParts?: number
   /** Whether servers go on running requests whose connections were closed. */
   readonly runsClosed?: boolean
+  /** Share of the requests that servers answer with an error in place of running them. */
+  readonly failedShare?: number
+  /** Whether requests may run once only, so that boxes pass on servers' errors. */
+  readonly runsOnce?: boolean
+  /**
+   * Share of the crashes whose box receives the last bytes of the answer late, as after a
+   * loss of packets.
+   */
+  readonly lateBytesShare?: number
   /** Sound prompts without any of the 20 parts, as a share of all. */
   readonly plainShare?: number
   /** Whether boxes prefer one engine for prompts with the same shared parts. */
@@ -68,6 +79,8 @@
   readonly losesLeader?: boolean
   /** Period without messages between boxes and their leader (ms). */
   readonly leaderAway?: readonly [from: number, to: number]
+  /** Boxes whose requests are sent by others, as they reach no server. */
+  readonly cut?: CutBoxes
 }
 
 export interface CrashingPartsResult {
@@ -147,6 +160,8 @@
 const EVENT_MS = 400
 /** Time until boxes learn that a server has started again. */
 const MOST_LISTED_MS = 800
+/** Delay of an answer's last bytes after a loss of packets. */
+const LATE_BYTES_MS = 900
 
 interface Prompt {
   readonly route: number
@@ -197,7 +212,7 @@
   private crashes_ = 0
 
   constructor(private readonly options_: CrashingPartsOptions) {
-    const {boxes, servers, leaderAway, seed} = options_
+    const {boxes, servers, leaderAway, cut, seed} = options_
     this.draw_ = drawFrom(seed)
     this.loads_ = Array.from({length: servers}, () => ({running: new Set(), queue: []}))
     let sum = 0
@@ -209,6 +224,7 @@
       servers,
       models: MODELS,
       ...(leaderAway && {leaderAway}),
+      ...(cut && {cut}),
       onDelivery: (sent, server, incarnation) => this.deliver(sent, server, incarnation),
       onEffect: (box, effect) => this.handleEffect(box, effect)
     })
@@ -337,7 +353,11 @@
         name: id,
         fingerprint: prompt.fingerprint,
         parts: prompt.parts,
-        route: {...ROUTE, name: `r${prompt.route}`},
+        route: {
+          ...ROUTE,
+          name: `r${prompt.route}`,
+          resumable: !this.options_.runsOnce
+        },
         service: "s",
         weights: {model: MODEL},
         tokens: TOKENS,
@@ -400,11 +420,17 @@
 
   private beginAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {prompt} = this.tries_.get(sent.id) as Try
+    const {failedShare = 0, lateBytesShare = 0} = this.options_
+    if (failedShare > 0 && this.draw_() < failedShare) {
+      return this.answerWithError(server, sent)
+    }
     if (!this.isGuilty(prompt)) {
       this.answer(sent)
       return this.continueAnswer(server, sent, restMs)
     }
-    if (this.draw_() < 0.5) this.answer(sent)
+    if (lateBytesShare > 0 && this.draw_() < lateBytesShare) {
+      this.answerLate(server, sent)
+    } else if (this.draw_() < 0.5) this.answer(sent)
     const crashes = this.crashedAt_.get(prompt.guilty ?? "") ?? []
     this.crashedAt_.set(prompt.guilty ?? "", [...crashes, this.agenda_.now])
     this.crash(server)
@@ -421,6 +447,26 @@
     if (one) one.begun = true
   }
 
+  private answerWithError(server: CrashServer, sent: SentAttempt): void {
+    const {box, id, attempt} = sent
+    this.loadOf(server).running.delete(sent)
+    const head = {failed: true, streamed: false}
+    this.fleet_.tell(box, {type: "head", id, attempt, head})
+    this.fleet_.tell(box, {type: "done", id, attempt, events: 0})
+    this.startNext(server)
+  }
+
+  /** Posts the begin of an answer whose last bytes and end arrive late. */
+  private answerLate(server: CrashServer, sent: SentAttempt): void {
+    const {box, id, attempt} = sent
+    this.loadOf(server).running.delete(sent)
+    this.answer(sent)
+    this.agenda_.schedule(LATE_BYTES_MS, () => {
+      this.fleet_.tell(box, {type: "heard", id, attempt})
+      this.agenda_.schedule(LINK_MS, () => this.fleet_.fail(sent, "broken"))
+    })
+  }
+
   /** Posts the events of a stream, as a box does, until it ends. */
   private continueAnswer(server: CrashServer, sent: SentAttempt, restMs: number): void {
     const {running} = this.loadOf(server)
@@ -432,6 +478,7 @@
         return this.continueAnswer(server, sent, restMs - EVENT_MS)
       }
       running.delete(sent)
+      this.fleet_.endCarried(sent, "answered")
       this.fleet_.tell(box, {type: "done", id, attempt, events: 5})
       this.startNext(server)
     })
@@ -468,13 +515,8 @@
     running.clear()
     queue.splice(0)
     for (const sent of interrupted) {
-      this.fleet_.tell(sent.box, {
-        type: "failed",
-        id: sent.id,
-        attempt: sent.attempt,
-        failure: "broken",
-        lastEventId: undefined
-      })
+      this.fleet_.endCarried(sent, "broken")
+      this.fleet_.tell(sent.box, toFailedEvent(sent, "broken"))
     }
   }
 
@@ -520,7 +562,8 @@
         const isClosed = (each: SentAttempt): boolean =>
           each.box === box && each.id === id && each.attempt === attempt
         const [waiting, closed] = [queue.findIndex(isClosed), [...running].find(isClosed)]
-        if (waiting >= 0) queue.splice(waiting, 1)
+        const [left] = waiting >= 0 ? queue.splice(waiting, 1) : [closed]
+        if (left) this.fleet_.endCarried(left, "closed")
         if (closed && running.delete(closed)) this.startNext(server)
       }
     })
