Pools of connections take a changed limit

What callers saw: after a change of `maxConnections`, or of the number of boxes, a box went on with the limit with which it had first connected to a server. After a higher one requests waited though the server accepts more connections; after a lower one the boxes opened more than it accepts, and it resets those.

Cause: the limit was passed to undici's Pool when it was created, which cannot change it later; later sends ignored theirs.

Evidence: backend-pools 4 (a raised limit) and 5 (a lowered one) failed on the former code: time-outs while they wait for the fifth request to arrive and for two free connections to close. Both pass now.

Fix: `ConnectionPool` has the undici Clients itself, and a limit that each send sets. No pool is replaced: a higher limit opens connections for the requests that wait, a lower one closes free connections beyond it at once and busy ones after their requests, and those within it stay. So a list of boxes that goes up and down opens no connection anew (backend-pools 6; it passed before, too, as the limit never changed), and there are never two pools for a server. What remains is the change-over: until the last request beyond the new share has ended, a box has more connections than that, which the fifth of the connections that boxes leave unused has to cover. The limit changes with the next send to the server; without one, its connections close after 8 s.

Also, a request that undici refuses to build (it throws) fails instead of ending the process, and a connection that is not accepted frees its place for a new one; undici's Pool dropped it from the count and kept sending on it.

--- a/src/adapters/backend-pools.ts
+++ b/src/adapters/backend-pools.ts
@@ -2,7 +2,8 @@
  * Connections to backend servers: a pool for each, one request at a time per
  * connection.
  */
-import {type Dispatcher, Pool} from "undici"
+import type {Client, Dispatcher} from "undici"
+import {ConnectionPool} from "./connection-pool.js"
 import {createReadControl, type ReadControl} from "./read-control.js"
 import {buildResetConnector} from "./reset-connector.js"
 
@@ -38,8 +39,12 @@
 
 /** Pools by backend server id. A new server at an old address gets a pool of its own. */
 export class BackendPools {
-  private readonly pools_ = new Map<string, Pool>()
+  private readonly pools_ = new Map<string, ConnectionPool>()
 
+  /**
+   * Sends a request. `connections` is the greatest number of connections to the server
+   * from now on.
+   */
   send(
     id: string,
     address: string,
@@ -58,7 +63,8 @@
         headersTimeout: 0,
         bodyTimeout: 0
       },
-      adapt(handler)
+      adapt(handler),
+      handler.failed
     )
   }
 
@@ -66,9 +72,8 @@
    * Whether a request that has not started waits for a new connection, and not for one
    * of the pool's connections to become free.
    */
-  isConnecting(id: string, connections: number): boolean {
-    const pool = this.pools_.get(id)
-    return pool !== undefined && pool.stats.connected < connections
+  isConnecting(id: string): boolean {
+    return this.pools_.get(id)?.hasUnopened ?? false
   }
 
   /** Closes the pools of all other backend servers after their requests in progress. */
@@ -76,34 +81,36 @@
     for (const [id, pool] of this.pools_) {
       if (ids.has(id)) continue
       this.pools_.delete(id)
-      pool.close().catch(() => undefined)
+      pool.close()
     }
   }
 
   async close(): Promise<void> {
     const pools = [...this.pools_.values()]
     this.pools_.clear()
-    await Promise.all(pools.map(pool => pool.destroy().catch(() => undefined)))
+    await Promise.all(pools.map(pool => pool.destroy()))
   }
 
-  private poolOf(id: string, address: string, connections: number): Pool {
+  private poolOf(id: string, address: string, connections: number): ConnectionPool {
     const existing = this.pools_.get(id)
-    if (existing) return existing
-    const pool = new Pool(`http://${address}`, {
-      connections,
-      pipelining: 1,
-      connect,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
-    })
+    if (existing) {
+      existing.setLimit(connections)
+      return existing
+    }
+    const pool = new ConnectionPool(`http://${address}`, CLIENT_OPTIONS, connections)
     this.pools_.set(id, pool)
     return pool
   }
 }
 
-const connect = buildResetConnector(CONNECT_TIMEOUT_MS)
+const CLIENT_OPTIONS: Client.Options = {
+  pipelining: 1,
+  connect: buildResetConnector(CONNECT_TIMEOUT_MS),
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: KEEP_ALIVE_MS,
+  keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
+}
 
 function adapt(handler: SendHandler): Dispatcher.DispatchHandler {
   let reading: ReadControl | undefined
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -317,7 +317,7 @@
     let sentAt = 0
     const {pools, name, connections, headers} = path
     const patience = setTimeout(() => {
-      if (!started && pools.isConnecting(name, connections)) fail(unsent)
+      if (!started && pools.isConnecting(name)) fail(unsent)
     }, CONNECT_PATIENCE_MS)
     pools.send(
       name,
