A share of connections grows only when fewer boxes stay

What callers would see: since pools take a changed limit, a change of leader opens connections beyond those that servers accept, which reset them; a request that was sent on one and may not be repeated is lost.

Cause: the share is divided by the number of boxes that the leader reports. A new leader counts them from one on, as they link to it, and tells each count; all boxes then have the share of one or two boxes for a moment. Before, pools kept the limit that they began with, which hid this, and made it last where a pool began in that moment.

Fix: a lower number of boxes counts only once no higher one has been reported for 10 s, a higher one at once. So a list of boxes that flaps raises no share, and after a loss of boxes their part is used 10 s later. `serverConnections` moves to the core, which records the number.

Evidence: both tests of server-connections failed on the former code (share of one box after a report of one) and pass now.

Left: a box that has never heard of others takes the share of one box.

--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -22,6 +22,7 @@
 import {ServerRates} from "./server-rates.js"
 import {PeerPaths} from "./peer-paths.js"
 import {PlainServers} from "./plain-servers.js"
+import type {SharingBoxes} from "./server-connections.js"
 import {ServerReach} from "./server-reach.js"
 import {ServiceVersions} from "./service-versions.js"
 import {type OriginReport, StreamOrigins} from "./stream-origins.js"
@@ -305,8 +306,9 @@
   hasLeader: boolean
   /** When a leader is expected to start ordering loads. */
   ordersFrom: number
-  /** Number of boxes that share budgets and connections. */
+  /** Number of boxes that share budgets. */
   boxCount: number
+  sharingBoxes: SharingBoxes
   /** Total time of suspensions that the clock of the box has counted. */
   suspendedMs: number
   /** When the box was asked to stop. Undefined if it was not. */
@@ -480,6 +482,7 @@
     retryBudgets: new Map(),
     usageAllowances: new AllowancePool(options.usage),
     boxCount: 1,
+    sharingBoxes: {count: 1, reportedAt: -Infinity},
     engineOrder: [],
     isLeader: false,
     hasLeader: false,
--- a/src/core/serving.ts
+++ b/src/core/serving.ts
@@ -60,6 +60,7 @@
   setNewestVersion
 } from "./placement-uses.js"
 import {applySuspension, runningMs} from "./suspensions.js"
+import {recordBoxCount} from "./server-connections.js"
 import {handleNotice, applyRateUpdates, reportRates} from "./server-notices.js"
 import {buildRouteTable} from "./route-table.js"
 import {
@@ -314,6 +315,7 @@
       return
     case "boxes":
       serving.boxCount = event.boxes
+      serving.sharingBoxes = recordBoxCount(serving.sharingBoxes, event.boxes, now)
       if (state.fleet) state.fleet.boxCount = event.boxes
       return
   }
