--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -8,6 +8,7 @@
 import type {Arrival, BoxEffect, BoxServing, EndReason} from "../core/box-state.js"
 import {LOWEST_RANK} from "../core/request-ranks.js"
 import {drawService, findRoute} from "../core/route-table.js"
+import {serverConnections} from "../core/server-connections.js"
 import {hasNotice, type ServerNotice} from "../core/server-notices.js"
 import type {ServingEvent} from "../core/serving-events.js"
 import type {Dialect} from "../ports/fleet-ports.js"
@@ -29,7 +30,6 @@
 import type {Log} from "./log.js"
 import {mapHeaders, RelayExchange, sendError, stripHop} from "./relay-exchange.js"
 import {readWholeBody} from "./request-body.js"
-import {serverConnections} from "./server-connections.js"
 import {StartupWait} from "./startup-wait.js"
 import type {UnreadAnswers} from "./unread-answers.js"
 
@@ -322,7 +322,7 @@
     let sentAt = 0
     const {pools, name, connections, headers} = path
     const patience = setTimeout(() => {
-      if (!started && pools.isConnecting(name, connections)) fail(unsent)
+      if (!started && pools.isConnecting(name)) fail(unsent)
     }, CONNECT_PATIENCE_MS)
     pools.send(
       name,
