A request that is ended as crashing servers has to wait as a refused one

What callers saw: `Retry-After: 0.00` where a request without an answer yet was ended because crashes from some seconds ago became known, so that its caller came back at once. One that is refused before it is sent has to wait 5 s at least.

Cause: only the refusal had the lower bound; a trial that is due gives a wait of 0.

--- a/src/core/box-crashes.ts
+++ b/src/core/box-crashes.ts
@@ -306,8 +306,9 @@
 ): boolean {
   if (attempt.headReceived || !isQuarantined(box, request)) return false
   const mayHaveRun = attempt.started || request.runs > 0
-  const waitMs = trialInMs(box, request, now)
-  failRequest(box, request, mayHaveRun ? "unknown" : "crashes-servers", now, waitMs)
+  const reason = mayHaveRun ? "unknown" : "crashes-servers"
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, trialInMs(box, request, now))
+  failRequest(box, request, reason, now, retryAfterMs)
   return true
 }
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -8,6 +8,7 @@
   type CrashingResult,
   simulateCrashingRequests
 } from "./patterns/crashing-requests.js"
+import {ROUTE, Subject} from "./support/box-subject.js"
 
 const LOAD: CrashingOptions = {
   seed: 1,
@@ -133,6 +134,19 @@
   t.ok(leader.trialInMs("f", 6_000) > 0)
 })
 
+// A wait of 0 has callers come back at once.
+t.test("a request that is ended because of old crashes has to wait, too", async t => {
+  const subject = new Subject()
+  subject.arrive(ROUTE, {fingerprint: "f"})
+  const crashedAt = subject.now - 2 * TRIAL_DELAYS_MS[0]
+  for (const incarnation of ["a", "b", "c"]) {
+    subject.box.crashes.add("f", incarnation, crashedAt)
+  }
+  subject.advanceTime(20)
+  const end = subject.effects.find(effect => effect.type === "end")
+  t.match(end, {reason: "crashes-servers", retryAfterMs: 5_000})
+})
+
 t.test("requests with the fewest crashes are removed first", async t => {
   const crashes = new CrashList()
   for (const incarnation of ["a", "b", "c"]) crashes.add("stopped", incarnation, 0)
