--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -118,6 +118,11 @@
     ...SIX_SERVERS,
     cut: {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
   },
+  // Each crash breaks a stream, which its caller takes up at another box.
+  "callers of guilty prompts that take up their streams": {
+    ...SIX_SERVERS,
+    resumes: true
+  },
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
--- a/test/patterns/crashing-parts.ts
+++ b/test/patterns/crashing-parts.ts
@@ -10,6 +10,7 @@
  * of 20 parts of differing popularity, and a last part of their own.
  */
 import type {RoutedEffect} from "../../src/core/serving-events.js"
+import {softwareOf} from "../../src/core/service-versions.js"
 import type {Route} from "../../src/types/fleet.js"
 import {Agenda} from "./agenda.js"
 import {
@@ -53,6 +54,11 @@
   readonly hangsUpMs?: number
   /** Parts that no other prompt has, in each sound prompt. */
   readonly madeUpParts?: number
+  /**
+   * Whether callers of guilty prompts take up their streams again, at any box, after the
+   * last event that they received.
+   */
+  readonly resumes?: boolean
   /** Whether servers go on running requests whose connections were closed. */
   readonly runsClosed?: boolean
   /** Share of the requests that servers answer with an error in place of running them. */
@@ -140,6 +146,8 @@
   services: [{service: "s", weight: 1}]
 }
 const MODEL = "base"
+/** What boxes know of the begin of a stream. */
+const ORIGIN = {service: "s", software: softwareOf({software: undefined})}
 const MODELS = [{name: MODEL, adapters: new Map<string, number>()}]
 const SHARED_PARTS = 20
 const PLAIN_SHARE = 0.2
@@ -320,7 +328,8 @@
       if (hasCompanion) shared.push(COMPANION)
       const parts = [firstPartOf(route), ...shared, part]
       const fingerprint = `own-${this.requests_}`
-      this.send({route, parts, guilty: part, fingerprint}, 1)
+      const tries = this.options_.resumes ? TRIES : 1
+      this.send({route, parts, guilty: part, fingerprint}, tries)
       this.scheduleGuiltyArrival(part)
     })
   }
@@ -334,7 +343,7 @@
     return `part:b${this.weights_.findIndex(sum => sum > target)}`
   }
 
-  private send(prompt: Prompt, triesLeft: number): void {
+  private send(prompt: Prompt, triesLeft: number, hasBegun = false): void {
     const {now} = this.agenda_
     const id = `q${this.requests_++}`
     const one = {prompt, sentAt: now, triesLeft, begun: false}
@@ -365,7 +374,8 @@
         ...(this.prefersEngines && {
           prefix: {key: prompt.parts.join(), tokens: SHARED_TOKENS}
         }),
-        deadlineMs: ROUTE.timeoutMs
+        deadlineMs: ROUTE.timeoutMs,
+        ...(hasBegun && {lastEventId: "1", begunBy: id})
       }
     })
   }
@@ -548,6 +558,12 @@
         return this.endTry(effect.id)
       case "cut":
         return this.endTry(effect.id)
+      case "ask-origin":
+        return this.fleet_.tell(box, {
+          type: "origin-answer",
+          id: effect.id,
+          answer: {origin: ORIGIN, recent: [], observedMs: 0}
+        })
       default:
         return
     }
@@ -577,13 +593,16 @@
 
   /** Has the caller of a sound prompt try again. */
   private endTry(id: string): void {
-    const {prompt, triesLeft} = this.tries_.get(id) as Try
-    if (prompt.guilty !== undefined) return
+    const {prompt, triesLeft, begun} = this.tries_.get(id) as Try
+    const isSound = prompt.guilty === undefined
     if (triesLeft === 1) {
-      this.unserved_++
+      if (isSound) this.unserved_++
       return
     }
-    this.agenda_.schedule(RETRY_DELAY_MS, () => this.send(prompt, triesLeft - 1))
+    const hasBegun = begun && !isSound
+    this.agenda_.schedule(RETRY_DELAY_MS, () =>
+      this.send(prompt, triesLeft - 1, hasBegun)
+    )
   }
 
   private countLateReaches(part: string): number {
