Test of hedged requests whose part is quarantined

Both attempts are closed where neither has begun, one tick after the other; a stream that has begun goes on alone and is sent nowhere else.

--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,5 +1,6 @@
 /** Requests that crash servers are quarantined soon, and other requests are served. */
 import t from "tap"
+import {handleAnswerBytes, handleAnswerHead} from "../src/core/box-attempts.js"
 import {tickCrashes} from "../src/core/box-crashes.js"
 import {createBoxServing} from "../src/core/box-state.js"
 import {CrashList, TRIAL_DELAYS_MS} from "../src/core/crash-list.js"
@@ -8,7 +9,7 @@
   type CrashingResult,
   simulateCrashingRequests
 } from "./patterns/crashing-requests.js"
-import {ROUTE, Subject} from "./support/box-subject.js"
+import {ROUTE, STREAM, Subject} from "./support/box-subject.js"
 
 const LOAD: CrashingOptions = {
   seed: 1,
@@ -147,6 +148,46 @@
   t.match(end, {reason: "crashes-servers", retryAfterMs: 5_000})
 })
 
+// Either attempt of a hedged request could begin at its server later.
+t.test(
+  "a hedged request is ended at both servers once a part is quarantined",
+  async t => {
+    const subject = hedgeStream()
+    quarantine(subject)
+    t.same(subject.advanceTime(20).summarizeEffects(), ["abort"])
+    t.same(subject.advanceTime(20).summarizeEffects(), ["abort", "end unknown"])
+  }
+)
+
+// The part would be sent on, and the answer that had begun would be lost.
+t.test("a silent stream goes on and is sent nowhere else once it is", async t => {
+  const subject = hedgeStream(stream => {
+    handleAnswerBytes(stream.box, "q", 1, stream.now)
+    const head = {failed: false, streamed: true}
+    handleAnswerHead(stream.box, "q", 1, head, stream.now)
+  })
+  quarantine(subject)
+  t.same(subject.advanceTime(20).summarizeEffects(), ["abort"], "the other attempt")
+  for (let i = 0; i < 30; i++) t.same(subject.advanceTime(100).summarizeEffects(), [])
+})
+
+/** Returns a stream whose silent server is tried beside another one. */
+function hedgeStream(answer: (subject: Subject) => void = () => undefined): Subject {
+  const subject = new Subject()
+  const route = {...STREAM, timeoutMs: 8_000, maxAttempts: 4}
+  subject.arrive(route, {parts: ["part:p"], deadlineMs: 8_000}).start()
+  answer(subject)
+  subject.drain()
+  for (let i = 0; i < 20 && !subject.box.requests.get("q")?.silentAttempt; i++) {
+    subject.advanceTime(100)
+  }
+  return subject.start(2)
+}
+
+function quarantine({box, now}: Subject): void {
+  for (const incarnation of ["a", "b", "c"]) box.crashes.add("part:p", incarnation, now)
+}
+
 t.test("requests with the fewest crashes are removed first", async t => {
   const crashes = new CrashList()
   for (const incarnation of ["a", "b", "c"]) crashes.add("stopped", incarnation, 0)
