--- a/test/crashing-parts.test.ts
+++ b/test/crashing-parts.test.ts
@@ -118,6 +118,11 @@
     ...SIX_SERVERS,
     cut: {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
   },
+  // Each crash breaks a stream, which its caller takes up at another box.
+  "callers of guilty prompts that take up their streams": {
+    ...SIX_SERVERS,
+    resumes: true
+  },
   "all boxes that restart": {...THIRTY_SERVERS, restartsAllAt: 18_000, seconds: 40}
 }
 
@@ -137,6 +142,13 @@
   checkFewRefused(t, result)
 })
 
+// Boxes learn of crashes at others only from a leader, which none of them reaches.
+for (const seed of [1, 2]) {
+  const name = `a leader that is unreachable for eight seconds, seed ${seed}`
+  const options = {...THIRTY_SERVERS, leaderAway: [8_000, 16_000], seed} as const
+  test(name, options, checkGuilty)
+}
+
 // Crashes were known only to boxes that could not report them.
 for (const seed of [4, 7]) {
   const cut = {boxes: [1, 2, 4, 5], from: 5_000, to: 20_000}
