--- a/deploy/undici.js
+++ b/deploy/undici.js
@@ -5,9 +5,10 @@
 import api from "../node_modules/undici/lib/api/index.js"
 import buildConnector from "../node_modules/undici/lib/core/connect.js"
 import Dispatcher from "../node_modules/undici/lib/dispatcher/dispatcher.js"
+import Client from "../node_modules/undici/lib/dispatcher/client.js"
 import Pool from "../node_modules/undici/lib/dispatcher/pool.js"
 
 // Adds `request` and the other calls to pools, as the package's own entry point does.
 Object.assign(Dispatcher.prototype, api)
 
-export {buildConnector, Dispatcher, Pool}
+export {buildConnector, Client, Dispatcher, Pool}
