A request that cannot wait outlasts the news of a failed load

answers 6 failed once in the second of two CIs side by side (load 25): the last request was refused for no-capacity in place of load-failed. Traced: its deadline of 300 ms passed before its box knew of the failed load; with 8 ms it fails each time the same. It has 500 ms now, as the first request of the test: still less than the back-off of 600 ms, so that it can't wait for the next load, and the check is unchanged.

--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -139,7 +139,7 @@
     t.match(longDeadline, {kind: "answered"})
     await command(engine, "fault", {failLoads: 3})
     const [failing, unaffected] = await Promise.all([
-      calls.send(box, {model: deployment.models[1], deadlineMs: 300}),
+      calls.send(box, {model: deployment.models[1], deadlineMs: 500}),
       calls.send(box, {model: deployment.models[0]})
     ])
     t.match(failing, {kind: "refused", code: "load-failed"})
