--- /dev/null
+++ b/review/lib/workers.mjs
@@ -0,0 +1,178 @@
+/** Stand-ins of workers: engines that hold adapters, and plain servers, by PROTOCOL.md. */
+import {createServer} from "node:http"
+import {randomUUID} from "node:crypto"
+
+export const HEARTBEAT_MS = 1_200
+const LOAD_MS = 250
+
+export class Worker {
+  id = `i-${randomUUID().slice(0, 8)}`
+  adapters = new Map()
+  pending = new Map()
+  sequence = 0
+  fence = 0
+  sockets = new Set()
+
+  /** `observe` is called with each order, each request that arrives, and each run. */
+  constructor(store, options, observe) {
+    Object.assign(this, {store, options, observe})
+  }
+
+  async start() {
+    const server = createServer((req, res) => void this.receive(req, res))
+    server.keepAliveTimeout = 30_000
+    server.on("connection", socket => {
+      this.sockets.add(socket)
+      socket.on("close", () => this.sockets.delete(socket))
+    })
+    this.server = server
+    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve))
+    this.address = `127.0.0.1:${server.address().port}`
+    this.beat()
+    this.timer = setInterval(() => this.beat(), HEARTBEAT_MS)
+    return this
+  }
+
+  stop() {
+    clearInterval(this.timer)
+    for (const socket of this.sockets) socket.destroy()
+    this.server.close()
+  }
+
+  beat() {
+    const {service, zone, model, slots} = this.options
+    this.store.write(`servers/${this.id}`, {
+      service,
+      address: this.address,
+      zone,
+      version: "v1",
+      slots,
+      state: "ready",
+      coldRemainingMs: 0,
+      ...(model ? {stage: "unified", models: this.models()} : {}),
+      sequence: this.sequence
+    })
+  }
+
+  models() {
+    const adapters = [...this.adapters].map(([name, version]) => `${name}@${version}`)
+    return [{name: this.options.model, version: 1, adapters}]
+  }
+
+  async receive(req, res) {
+    const parts = []
+    try {
+      for await (const part of req) parts.push(part)
+    } catch {
+      return
+    }
+    const text = Buffer.concat(parts).toString()
+    const target = req.headers["x-target-instance"]
+    const id = req.headers["x-request-id"] ?? ""
+    const echo = id === "" ? {} : {"x-request-id": id}
+    if (target !== undefined && target !== this.id) {
+      return reply(res, 421, {...echo, "x-instance-id": this.id})
+    }
+    if (req.method === "POST" && req.url === "/order") {
+      return reply(res, this.order(JSON.parse(text)), {})
+    }
+    if (req.method === "GET" && req.url === "/report") return this.report(res)
+    if (req.method === "GET" && req.url === "/health") {
+      return reply(res, 200, {"x-instance-id": this.id})
+    }
+    this.observe({type: "arrived", worker: this.id, id, path: req.url})
+    if (this.options.model) return this.stream(req, res, id)
+    this.observe({type: "run", worker: this.id, id})
+    setTimeout(() => {
+      const headers = {...echo, "x-response-signature": `${this.id}.${id}`}
+      reply(res, 200, headers, `answer to ${id}`)
+    }, this.options.workMs ?? 20)
+  }
+
+  /** Returns the status of the answer to an order. */
+  order({operation, adapter, version, expectedRev, holder, fencingToken}) {
+    const status = this.judgeOrder(holder, fencingToken, expectedRev)
+    if (status === 0) {
+      if (adapter === undefined) return this.record(holder, fencingToken, operation, 200)
+      this.sequence++
+      if (operation === "unload") this.adapters.delete(adapter)
+      else this.load(adapter, version ?? 1)
+    }
+    return this.record(holder, fencingToken, operation, status || 202)
+  }
+
+  record(holder, fence, operation, status) {
+    this.observe({type: "order", worker: this.id, holder, fence, operation, status})
+    return status
+  }
+
+  judgeOrder(holder, fencingToken, expectedRev) {
+    if (holder === undefined || fencingToken === undefined) return 400
+    if (fencingToken < this.fence) return 412
+    this.fence = fencingToken
+    return expectedRev !== undefined && expectedRev !== this.sequence ? 409 : 0
+  }
+
+  load(adapter, version) {
+    if (this.adapters.get(adapter) === version) return
+    this.pending.set(adapter, version)
+    setTimeout(() => {
+      this.pending.delete(adapter)
+      this.adapters.set(adapter, version)
+    }, LOAD_MS)
+  }
+
+  report(res) {
+    const pending = [...this.pending].map(
+      ([name, version]) => `${this.options.model}/${name}@${version}`
+    )
+    const body = {
+      stage: "unified",
+      models: this.models(),
+      pending,
+      busy: false,
+      sequence: this.sequence,
+      queued: 0,
+      active: 0,
+      kvUsed: 0,
+      kvTotal: 122_543,
+      handles: 0
+    }
+    reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
+  }
+
+  stream(req, res, id) {
+    const [, adapter] = String(req.headers["x-model-id"]).split("/")
+    const echo = {"x-request-id": id}
+    if (this.pending.has(adapter)) {
+      return reply(res, 503, {...echo, "x-not-executed": "1"})
+    }
+    const version = this.adapters.get(adapter)
+    const expected = req.headers["x-expected-version"]
+    if (version === undefined || (expected && Number(expected) !== version)) {
+      return reply(res, 421, {...echo, "x-instance-id": this.id})
+    }
+    this.observe({type: "run", worker: this.id, id})
+    res.writeHead(200, {
+      ...echo,
+      "content-type": "text/event-stream",
+      "x-response-signature": `${this.id}.${id}`,
+      "x-weights-versions": String(version)
+    })
+    let next = (Number(req.headers["last-event-id"]) || 0) + 1
+    const timer = setInterval(() => {
+      if (next > (this.options.events ?? 5)) {
+        clearInterval(timer)
+        return res.end()
+      }
+      res.write(`id: ${next}\ndata: ${id}-${next}\n\n`)
+      next++
+    }, this.options.gapMs ?? 20)
+    res.on("close", () => clearInterval(timer))
+  }
+}
+
+function reply(res, status, headers, text = "") {
+  res.writeHead(status, {...headers, "content-length": String(Buffer.byteLength(text))})
+  res.end(text)
+}
