--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -12,6 +12,8 @@
   sequence = 0
   fence = 0
   sockets = new Set()
+  /** What reports say, with the time since when. Oldest first. */
+  snapshots = []
 
   /** `observe` is called with each order, each request that arrives, and each run. */
   constructor(store, options, observe) {
@@ -19,6 +21,7 @@
   }
 
   async start() {
+    this.snapshots.push({at: performance.now(), body: this.describe()})
     const server = createServer((req, res) => void this.receive(req, res))
     server.keepAliveTimeout = 30_000
     server.on("connection", socket => {
@@ -39,6 +42,12 @@
     this.server.close()
   }
 
+  /** Crashes with all that runs. */
+  fall() {
+    this.observe({type: "fall", worker: this.id})
+    this.stop()
+  }
+
   beat() {
     const {service, zone, model, slots} = this.options
     this.store.write(`servers/${this.id}`, {
@@ -74,7 +83,11 @@
       return reply(res, 421, {...echo, "x-instance-id": this.id})
     }
     if (req.method === "POST" && req.url === "/order") {
-      return reply(res, this.order(JSON.parse(text)), {})
+      const order = JSON.parse(text)
+      // An order without an answer is checked and carried out later.
+      const delay = this.options.delayOrder?.(this, order)
+      if (delay) return delay(() => this.order(order))
+      return reply(res, this.order(order), {})
     }
     if (req.method === "GET" && req.url === "/report") return this.report(res)
     if (req.method === "GET" && req.url === "/health") {
@@ -98,11 +111,14 @@
       if (operation === "unload") this.adapters.delete(adapter)
       else this.load(adapter, version ?? 1)
     }
-    return this.record(holder, fencingToken, operation, status || 202)
+    return this.record(holder, fencingToken, operation, status || 202, adapter)
   }
 
-  record(holder, fence, operation, status) {
-    this.observe({type: "order", worker: this.id, holder, fence, operation, status})
+  record(holder, fence, operation, status, adapter = "") {
+    this.snapshots.push({at: performance.now(), body: this.describe()})
+    const places = this.adapters.size + this.pending.size
+    const fields = {holder, fence, operation, adapter, status, places}
+    this.observe({type: "order", worker: this.id, ...fields})
     return status
   }
 
@@ -116,17 +132,29 @@
   load(adapter, version) {
     if (this.adapters.get(adapter) === version) return
     this.pending.set(adapter, version)
+    const {maxAdapters = Infinity} = this.options
+    if (this.adapters.size + this.pending.size > maxAdapters)
+      setImmediate(() => this.fall())
     setTimeout(() => {
       this.pending.delete(adapter)
       this.adapters.set(adapter, version)
+      this.snapshots.push({at: performance.now(), body: this.describe()})
     }, LOAD_MS)
   }
 
+  /** Reports the state as it stood some hundred milliseconds earlier. */
   report(res) {
+    const until = performance.now() - (this.options.reportLagMs ?? 0)
+    const older = this.snapshots.filter(({at}) => at <= until)
+    const {body = this.describe()} = older.at(-1) ?? this.snapshots[0] ?? {}
+    reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
+  }
+
+  describe() {
     const pending = [...this.pending].map(
       ([name, version]) => `${this.options.model}/${name}@${version}`
     )
-    const body = {
+    return {
       stage: "unified",
       models: this.models(),
       pending,
@@ -138,7 +166,6 @@
       kvTotal: 122_543,
       handles: 0
     }
-    reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
   }
 
   stream(req, res, id) {
