--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -9,6 +9,11 @@
   id = `i-${randomUUID().slice(0, 8)}`
   adapters = new Map()
   pending = new Map()
+  /** Numbers of runs by adapter, and adapters that go when their runs have ended. */
+  running = new Map()
+  unloading = new Set()
+  /** When the load of each adapter ends, or has ended. */
+  loadedAt = new Map()
   sequence = 0
   fence = 0
   sockets = new Set()
@@ -76,6 +81,12 @@
       return
     }
     const text = Buffer.concat(parts).toString()
+    // An answer too many, in the place where the answer to this request is due.
+    if (req.socket.surplus) {
+      this.observe({type: "surplus", worker: this.id, id: req.socket.surplusTo})
+      req.socket.write(req.socket.surplus)
+      req.socket.surplus = undefined
+    }
     const target = req.headers["x-target-instance"]
     const id = req.headers["x-request-id"] ?? ""
     const echo = id === "" ? {} : {"x-request-id": id}
@@ -93,6 +104,7 @@
     if (req.method === "GET" && req.url === "/health") {
       return reply(res, 200, {"x-instance-id": this.id})
     }
+    req.socket.lastId = id
     this.observe({type: "arrived", worker: this.id, id, path: req.url})
     if (this.options.model) return this.stream(req, res, id)
     this.observe({type: "run", worker: this.id, id})
@@ -108,12 +120,34 @@
     if (status === 0) {
       if (adapter === undefined) return this.record(holder, fencingToken, operation, 200)
       this.sequence++
-      if (operation === "unload") this.adapters.delete(adapter)
-      else this.load(adapter, version ?? 1)
+      if (operation === "unload") {
+        const done = this.unload(adapter) ? 200 : 202
+        return this.record(holder, fencingToken, operation, done, adapter)
+      }
+      this.load(adapter, version ?? 1)
     }
     return this.record(holder, fencingToken, operation, status || 202, adapter)
   }
 
+  /** Returns whether the adapter is gone at once. Otherwise its runs end first. */
+  unload(adapter) {
+    if ((this.running.get(adapter) ?? 0) > 0) {
+      this.unloading.add(adapter)
+      return false
+    }
+    this.unloading.delete(adapter)
+    this.adapters.delete(adapter)
+    return true
+  }
+
+  /** Counts a run of an adapter in or out. */
+  countRun(adapter, change) {
+    this.running.set(adapter, (this.running.get(adapter) ?? 0) + change)
+    if (this.unloading.has(adapter) && this.unload(adapter)) {
+      this.snapshots.push({at: performance.now(), body: this.describe()})
+    }
+  }
+
   record(holder, fence, operation, status, adapter = "") {
     this.snapshots.push({at: performance.now(), body: this.describe()})
     const places = this.adapters.size + this.pending.size
@@ -131,15 +165,17 @@
 
   load(adapter, version) {
     if (this.adapters.get(adapter) === version) return
+    const {maxAdapters = Infinity, loadMs = () => LOAD_MS} = this.options
+    const takesMs = loadMs()
     this.pending.set(adapter, version)
-    const {maxAdapters = Infinity} = this.options
+    this.loadedAt.set(adapter, performance.now() + takesMs)
     if (this.adapters.size + this.pending.size > maxAdapters)
       setImmediate(() => this.fall())
     setTimeout(() => {
       this.pending.delete(adapter)
       this.adapters.set(adapter, version)
       this.snapshots.push({at: performance.now(), body: this.describe()})
-    }, LOAD_MS)
+    }, takesMs)
   }
 
   /** Reports the state as it stood some hundred milliseconds earlier. */
@@ -171,8 +207,17 @@
   stream(req, res, id) {
     const [, adapter] = String(req.headers["x-model-id"]).split("/")
     const echo = {"x-request-id": id}
-    if (this.pending.has(adapter)) {
-      return reply(res, 503, {...echo, "x-not-executed": "1"})
+    if (this.pending.has(adapter) || this.unloading.has(adapter)) {
+      const leftMs = Math.round(this.loadedAt.get(adapter) - performance.now())
+      this.observe({type: "refused", worker: this.id, id, adapter, leftMs})
+      const headers = {...echo, "x-not-executed": "1"}
+      if (this.options.repeatsAnswer?.(this, {id, adapter, socket: req.socket})) {
+        const lines = Object.entries({...headers, "content-length": "0"})
+        const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join("")
+        req.socket.surplus = `HTTP/1.1 503 Service Unavailable\r\n${head}\r\n`
+        req.socket.surplusTo = id
+      }
+      return reply(res, 503, headers)
     }
     const version = this.adapters.get(adapter)
     const expected = req.headers["x-expected-version"]
@@ -180,6 +225,7 @@
       return reply(res, 421, {...echo, "x-instance-id": this.id})
     }
     this.observe({type: "run", worker: this.id, id})
+    this.countRun(adapter, 1)
     res.writeHead(200, {
       ...echo,
       "content-type": "text/event-stream",
@@ -195,7 +241,10 @@
       res.write(`id: ${next}\ndata: ${id}-${next}\n\n`)
       next++
     }, this.options.gapMs ?? 20)
-    res.on("close", () => clearInterval(timer))
+    res.on("close", () => {
+      clearInterval(timer)
+      this.countRun(adapter, -1)
+    })
   }
 }
 
