--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -5,7 +5,11 @@
 let sent = 0
 
 /** Sends a request. Resolves when it has ended; never rejects. */
-export function call(address, path, {headers = {}, method = "POST", body, agent} = {}) {
+export function call(
+  address,
+  path,
+  {headers = {}, method = "POST", body, agent, leaveAfterMs} = {}
+) {
   const id = headers["x-request-id"] ?? `r-${process.pid}-${++sent}`
   const [host, port] = address.split(":")
   const outcome = {id, status: 0, headers: {}, body: "", isWhole: false}
@@ -36,5 +40,6 @@
     )
     req.on("error", error => resolve({...outcome, error: error.code}))
     req.end(body)
+    if (leaveAfterMs !== undefined) setTimeout(() => req.destroy(), leaveAfterMs)
   })
 }
--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -95,12 +95,18 @@
     }
     if (req.method === "POST" && req.url === "/order") {
       const order = JSON.parse(text)
+      const last = req.socket.lastReport
+      if (last && this.options.repeatsReport?.(this, order)) {
+        this.observe({type: "surplus", worker: this.id, answer: "report"})
+        req.socket.write(last)
+      }
+      req.socket.lastReport = undefined
       // An order without an answer is checked and carried out later.
       const delay = this.options.delayOrder?.(this, order)
       if (delay) return delay(() => this.order(order))
       return reply(res, this.order(order), {})
     }
-    if (req.method === "GET" && req.url === "/report") return this.report(res)
+    if (req.method === "GET" && req.url === "/report") return this.report(req, res)
     if (req.method === "GET" && req.url === "/health") {
       return reply(res, 200, {"x-instance-id": this.id})
     }
@@ -179,11 +185,19 @@
   }
 
   /** Reports the state as it stood some hundred milliseconds earlier. */
-  report(res) {
+  report(req, res) {
     const until = performance.now() - (this.options.reportLagMs ?? 0)
     const older = this.snapshots.filter(({at}) => at <= until)
     const {body = this.describe()} = older.at(-1) ?? this.snapshots[0] ?? {}
-    reply(res, 200, {"content-type": "application/json"}, JSON.stringify(body))
+    const text = JSON.stringify(body)
+    req.socket.lastReport = [
+      "HTTP/1.1 200 OK",
+      "content-type: application/json",
+      `content-length: ${Buffer.byteLength(text)}`,
+      "",
+      text
+    ].join("\r\n")
+    reply(res, 200, {"content-type": "application/json"}, text)
   }
 
   describe() {
@@ -232,18 +246,22 @@
       "x-response-signature": `${this.id}.${id}`,
       "x-weights-versions": String(version)
     })
+    const {events = () => 5, gapMs = 20, dropsClosed = true} = this.options
     let next = (Number(req.headers["last-event-id"]) || 0) + 1
+    const end = () => {
+      clearInterval(timer)
+      this.countRun(adapter, -1)
+    }
     const timer = setInterval(() => {
-      if (next > (this.options.events ?? 5)) {
-        clearInterval(timer)
+      if (next > events(id)) {
+        end()
         return res.end()
       }
-      res.write(`id: ${next}\ndata: ${id}-${next}\n\n`)
+      if (!res.destroyed) res.write(`id: ${next}\ndata: ${id}-${next}\n\n`)
       next++
-    }, this.options.gapMs ?? 20)
+    }, gapMs)
     res.on("close", () => {
-      clearInterval(timer)
-      this.countRun(adapter, -1)
+      if (dropsClosed && !res.writableEnded) end()
     })
   }
 }
