--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -26,10 +26,12 @@
 const LOAD_MS = 250
 /** First pause of a box before it tries an engine again that is still loading. */
 const FIRST_PAUSE_MS = 60
+/** In longer pauses other requests of the box often use the connection first. */
+const LONGEST_PAUSE_MS = 240
 
 /** Requests for adapters that engines hold, and for others, as on the sheet. */
 const CALL_INTERVAL_MS = 40
-const NEW_INTERVAL_MS = 400
+const NEW_INTERVAL_MS = 380
 
 const record = new Record(import.meta.url)
 const store = new Store()
@@ -60,6 +62,7 @@
   if (performance.now() > garbleUntil || !unsafe.has(id)) return false
   if (repeated >= MOST_REPEATED) return false
   const pauseMs = FIRST_PAUSE_MS * 2 ** (refusals.get(id) - 1)
+  if (pauseMs > LONGEST_PAUSE_MS) return false
   if (engine.loadedAt.get(adapter) - performance.now() > pauseMs) return false
   if (!isOldest(engine, id, socket)) return false
   garbled ??= engine
@@ -139,7 +142,7 @@
 async function ask(path, adapter) {
   const id = `${path.slice(1, 6)}-${++asked}`
   if (path === "/pleno/2f") unsafe.add(id)
-  const box = boxes[asked % boxes.length]
+  const box = boxes[Math.floor(Math.random() * boxes.length)]
   boxOf.set(id, box)
   const headers = {
     "x-request-id": id,
@@ -168,11 +171,10 @@
   }
 }
 
-/** Asks for adapters that no engine holds, two at a time. */
+/** Asks for adapters that no engine holds. */
 async function askForNew() {
-  for (let i = 100; isCalling; i += 2) {
+  for (let i = 100; isCalling; i++) {
     void ask("/pleno/2f", `a${i}`)
-    void ask("/breve/2f", `a${i + 1}`)
     await pause(NEW_INTERVAL_MS)
   }
 }
