The start of a send is handled before queued events

What callers may see: a request that must not be repeated gets 503 although its bytes were written, and may run (REFUSED); one that crashes servers is promised not to have run.

Cause: an attempt counts as sent from the event `started`, which the relay posts as the bytes leave. If the loop is performing effects, as it is when the core has just decided on the send, the event waits behind those that came meanwhile: in a leader, answers to its own box. One of these that ends the request (a deadline, a quarantine) takes it for one not sent. The class: a promise rests on the order of two events.

Why it works: `started` records a fact and has no effects, so it can go before whatever is queued; no step ends a request that it has just sent.

--- a/src/adapters/loop.ts
+++ b/src/adapters/loop.ts
@@ -19,6 +19,8 @@
 export interface Loop<State, Event> {
   /** Handles an event at once, or after the events that are already queued. */
   readonly post: (event: Event) => void
+  /** Handles an event at once, or before the events that are already queued. */
+  readonly postFirst: (event: Event) => void
   readonly state: () => State
   /** Rejects when a transition or effect throws; the process should end then. */
   readonly ended: Promise<void>
@@ -40,7 +42,12 @@
     })
     .drain()
   ticker.schedule(options.tickMs(state))
-  return {post: posts.post, state: () => state, ended: ended.then(() => undefined)}
+  return {
+    post: posts.post,
+    postFirst: posts.postFirst,
+    state: () => state,
+    ended: ended.then(() => undefined)
+  }
 }
 
 /**
@@ -66,6 +73,11 @@
     this.drain()
   }
 
+  readonly postFirst = (event: Event): void => {
+    this.queue_.unshift(event)
+    this.drain()
+  }
+
   private drain(): void {
     if (this.busy_ || !this.sink_) return
     this.busy_ = true
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -213,7 +213,7 @@
       now: clockNow
     })
     this.ended = Promise.race([this.stopped_, this.loop_.ended])
-    const {post} = this.loop_
+    const {post, postFirst} = this.loop_
     const {limits} = settings
     this.unread_ = new UnreadAnswers({boundBytes: boxBoundBytes(limits?.memoryMb), log})
     this.overload_ = new BoxOverload({limits, log})
@@ -223,6 +223,7 @@
       box: settings.box,
       dialect,
       post,
+      postFirst,
       serving: () => serving,
       random: draw,
       log,
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -80,6 +80,8 @@
   readonly box: string
   readonly dialect: Dialect
   readonly post: (event: ServingEvent) => void
+  /** Posts an event that is handled before those that are queued. */
+  readonly postFirst: (event: ServingEvent) => void
   readonly serving: () => BoxServing
   readonly random: () => number
   readonly log: Log
@@ -304,7 +306,7 @@
 
   private send(exchange: RelayExchange, effect: SendEffect): void {
     const {id, attempt, backend} = effect
-    const {dialect, post, serving, surplus} = this.options_
+    const {dialect, post, postFirst, serving, surplus} = this.options_
     const request = exchange.facts.requestId
     const heldUp = (): void => post({type: "held-up", id, attempt})
     const answer = exchange.startAttempt(attempt, heldUp)
@@ -349,7 +351,8 @@
           started = true
           sentAt = clockNow()
           answer.abort = abort
-          post({type: "started", id, attempt})
+          // A queued event may end the request, and must not take it for one not sent.
+          postFirst({type: "started", id, attempt})
           return true
         },
         head: (status, raw) => {
--- a/test/support/reader-bed.ts
+++ b/test/support/reader-bed.ts
@@ -106,6 +106,7 @@
     const common = {
       dialect: platformDialect,
       post: this.loop_.post,
+      postFirst: this.loop_.postFirst,
       serving: () => serving,
       log,
       isStopping: () => false,
--- a/test/versions-sends.test.ts
+++ b/test/versions-sends.test.ts
@@ -54,6 +54,7 @@
     box: "box",
     dialect: platformDialect,
     post: loop.post,
+    postFirst: loop.postFirst,
     serving: () => serving,
     random: () => 0,
     log: () => undefined,
