Log what a limit says as a request is refused, and what a new leader takes over

Event 278 says what a new leader counts as used of each limit, how many boxes have not stated their accounts, and for how long all limits count as reached.

--- a/src/core/box-ends.ts
+++ b/src/core/box-ends.ts
@@ -52,6 +52,7 @@
     attempts: request.attempts,
     adapter: request.arrival.weights?.adapter ?? "",
     waitedFor,
+    ...describeLimit(box, request, now),
     after: request.lastFailure ?? "",
     retriedAfter: request.retriedAfter,
     config: box.table?.config.version ?? -1,
@@ -80,6 +81,22 @@
   return paced?.server === undefined ? "" : "send-allowance"
 }
 
+/**
+ * Returns the state of its organisation's limit as this box knows it, for the log: whether
+ * it has been reached, or may have been as the leader doesn't know, and for how long.
+ */
+function describeLimit(
+  {usageAllowances}: BoxServing,
+  {arrival: {organisation}}: BoxRequest,
+  now: number
+): {limit: "" | "reached" | "unknown"; limitMs: number} {
+  const fullMs =
+    organisation === undefined ? 0 : usageAllowances.fullForMs(organisation, now)
+  if (organisation === undefined || fullMs === 0) return {limit: "", limitMs: 0}
+  const isUnknown = usageAllowances.isUnknown(organisation)
+  return {limit: isUnknown ? "unknown" : "reached", limitMs: Math.round(fullMs)}
+}
+
 /** Closes the connection of an attempt. */
 export function abortAttempt(
   box: BoxServing,
--- a/src/core/box-state.ts
+++ b/src/core/box-state.ts
@@ -460,6 +460,7 @@
   | "stream-refused"
   | "versions-mixed"
   | "versions-read"
+  | "usage-taken-over"
   | "plain-server-slow"
   | "plain-server-restored"
   | "route-overloaded"
--- a/src/core/serving-fleet.ts
+++ b/src/core/serving-fleet.ts
@@ -1,7 +1,7 @@
 /** Applies events to the state that a box holds as the leader of the engine fleet. */
 import {newestVersionOf} from "./adapter-versions.js"
 import {engineViewOf} from "./box-engines.js"
-import type {BoxServing} from "./box-state.js"
+import {type BoxServing, logEvent} from "./box-state.js"
 import {recordEndedUses} from "./leader-pressure.js"
 import {handleOrderResult} from "./placement-orders.js"
 import {
@@ -86,12 +86,8 @@
     case "usage":
       return state.ledger?.handleUsage(event.box, event.ask, event.entries, running)
     case "usage-read":
-      return state.ledger?.handleStored(
-        event.outlooks,
-        running,
-        event.claims,
-        event.endedForMs
-      )
+      state.ledger?.handleStored(event.outlooks, running, event.claims, event.endedForMs)
+      return logTakenOver(state, running)
     case "usage-close":
       return state.ledger?.close(running)
     case "usage-saved":
@@ -200,3 +196,10 @@
   const listed = [...serving.backends.known.values()].map(({record}) => record)
   updateEngines(fleet, services, listed, now)
 }
+
+/** Logs what the leader counts of earlier leaders' time. */
+function logTakenOver({serving, ledger}: RoutedState, now: number): void {
+  for (const taken of ledger?.listTakenOver(now) ?? []) {
+    logEvent(serving, "usage-taken-over", {...taken})
+  }
+}
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -87,6 +87,20 @@
 /** Expiry of a request that waits for the store. The box has sent it again by then. */
 const PENDING_EXPIRY_MS = 250
 
+/** Accounts that a new leader logs. */
+const MAX_LOGGED_ACCOUNTS = 16
+
+/** Usage of an organisation that counts from earlier leaders' time, in the limit's unit. */
+interface TakenOverUsage {
+  readonly organisation: string
+  readonly counted: number
+  readonly limit: number
+  /** Boxes that have not stated their accounts. */
+  readonly awaited: number
+  /** For how long all limits count as reached (ms). */
+  readonly unknownMs: number
+}
+
 interface PendingRequest {
   readonly box: string
   readonly ask: number
@@ -326,6 +340,20 @@
     return account ? this.total(account, now) : 0
   }
 
+  /** Lists what counts as used of each limit, the most used ones first, for the log. */
+  listTakenOver(now: number): readonly TakenOverUsage[] {
+    const awaited = this.awaited_?.size ?? 0
+    const unknownMs = Math.round(Math.max(0, this.exhaustedUntil_ - now))
+    return [...this.limits_()]
+      .map(([organisation, limit]) => {
+        const counted = Math.round(this.totalOf(organisation, now))
+        return {organisation, counted, limit: Math.round(limit), awaited, unknownMs}
+      })
+      .filter(({counted}) => counted > 0 || unknownMs > 0)
+      .sort((a, b) => b.counted / b.limit - a.counted / a.limit)
+      .slice(0, MAX_LOGGED_ACCOUNTS)
+  }
+
   private accountOf(organisation: string): UsageAccount {
     const known = this.accounts_.get(organisation)
     if (known) return known
--- a/src/events.ts
+++ b/src/events.ts
@@ -246,7 +246,7 @@
   "route-refused": {
     number: 192,
     level: "info",
-    text: "A request ends with an error answer of the box itself."
+    text: "A request ends with an error answer of the box itself. `limit`: whether its organisation has reached its limit, or may have as the leader does not know; `limitMs`: for how long yet."
   },
   "route-cut": {
     number: 193,
@@ -564,6 +564,11 @@
     level: "info",
     text: "The software versions that a leader stored were read. `observedMs`: for how long it had observed the servers at least; `isProof`: whether that counts, as no recent restore may have lost writes."
   },
+  "usage-taken-over": {
+    number: 278,
+    level: "info",
+    text: "What a new leader counts as used of an organisation's limit (`counted`), as earlier leaders stored it. `awaited`: boxes that have not stated their accounts yet; `unknownMs`: for how long all limits count as reached, as the stored usage may be an older one."
+  },
   "connection-passed-over": {
     number: 276,
     level: "info",
