A claim of the leadership carries its lease

Cause: a box's claims were the same text, so one that was carried out late counted as the next one; the box renewed a lease that held no key.

Now the record names its lease. A box that finds its own record under another lease ends that lease, as nobody renews it, and claims again.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -314,8 +314,15 @@
     if (!entry) return this.mustDefer() ? undefined : this.claimLater()
     this.missingSince_ = undefined
     const leader = JSON.parse(entry.value) as LeaderRecord
-    if (leader.incarnation !== this.options_.self.incarnation)
-      this.events_.leaderFound(leader)
+    if (leader.incarnation !== this.options_.self.incarnation) {
+      return this.events_.leaderFound(leader)
+    }
+    // An earlier claim of this box was carried out late, and nobody renews its lease.
+    if (leader.lease !== undefined) {
+      void this.storeAs("lease-end")
+        .revokeLease(leader.lease)
+        .catch(() => undefined)
+    }
   }
 
   /**
@@ -378,7 +385,8 @@
   ): Promise<number | undefined> {
     const {key, self, eras} = this.options_
     const {era} = eras
-    const value = JSON.stringify(era === undefined ? self : {...self, era})
+    const record: LeaderRecord = {...self, lease}
+    const value = JSON.stringify(era === undefined ? record : {...record, era})
     try {
       const result = await kv.put(key, value, {
         expectRevision: standing?.revision ?? 0,
@@ -388,7 +396,8 @@
       return result.ok ? toFence(result) : undefined
     } catch (cause) {
       if (!(cause instanceof KvUnknown)) throw cause
-      // The claim may have been stored although its answer was lost.
+      // The claim may have been stored although its answer was lost. Its lease tells it
+      // from earlier claims, which may be carried out only now.
       const entry = await kv.get(key)
       const taken = entry?.value === value && entry.era === era
       return taken ? toFence(entry) : undefined
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -307,6 +307,8 @@
   readonly address: string
   /** Era in which the leader was elected. Undefined if the service reported none. */
   readonly era?: number | undefined
+  /** Lease of the claim, which tells the claims of a process apart. */
+  readonly lease?: string | undefined
 }
 
 /** Sent by a leader, or a box without one, that cannot read the store itself. */
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -3,6 +3,7 @@
 import {clockNow} from "../src/adapters/clock.js"
 import {StoreEras} from "../src/adapters/era-source.js"
 import {LeaderElection} from "../src/adapters/leader-election.js"
+import {KvUnknown} from "../src/errors.js"
 import type {KvEntry, KvStore} from "../src/ports/ports.js"
 import {until} from "./support/wait.js"
 
@@ -127,3 +128,70 @@
   await election.stop()
   t.ok(waitedMs >= LOOK_INTERVAL_MS + 150, `${Math.round(waitedMs)} ms`)
 })
+
+// Guards against a second leader (ONE): a claim that is carried out late, under a lease of
+// its own, was taken for the next claim, and the box renewed a lease that held no key.
+t.test("a claim that is carried out late is not taken for the next one", async t => {
+  const leases: string[] = []
+  const revoked: string[] = []
+  const claims: {value: string; lease: string | undefined}[] = []
+  let won = 0
+  let standing: KvEntry | undefined
+  const kv = {
+    get: () => Promise.resolve(standing),
+    grantLease: () => {
+      leases.push(`lease-${leases.length + 1}`)
+      return Promise.resolve(leases.at(-1))
+    },
+    revokeLease: (lease: string) => {
+      revoked.push(lease)
+      if (claims[0]?.lease === lease && standing) standing = undefined
+      // The end of the first lease is lost before its claim is carried out.
+      return Promise.reject(new KvUnknown("no answer"))
+    },
+    keepAlive: () => Promise.resolve(true),
+    put: (key: string, value: string, {lease}: {lease?: string}) => {
+      claims.push({value, lease})
+      const [first] = claims
+      if (claims.length > 2) return Promise.resolve({ok: true, revision: 3})
+      // The first claim is carried out while the second one waits for its answer.
+      if (claims.length === 2 && first) {
+        standing = {key, value: first.value, revision: 2} as KvEntry
+      }
+      return Promise.reject(new KvUnknown("no answer"))
+    }
+  } as unknown as KvStore
+  const election = new LeaderElection(
+    kv,
+    {
+      key: "leader",
+      self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
+      eras: new StoreEras(() => undefined),
+      ttlMs: 1_200,
+      marginMs: 200,
+      checksFences: true,
+      orderGapMs: 0
+    },
+    {
+      won: () => void won++,
+      lost: () => undefined,
+      suspended: () => undefined,
+      confirmed: () => undefined,
+      leaderFound: () => t.fail("only this box claims"),
+      boxCount: () => 3,
+      medianAgeMs: () => 0,
+      isWeak: () => false,
+      renewByOthers: () => Promise.reject(new Error("unused")),
+      renewedByOthers: () => undefined
+    }
+  )
+  await until("the second claim", () => claims.length === 2)
+  await until("the box leads or looks again", () => won > 0 || revoked.length >= 2)
+  t.equal(won, 0, "it holds no key under its second lease")
+  if (won > 0) return election.stop()
+  // It gives up what the late claim holds, and claims again.
+  await until("the third claim", () => claims.length === 3)
+  await until("it leads", () => won === 1)
+  t.ok(revoked.includes("lease-1"))
+  await election.stop()
+})
