A leader stores what requests need, not what boxes want in stock

What callers see: after a loss of all boxes, organisations are refused although nothing ran (RECOVER). Cause, one of three: all boxes that start ask the new leader for stocks, and it stored a projection with all of these, up to the limit. A leader that ended before it granted much left the next one the whole limit as used.

Why it is safe: grants stay within the stored projection. Stocks fill from the growth that it has anyway, with further writes as it is used up.

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -640,13 +640,17 @@
     })
   }
 
-  /** Returns what waiting requests of some boxes want. */
+  /**
+   * Returns what waiting requests of some boxes need. What they want in stock has to fit in
+   * the growth: a leader that ends soon would leave the next one a projection for the stocks
+   * of all boxes.
+   */
   private sumPending(includes: (box: string) => boolean): Map<string, number> {
     const sums = new Map<string, number>()
     for (const {box, entry} of this.pending_) {
       if (!includes(box)) continue
-      const {organisation, want} = entry
-      sums.set(organisation, (sums.get(organisation) ?? 0) + want)
+      const {organisation, need} = entry
+      sums.set(organisation, (sums.get(organisation) ?? 0) + need)
     }
     return sums
   }
--- /dev/null
+++ b/test/short-leaders.test.ts
@@ -0,0 +1,72 @@
+/**
+ * Limits after leaders that end soon (RECOVER): what these stored for the stocks of many
+ * boxes must not count as used at the next leader, which would refuse whole organisations.
+ */
+import t from "tap"
+import {type LedgerEffect, UsageLedger} from "../src/core/usage-ledger.js"
+
+const USAGE = {windowMs: 8_000, overage: 0, slack: 0}
+const LIMIT = 1_000
+const LIMITS = new Map([["org", LIMIT]])
+const BOXES = 86
+
+/** What each box wants in stock, and what its waiting requests need, at its start. */
+const WANT = 20
+const NEED = 1
+
+type Save = Extract<LedgerEffect, {type: "save-usage"}>
+
+function createLedger(box: string): {ledger: UsageLedger; effects: LedgerEffect[]} {
+  const effects: LedgerEffect[] = []
+  const emit = (effect: LedgerEffect): void => void effects.push(effect)
+  const ledger = new UsageLedger(USAGE, () => LIMITS, emit, box)
+  ledger.startReading()
+  return {ledger, effects}
+}
+
+function savesOf(effects: readonly LedgerEffect[]): readonly Save[] {
+  return effects.filter(effect => effect.type === "save-usage")
+}
+
+function askFromAll(ledger: UsageLedger, now: number): void {
+  for (let i = 0; i < BOXES; i++) {
+    const ask = {organisation: "org", used: 0, returned: 0, need: NEED, want: WANT}
+    ledger.handleUsage(`box-${i}`, 1, [ask], now)
+  }
+}
+
+t.test("a leader that ends before it grants anything", async t => {
+  const first = createLedger("one")
+  first.ledger.handleStored({}, 0)
+  askFromAll(first.ledger, 10)
+  // The first write is answered; the leader ends while the next one is on its way.
+  const [written] = savesOf(first.effects)
+  first.ledger.handleSaved(written?.save ?? 0, true, 40)
+  const stored = savesOf(first.effects).at(-1)
+  const granted = first.effects.flatMap(effect =>
+    effect.type === "allow" ? effect.grants.map(({amount}) => amount) : []
+  )
+  const grantedSum = granted.reduce((sum, amount) => sum + amount, 0)
+  const second = createLedger("two")
+  second.ledger.handleStored(stored?.outlooks, 2_000, stored?.claims)
+  const counted = second.ledger.totalOf("org", 2_000)
+  t.ok(counted >= grantedSum, `${counted} of ${grantedSum} granted`)
+  t.ok(counted <= LIMIT / 2, `${counted} of ${LIMIT}`)
+})
+
+t.test(
+  "all boxes get what their requests need, and stocks as the store allows",
+  async t => {
+    const {ledger, effects} = createLedger("one")
+    ledger.handleStored({}, 0)
+    askFromAll(ledger, 10)
+    for (let now = 40; now < 400; now += 40) {
+      const save = savesOf(effects).at(-1)
+      if (save) ledger.handleSaved(save.save, true, now)
+      ledger.tick(now)
+    }
+    const grants = effects.filter(effect => effect.type === "allow")
+    t.equal(new Set(grants.map(({box}) => box)).size, BOXES)
+    t.ok(grants.every(({grants: [grant]}) => (grant?.amount ?? 0) >= NEED))
+  }
+)
