Usage of earlier leaders counts from the time at which there was no leader

What callers see: after a loss of all boxes, organisations are refused although nothing ran (RECOVER). Boxes without a processor find no leader for seconds, several times in a row.

A box that finds no leader reads the key of the usage, and then looks for a leader once more. If there is none and it takes over later with the key unchanged, nobody has granted anything since that look, as a leader stores usage before it grants any. Settings with limits only; one read a box for each time without a leader.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -91,6 +91,11 @@
   readonly suspended: () => void
   readonly confirmed: (fence: number) => void
   readonly leaderFound: (leader: LeaderRecord) => void
+  /**
+   * The key-value service answered at `at` that there is no leader, to a question sent at
+   * `askedAt`.
+   */
+  readonly noLeaderFound: (askedAt: number, at: number) => void
   /** The last known number of boxes. */
   readonly boxCount: () => number
   /** The last known median age of the boxes' processes, milliseconds. */
@@ -309,9 +314,13 @@
   }
 
   private async lookForLeader(): Promise<void> {
+    const askedAt = clockNow()
     const entry = await this.storeAs("leader-look").get(this.options_.key)
     if (this.stopped_) return
-    if (!entry) return this.mustDefer() ? undefined : this.claimLater()
+    if (!entry) {
+      this.events_.noLeaderFound(askedAt, clockNow())
+      return this.mustDefer() ? undefined : this.claimLater()
+    }
     this.missingSince_ = undefined
     const leader = JSON.parse(entry.value) as LeaderRecord
     if (leader.incarnation !== this.options_.self.incarnation) {
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -362,7 +362,13 @@
           this.crashStore_.resync()
           this.versionStore_.resync()
         },
-        leaderFound: leader => this.session_.follow(leader),
+        leaderFound: leader => {
+          this.usageStore_.noteLeader()
+          this.session_.follow(leader)
+        },
+        noLeaderFound: (askedAt, at) => {
+          if (settings.usage) this.usageStore_.noteNoLeader(askedAt, at)
+        },
         boxCount: () => serving.boxCount,
         medianAgeMs: now => now - this.medianStartAt_,
         isWeak: () => this.strength_.isWeak || isCutFromEngines(serving),
@@ -521,6 +527,7 @@
     const leading = this.election_.leadership.fence !== undefined
     this.session_.tick(now, leading)
     this.election_.setLinked(this.session_.linked)
+    if (this.session_.linked) this.usageStore_.noteLeader()
     this.snapshotSource_.selectSource(leading, now)
     this.closeUnusedPools()
     if (leading) {
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -41,10 +41,18 @@
 interface ReadUsage {
   readonly outlooks: UsageProjections | undefined
   readonly claims?: UsageClaims | undefined
-  /** How long no leader of an earlier era can have granted anything. */
+  /** How long no earlier leader can have granted anything. */
   readonly endedForMs?: number
 }
 
+/** What the key held at a time when there may have been no leader. */
+interface SeenPosition {
+  readonly position: Position
+  readonly at: number
+  /** When there certainly was no leader, later than `at`. Undefined if not known. */
+  leaderlessAt?: number
+}
+
 type Position = Pick<KvEntry, "revision" | "era">
 
 const NO_POSITION: Position = {revision: 0}
@@ -75,6 +83,9 @@
   /** Before then other boxes write, without a call of this box. */
   private ownCallsFrom_ = -Infinity
   private isHelped_ = false
+  /** Undefined while there is a leader, and until the key has been read since. */
+  private seen_: SeenPosition | undefined
+  private isLooking_ = false
 
   constructor(private readonly options_: UsageStoreOptions) {}
 
@@ -87,12 +98,41 @@
       // A read for an earlier leadership of this box may lack usage that other leaders
       // granted since.
       if (usage && fenceBefore !== undefined && fence() === fenceBefore) {
+        this.noteLeader()
         return post({type: "usage-read", ...usage})
       }
       await pause(RETRY_MS)
     }
   }
 
+  /**
+   * Records that there was no leader, as the service answered at `at` to a question sent at
+   * `askedAt`. A leader stores usage before it grants any, so none has granted anything
+   * since if the key is still as it was before that question.
+   */
+  noteNoLeader(askedAt: number, at: number): void {
+    const seen = this.seen_
+    if (!seen) return void this.look()
+    if (askedAt > seen.at) seen.leaderlessAt ??= at
+  }
+
+  /** Records that there is a leader. */
+  noteLeader(): void {
+    this.seen_ = undefined
+  }
+
+  private async look(): Promise<void> {
+    if (this.isLooking_) return
+    this.isLooking_ = true
+    const {key} = this.options_
+    const entry = await this.attempt(async () => ({
+      found: await this.storeFor("usage-read").get(key)
+    }))
+    this.isLooking_ = false
+    if (!entry) return
+    this.seen_ = {position: entry.found ?? NO_POSITION, at: clockNow()}
+  }
+
   /**
    * Replaces the value last read or written. A value of a later leader isn't
    * overwritten.
@@ -132,12 +172,22 @@
     // No leader has stored any usage yet, or the backup is older than its first write.
     if (!entry) return this.wasRestored ? this.restoredUsage() : {outlooks: {}}
     const {success, data, error} = storedUsage.safeParse(parse(entry.value))
-    if (success && data.era === eras.era) return data
+    if (success && data.era === eras.era) {
+      return {...data, endedForMs: this.leaderlessMs(entry)}
+    }
     if (success) return this.restoredUsage()
     log("entry-unreadable", {key, revision: entry.revision, reason: error.message})
     return {outlooks: undefined}
   }
 
+  /** Returns for how long no leader can have granted anything, by what the key holds. */
+  private leaderlessMs({revision, era}: Position): number {
+    const {position, leaderlessAt} = this.seen_ ?? {}
+    if (leaderlessAt === undefined) return 0
+    const isSame = position?.revision === revision && position.era === era
+    return isSame ? clockNow() - leaderlessAt : 0
+  }
+
   private get wasRestored(): boolean {
     return (this.options_.eras.era ?? FIRST_ERA) > FIRST_ERA
   }
--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -196,8 +196,8 @@
   /**
    * Counts what earlier leaders may have granted, as their projection says. If `outlooks`
    * is undefined, the stored projection is from an older backup, and all limits may be
-   * used up. `endedForMs` is how long no leader that wrote such a projection can have
-   * granted anything.
+   * used up. `endedForMs` is how long no earlier leader can have granted anything: what it
+   * granted counts from then on.
    */
   handleStored(
     outlooks: UsageProjections | undefined,
@@ -207,7 +207,7 @@
   ): void {
     if (this.phase_ === "known") return
     this.phase_ = "known"
-    if (outlooks) this.addStored(outlooks, now, claims)
+    if (outlooks) this.addStored(outlooks, now - endedForMs, claims)
     else
       this.exhaustedUntil_ =
         now - endedForMs + ALLOWANCE_LIFETIME_MS + usageLifetimeMs(this.options_)
--- a/test/store-counter.test.ts
+++ b/test/store-counter.test.ts
@@ -182,6 +182,7 @@
       suspended: () => undefined,
       confirmed: () => undefined,
       leaderFound: () => undefined,
+      noLeaderFound: () => undefined,
       boxCount: () => 1,
       medianAgeMs: () => 0,
       isWeak: () => false,
