Accounts of boxes count only where they are lower than the stored projection

Cause, three of three: a leader without links stores a projection of all usage, one of what no box claims, and one of its own box.

Each way of counting is an upper bound of the same usage, so the lower one holds, as it did already where boxes had not stated their accounts.

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -369,7 +369,6 @@
 
   /** Whether accounts of boxes give a lower total than the projection does. */
   private countsAccounts(account: UsageAccount, now: number): boolean {
-    if (this.isAccounted) return true
     if (!this.awaited_ || this.awaited_.size > MAX_MISSING_BOXES) return false
     const parts = [account.stated, ...this.earlierPartsOf(account)]
     return sumTotals(parts, now) < account.earlier.total(now)
--- a/test/short-leaders.test.ts
+++ b/test/short-leaders.test.ts
@@ -70,3 +70,20 @@
     t.ok(grants.every(({grants: [grant]}) => (grant?.amount ?? 0) >= NEED))
   }
 )
+
+t.test("leaders in a row that grant nothing do not count beyond the limit", async t => {
+  let stored: Save | undefined
+  for (let i = 0; i < 12; i++) {
+    const {ledger, effects} = createLedger(`leader-${i}`)
+    ledger.handleStored(stored?.outlooks ?? {}, 0, stored?.claims)
+    ledger.handleUsage("box", 1, [], 10)
+    t.ok(ledger.totalOf("org", 20) <= LIMIT, `${ledger.totalOf("org", 20)} of ${LIMIT}`)
+    ledger.tick(50)
+    stored = savesOf(effects).at(-1)
+    if (i > 0) continue
+    // The first one has granted most of the limit.
+    const ask = {organisation: "org", used: 0, returned: 0, need: 900, want: 900}
+    ledger.handleUsage("box", 2, [ask], 60)
+    stored = savesOf(effects).at(-1)
+  }
+})
