--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -46,8 +46,7 @@
   "server-asks-rest",
   "server-speaks-oddly",
   "plain-names-rate",
-  "plain-answers-break",
-  "plain-answers-repeated"
+  "plain-answers-break"
 ])
 
 /** Limit of reported findings, as they are alike. */
