--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -2,7 +2,7 @@
 import t, {type Test} from "tap"
 import {clockNow} from "../src/adapters/clock.js"
 import {StoreEras} from "../src/adapters/era-source.js"
-import {LeaderElection} from "../src/adapters/leader-election.js"
+import {type ElectionEvents, LeaderElection} from "../src/adapters/leader-election.js"
 import {KvUnknown} from "../src/errors.js"
 import type {KvEntry, KvStore} from "../src/ports/ports.js"
 import {until} from "./support/wait.js"
@@ -18,6 +18,40 @@
 
 const OTHER = {box: "other", incarnation: "other", address: "127.0.0.1:1"}
 
+/** Starts the election of a box that expects three boxes. */
+function startElection(
+  kv: KvStore,
+  events: Partial<ElectionEvents>,
+  isWeak = false
+): LeaderElection {
+  return new LeaderElection(
+    kv,
+    {
+      key: "leader",
+      self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
+      eras: new StoreEras(() => undefined),
+      ttlMs: 1_200,
+      marginMs: 200,
+      checksFences: true,
+      orderGapMs: 0
+    },
+    {
+      won: () => undefined,
+      lost: () => undefined,
+      suspended: () => undefined,
+      confirmed: () => undefined,
+      leaderFound: () => undefined,
+      noLeaderFound: () => undefined,
+      boxCount: () => 3,
+      medianAgeMs: () => 0,
+      isWeak: () => isWeak,
+      renewByOthers: () => Promise.reject(new Error("unused")),
+      renewedByOthers: () => undefined,
+      ...events
+    }
+  )
+}
+
 /**
  * Returns how long a box takes to find a leader that claims after `claimedMs`, from then
  * on.
@@ -37,30 +71,13 @@
   } as unknown as KvStore
   let election: LeaderElection | undefined
   const foundAt = await new Promise<number>(resolve => {
-    election = new LeaderElection(
+    election = startElection(
       kv,
-      {
-        key: "leader",
-        self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
-        eras: new StoreEras(() => undefined),
-        ttlMs: 1_200,
-        marginMs: 200,
-        checksFences: true,
-        orderGapMs: 0
-      },
       {
         won: () => t.fail("the claim of the other box stands"),
-        lost: () => undefined,
-        suspended: () => undefined,
-        confirmed: () => undefined,
-        leaderFound: () => resolve(clockNow()),
-        noLeaderFound: () => undefined,
-        boxCount: () => 3,
-        medianAgeMs: () => 0,
-        isWeak: () => isWeak,
-        renewByOthers: () => Promise.reject(new Error("unused")),
-        renewedByOthers: () => undefined
-      }
+        leaderFound: () => resolve(clockNow())
+      },
+      isWeak
     )
   })
   await election?.stop()
@@ -96,31 +113,7 @@
     put: () => Promise.resolve({ok: true, revision: ++claims})
   } as unknown as KvStore
   const wonAt: number[] = []
-  const election = new LeaderElection(
-    kv,
-    {
-      key: "leader",
-      self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
-      eras: new StoreEras(() => undefined),
-      ttlMs: 1_200,
-      marginMs: 200,
-      checksFences: true,
-      orderGapMs: 0
-    },
-    {
-      won: () => void wonAt.push(clockNow()),
-      lost: () => undefined,
-      suspended: () => undefined,
-      confirmed: () => undefined,
-      leaderFound: () => undefined,
-      noLeaderFound: () => undefined,
-      boxCount: () => 3,
-      medianAgeMs: () => 0,
-      isWeak: () => true,
-      renewByOthers: () => Promise.reject(new Error("unused")),
-      renewedByOthers: () => undefined
-    }
-  )
+  const election = startElection(kv, {won: () => void wonAt.push(clockNow())}, true)
   await until("it leads", () => wonAt.length === 1)
   await new Promise(resolve => setTimeout(resolve, LOOK_INTERVAL_MS))
   const resignedAt = clockNow()
@@ -163,31 +156,10 @@
       return Promise.reject(new KvUnknown("no answer"))
     }
   } as unknown as KvStore
-  const election = new LeaderElection(
-    kv,
-    {
-      key: "leader",
-      self: {box: "own", incarnation: "own", address: "127.0.0.1:2"},
-      eras: new StoreEras(() => undefined),
-      ttlMs: 1_200,
-      marginMs: 200,
-      checksFences: true,
-      orderGapMs: 0
-    },
-    {
-      won: () => void won++,
-      lost: () => undefined,
-      suspended: () => undefined,
-      confirmed: () => undefined,
-      leaderFound: () => t.fail("only this box claims"),
-      noLeaderFound: () => undefined,
-      boxCount: () => 3,
-      medianAgeMs: () => 0,
-      isWeak: () => false,
-      renewByOthers: () => Promise.reject(new Error("unused")),
-      renewedByOthers: () => undefined
-    }
-  )
+  const election = startElection(kv, {
+    won: () => void won++,
+    leaderFound: () => t.fail("only this box claims")
+  })
   await until("the second claim", () => claims.length === 2)
   await until("the box leads or looks again", () => won > 0 || revoked.length >= 2)
   t.equal(won, 0, "it holds no key under its second lease")
--- a/test/support/soak-promise-faults.ts
+++ b/test/support/soak-promise-faults.ts
@@ -109,10 +109,10 @@
       "process-engines-stopped": () => this.stopWorkers(bed.processEngines),
       "process-plain-stopped": () => this.stopWorkers(bed.processPlain),
       "process-worker-stopped": () => this.stopWorkers([draws.pick(this.workers())]),
-      "process-worker-reborn": () => this.rebear(draws.pick(this.workers())),
+      "process-worker-replaced": () => this.restartWorker(draws.pick(this.workers())),
       "box-starved": () => this.starve(box),
       "boxes-starved": () => bed.boxes.map(each => this.starve(each)),
-      "box-reborn": () => this.options_.restart(box, "SIGKILL"),
+      "box-killed": () => this.options_.restart(box, "SIGKILL"),
       "box-terminated": () => this.options_.restart(box, "SIGTERM"),
       "config-idle": () => this.configure(),
       "config-timeout": () => this.configure()
@@ -139,7 +139,8 @@
     }
   }
 
-  private async rebear(worker: ProcessWorker): Promise<void> {
+  /** Ends a worker; another one starts at its address. */
+  private async restartWorker(worker: ProcessWorker): Promise<void> {
     if (this.stopped_.has(worker)) return
     this.stopped_.add(worker)
     await worker.restart()
