--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -16,7 +16,7 @@
 import {fingerprintRequest} from "../utils/fingerprint.js"
 import {fingerprintPart} from "../utils/part-fingerprint.js"
 import {pause} from "../utils/promises.js"
-import {toOriginForm} from "../utils/request-target.js"
+import {isVisibleAscii, toOriginForm} from "../utils/request-target.js"
 import {clockNow} from "./clock.js"
 import {BackendPools, CONNECT_PATIENCE_MS} from "./backend-pools.js"
 import {
@@ -166,6 +166,11 @@
       logRefusal("several-hosts")
       return sendError(res, 400, problem("several-hosts"), own)
     }
+    // Some versions of Node's parser accept other bytes.
+    if (!isVisibleAscii(path)) {
+      logRefusal("unreadable-target")
+      return sendError(res, 400, problem("unreadable-target"), own)
+    }
     if (!currentTable) {
       logRefusal("no-configuration")
       const headers = {...own, "retry-after": retry}
--- a/src/utils/request-target.ts
+++ b/src/utils/request-target.ts
@@ -10,3 +10,8 @@
   const rest = target.replace(ABSOLUTE_FORM, "")
   return rest.startsWith("?") || rest === "" ? `/${rest}` : rest
 }
+
+/** Whether a request target has only visible ASCII characters, as RFC 9112 asks. */
+export function isVisibleAscii(target: string): boolean {
+  return /^[\x21-\x7e]*$/.test(target)
+}
