--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -79,6 +79,7 @@
   if (isExemptWithin(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (isCutOff(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (hasUnconfirmedServers(record, box, sentAt)) return false
+  if (record.plainRepeats.some(({from, to}) => from < end && to > sentAt)) return false
   return !record.faults.some(
     ({name, at}) => SERVER_FAULTS.has(name) && at > sentAt - SERVER_FAULT_MS && at < end
   )
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -176,6 +176,8 @@
   readonly replacedEngines: ReplacedEngine[] = []
   readonly cuts: BoxCut[] = []
   readonly pauses: WorkerPause[] = []
+  /** When plain workers refused requests and repeated answers. Infinity while they do. */
+  readonly plainRepeats: {readonly from: number; to: number}[] = []
   readonly boxEnds: BoxEnd[] = []
   /** Samples in the order of time, in rounds with load. */
   readonly freePlaces: FreePlaces[] = []
--- a/test/support/soak-repeat-faults.ts
+++ b/test/support/soak-repeat-faults.ts
@@ -57,6 +57,8 @@
     const share = this.draws_.pick(SHARES)
     const name = isPlain ? "plain-answers-repeated" : "answers-repeated"
     this.record_.faults.push({name, at: performance.now()})
+    const span = {from: performance.now(), to: Infinity}
+    if (isPlain) this.record_.plainRepeats.push(span)
     for (const worker of workers) {
       worker.faults = {...worker.faults, repeats: () => this.draws_.draw() < share}
     }
@@ -68,6 +70,7 @@
       await this.pauseFor(this.drawFrom(SERVING_MS))
     }
     for (const worker of workers) stopRepeating(worker)
+    span.to = performance.now()
   }
 
   /** Waits, but not beyond the end of all faults. */
