--- a/test/support/soak-promise-faults.ts
+++ b/test/support/soak-promise-faults.ts
@@ -1,8 +1,8 @@
 /**
  * What may make a box promise wrongly that a request did not run, in a round of the soak:
- * workers in processes of their own that are stopped by a signal and go on, boxes without a
- * processor for a while, second lives at old addresses, and configurations that change
- * time limits, beside repeated answers. Drawn from a random series of their own, so that
+ * workers in processes of their own that are stopped by a signal and go on, or replaced by
+ * others at their addresses, boxes without a processor for a while, and configurations that
+ * change time limits, beside repeated answers. Drawn from a random series of their own, so that
  * the other faults of a seed stay the same.
  */
 import type {ProcessWorker} from "../stand-ins/process-worker.js"
