--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -5,6 +5,7 @@
 import {benchPolicy} from "./policy.js"
 import {benchRelay} from "./relay.js"
 import {benchRules} from "./rules.js"
+import {benchStarts} from "./starts.js"
 
 const BENCHMARKS: Readonly<Record<string, () => Promise<void> | void>> = {
   capacity: benchCapacity,
@@ -12,7 +13,8 @@
   places: benchPlaces,
   policy: benchPolicy,
   relay: benchRelay,
-  rules: benchRules
+  rules: benchRules,
+  starts: benchStarts
 }
 
 const name = process.argv[2] ?? ""
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -90,6 +90,10 @@
 export class StandInStore {
   faults: StoreFaults = {}
   calls = 0
+  /** Connections accepted so far. */
+  connections = 0
+  /** Calls whose exchange has ended, by their path and by whether they were answered. */
+  readonly ended = new Map<string, number>()
   /** Formats the era header. Answers carry none if it returns undefined. */
   formatEra: (era: number) => string | undefined = String
   private era_ = 1
@@ -112,6 +116,7 @@
   private constructor() {
     this.server_ = createServer((req, res) => void this.receive(req, res))
     this.server_.keepAliveTimeout = 60_000
+    this.server_.on("connection", () => this.connections++)
   }
 
   static async start(port = 0): Promise<StandInStore> {
@@ -289,6 +294,7 @@
   }
 
   private async receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    res.once("close", () => this.countEnded(req, res))
     const chunks: Buffer[] = []
     try {
       for await (const chunk of req) chunks.push(chunk as Buffer)
@@ -306,6 +312,12 @@
     this.handle(req, res, body)
   }
 
+  private countEnded({url}: IncomingMessage, res: ServerResponse): void {
+    const path = /^\/[a-z-]*/.exec(url ?? "")?.[0] ?? ""
+    const kind = `${path} ${res.writableFinished ? "answered" : "abandoned"}`
+    this.ended.set(kind, (this.ended.get(kind) ?? 0) + 1)
+  }
+
   private handle(req: IncomingMessage, res: ServerResponse, body: object): void {
     const url = new URL(req.url ?? "/", "http://store")
     const {pathname, searchParams} = url
--- a/test/stand-ins/process-worker.ts
+++ b/test/stand-ins/process-worker.ts
@@ -7,8 +7,7 @@
 import {once} from "node:events"
 import {fileURLToPath} from "node:url"
 import type {Judge} from "./platform-judge.js"
-import type {StandInStore} from "./platform-store.js"
-import type {WorkerOptions} from "./platform-worker.js"
+import type {WorkerOptions, WorkerStore} from "./platform-worker.js"
 
 const PROGRAM = fileURLToPath(new URL("../support/worker-process.js", import.meta.url))
 
@@ -33,7 +32,7 @@
   private readonly name_ = `p-${++count}`
 
   private constructor(
-    private readonly store_: StandInStore,
+    private readonly store_: WorkerStore,
     private readonly judge_: Judge,
     private readonly options_: WorkerOptions
   ) {
@@ -41,7 +40,7 @@
   }
 
   static async start(
-    store: StandInStore,
+    store: WorkerStore,
     judge: Judge,
     options: WorkerOptions
   ): Promise<ProcessWorker> {
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -148,7 +148,13 @@
 
 let requestCount = 0
 
-export class PlatformBed {
+/** What a deployment needs of its store. */
+export type BedStore = Pick<
+  StandInStore,
+  "address" | "write" | "remove" | "read" | "stop"
+>
+
+export class PlatformBed<Store extends BedStore = StandInStore> {
   readonly judge = new Judge()
   readonly boxes: BedBox[] = []
   readonly engines: StandInWorker[] = []
@@ -166,14 +172,22 @@
   private readonly earlierOutput_: string[] = []
 
   private constructor(
-    readonly store: StandInStore,
+    readonly store: Store,
     private readonly options_: BedOptions
   ) {
     this.tenants = options_.tenants
   }
 
   static async start(options: BedOptions = {}): Promise<PlatformBed> {
-    const bed = new PlatformBed(await StandInStore.start(), options)
+    return PlatformBed.startOn(await StandInStore.start(), options)
+  }
+
+  /** Starts a deployment on a store, which it stops at its end. */
+  static async startOn<Store extends BedStore>(
+    store: Store,
+    options: BedOptions
+  ): Promise<PlatformBed<Store>> {
+    const bed = new PlatformBed(store, options)
     try {
       bed.configure()
       for (let i = 0; i < (options.engines ?? 2); i++) await bed.addEngine(i)
