Event 214 says how many connections a box opened and how many calls it took for late

Store calls fail while boxes start on few processors; nothing told whether the service answers late or whether the box itself had no processor. The event now has the connections opened, the late calls, and those whose own timer was late.

--- a/bench/starts.ts
+++ b/bench/starts.ts
@@ -261,15 +261,16 @@
       `${((time - from) / 1000).toFixed(2)} s ${box} ${event} ${JSON.stringify(rest)}`
     )
   }
-  const firstCalls: Record<string, number> = {}
+  const first: Record<string, number> = {}
   const counted = new Set<string>()
-  for (const {event, box, calls} of lines) {
+  for (const {event, box, calls, connections, lateCalls, starvedCalls} of lines) {
     if (event !== STORE_CALLS || counted.has(box)) continue
     counted.add(box)
-    for (const [kind, count] of Object.entries(calls as Record<string, number>))
-      firstCalls[kind] = (firstCalls[kind] ?? 0) + count
+    const counts = {...(calls as object), connections, lateCalls, starvedCalls}
+    for (const [kind, count = 0] of Object.entries(counts) as [string, number?][])
+      first[kind] = (first[kind] ?? 0) + count
   }
-  console.log(`calls in the first 5 s of each box: ${JSON.stringify(firstCalls)}`)
+  console.log(`boxes' calls in their first 5 s: ${JSON.stringify(first)}`)
 }
 
 interface LogLine extends Readonly<Record<string, unknown>> {
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -2,6 +2,7 @@
 import {Pool} from "undici"
 import {LATE_ANSWER_MS} from "../core/snapshot-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
+import type {KvTransport} from "../ports/ports.js"
 import {limitTime} from "../utils/time-limit.js"
 import {readAnswerText} from "./answer-text.js"
 import {clockNow} from "./clock.js"
@@ -39,16 +40,24 @@
 const CONNECT_TIMEOUT_MS = 600
 const MAX_CONNECTIONS = 8
 
+/** A timer that fires later than this shows that the process had no processor. */
+const STARVED_MS = 50
+
 /** Errors while connecting. The service cannot have received the call. */
 const CONNECT_ERROR_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
 
 export class StoreCalls {
   private pool_: Pool
+  private readonly observed_ = {connections: 0, lateCalls: 0, starvedCalls: 0}
 
   constructor(private readonly options_: StoreCallsOptions) {
     this.pool_ = this.openPool()
   }
 
+  get transport(): KvTransport {
+    return this.observed_
+  }
+
   /**
    * @throws KvUnavailable if the call was not executed, KvUnknown if it may have been.
    */
@@ -57,7 +66,8 @@
     const {eras, eraHeader} = this.options_
     const sentAt = clockNow()
     const limit = limitTime(watchMs + this.options_.timeoutMs, signal)
-    const late = setTimeout(() => this.replacePool(pool), watchMs + LATE_ANSWER_MS)
+    const lateAt = sentAt + watchMs + LATE_ANSWER_MS
+    const late = setTimeout(() => this.handleLate(pool, lateAt), lateAt - sentAt)
     try {
       const answer = await pool.request({
         method,
@@ -79,13 +89,21 @@
     }
   }
 
+  private handleLate(pool: Pool, lateAt: number): void {
+    this.observed_.lateCalls++
+    if (clockNow() - lateAt > STARVED_MS) this.observed_.starvedCalls++
+    this.replacePool(pool)
+  }
+
   private openPool(): Pool {
-    return new Pool(`http://${this.options_.address}`, {
+    const pool = new Pool(`http://${this.options_.address}`, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
       keepAliveTimeout: 30_000
     })
+    pool.on("connect", () => this.observed_.connections++)
+    return pool
   }
 
   /**
--- a/src/adapters/store-counter.ts
+++ b/src/adapters/store-counter.ts
@@ -46,7 +46,8 @@
   const logCounts = (): void => {
     if (counts.total === loggedTotal) return
     loggedTotal = counts.total
-    log("store-calls", {process, total: loggedTotal, calls: counts.read()})
+    const {transport = {}} = kv
+    log("store-calls", {process, total: loggedTotal, calls: counts.read(), ...transport})
   }
   const timer = setInterval(logCounts, intervalMs)
   timer.unref()
--- a/src/events.ts
+++ b/src/events.ts
@@ -342,7 +342,7 @@
   "store-calls": {
     number: 214,
     level: "info",
-    text: "Calls to the key-value service since the process started, by caller, reason and outcome."
+    text: "Calls to the key-value service since the process started, by caller, reason and outcome. `connections`: connections opened to it; `lateCalls`: calls whose answer was late; `starvedCalls`: those of them during which this process had no processor."
   },
   "era-rose": {
     number: 215,
--- a/src/ports/ports.ts
+++ b/src/ports/ports.ts
@@ -42,6 +42,16 @@
   readonly value?: string
 }
 
+/** What a client observed of its connections to the service since it was created. */
+export interface KvTransport {
+  /** Connections opened. */
+  readonly connections: number
+  /** Calls whose answer was late. */
+  readonly lateCalls: number
+  /** Those of them whose own timer was late: this process had no processor. */
+  readonly starvedCalls: number
+}
+
 /**
  * The platform's key-value service. Calls reject with `KvUnavailable` if they certainly
  * had no effect, and with `KvUnknown` if they may have had one.
@@ -77,6 +87,8 @@
   ): Promise<StorePosition>
   /** Returns a client that counts its calls for this purpose. Undefined if none does. */
   as?(purpose: CallPurpose): KvStore
+  /** Undefined if the client does not observe its connections. */
+  readonly transport?: KvTransport
 }
 
 /** The platform's list of boxes and backend servers, which may be out of date. */
