Red: odd values of other writers end every box

An entry of a worker whose address has leading zeros passes the check of addresses, and the URL parser refuses it where the pool is created: each box that lists it ends (event 103, TypeError: Invalid URL), and again after each start.

--- /dev/null
+++ b/test/odd-entries.test.ts
@@ -0,0 +1,92 @@
+/** Values of other writers in the store that are well-formed and yet impossible. */
+import t, {type Test} from "tap"
+import {passIfKnownRed} from "./support/known-red.js"
+import {PlatformBed} from "./support/platform-bed.js"
+import {until} from "./support/wait.js"
+
+const DEEP = 20_000
+
+const ENTRY = {
+  service: "plain",
+  address: "127.0.0.1:9",
+  zone: "dc-0",
+  version: "v1",
+  slots: 96,
+  state: "ready",
+  coldRemainingMs: 0,
+  sequence: 0,
+  born: 1_790_000_000_000
+}
+
+/** Returns an entry whose `key` has the JSON text `value`. */
+function withValue(key: string, value: string): string {
+  const others = Object.entries(ENTRY).filter(([name]) => name !== key)
+  const text = JSON.stringify(Object.fromEntries(others))
+  return `${text.slice(0, -1)},${JSON.stringify(key)}:${value}}`
+}
+
+const ODD_ENTRIES: Readonly<Record<string, string>> = {
+  octal: withValue("address", '"127.00.08.1:9"'),
+  "octal-read-otherwise": withValue("address", '"127.0.0.010:9"'),
+  "port-zeros": withValue("address", '"127.0.0.1:00009"'),
+  "port-zero": withValue("address", '"127.0.0.1:0"'),
+  "port-large": withValue("address", '"127.0.0.1:70000"'),
+  "any-host": withValue("address", '"0.0.0.0:9"'),
+  broadcast: withValue("address", '"255.255.255.255:9"'),
+  "cold-large": withValue("coldRemainingMs", "1e308"),
+  "slots-large": withValue("slots", "1e300"),
+  "born-large": withValue("born", "1e400"),
+  "version-lines": withValue("version", '"1\\r\\nX: y"'),
+  "version-surrogate": withValue("version", '"\\ud800"'),
+  "zone-proto": withValue("zone", '"__proto__"'),
+  deep: withValue("models", "[".repeat(DEEP) + "]".repeat(DEEP)),
+  "deep-extra": withValue("more", '{"a":'.repeat(DEEP) + "1" + "}".repeat(DEEP))
+}
+
+async function restartAll(bed: PlatformBed): Promise<void> {
+  await Promise.all(bed.boxes.map(({child}) => child.end("SIGKILL")))
+  for (const box of bed.boxes) bed.restartBox(box)
+}
+
+/** Waits until every box sends requests to a server that joins now. */
+async function expectFollowing(t: Test, bed: PlatformBed): Promise<void> {
+  const joined = await bed.addPlain()
+  for (const box of bed.boxes) {
+    await until(`${box.name} sends to a new server`, async () => {
+      if (box.child.ended) throw new Error(`${box.name} has ended`)
+      const {id} = await bed.call(box, "/safe/x")
+      return bed.judge.runsOf(id).some(run => run.worker === joined.id)
+    })
+  }
+  t.ok(bed.boxes.every(({child}) => !child.ended))
+}
+
+// LOST: an address that the URL parser reads as octal numbers ended every box that read it,
+// and again after each start.
+if (!passIfKnownRed("odd-entries 1")) {
+  t.test("odd entries of backend servers end no box", async t => {
+    const bed = await PlatformBed.start({boxes: 2, engines: 1, plain: 1})
+    t.teardown(() => bed.stop())
+    for (const [name, text] of Object.entries(ODD_ENTRIES))
+      bed.store.writeBytes(`servers/${name}`, Buffer.from(text))
+    await expectFollowing(t, bed)
+    await restartAll(bed)
+    await expectFollowing(t, bed)
+    const used = bed.logs().match(/"event":204,"backend":"(octal|port|any|broad|cold)/)
+    t.notOk(used, "an impossible server got requests")
+  })
+}
+
+// LOST: an unreadable value at the leader's key ended each box that looked for a leader.
+for (const text of ["{", "null", "7", '{"incarnation":7}', "[".repeat(DEEP)]) {
+  if (passIfKnownRed("odd-entries 2")) break
+  t.test(`an odd leader's key ends no box: ${text.slice(0, 20)}`, async t => {
+    const bed = await PlatformBed.start({boxes: 2, engines: 0, plain: 1})
+    t.teardown(() => bed.stop())
+    await Promise.all(bed.boxes.map(({child}) => child.end("SIGKILL")))
+    bed.store.remove("sedge/leader")
+    bed.store.writeBytes("sedge/leader", Buffer.from(text))
+    for (const box of bed.boxes) bed.restartBox(box)
+    await expectFollowing(t, bed)
+  })
+}
