Calls to the store wait as long as its answers take

Callers saw nothing served after a start of all boxes (503) until the boxes had processors again, and then again 429.

Cause: fixed time limits. An answer that takes longer than 150 ms opened a new pool, longer than 450 ms made the call fail and be repeated, and after a turn without a processor the timers ran before what had arrived was read. Lateness made more calls and connections, which made answers later; leaders lost leases that were renewed one at a time, and each new leader let all boxes link anew.

Now a call is late by the times that answers take (RFC 6298's estimate, also of answers nobody waits for any more); a pool is replaced only if it had answered; timers of answers let the loop read its sockets first; renewals go on while one is on its way, also during a claim; looks, claims and retries pause longer by as much. A calm store is called as before.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -1,4 +1,5 @@
 /** Leader election by a leased key in the key-value service. */
+import * as z from "zod"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {
   type Claim,
@@ -15,9 +16,10 @@
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {LeaderRecord} from "../types/box-messages.js"
 import type {StoreCaller} from "../types/store-calls.js"
+import {isHostAddress} from "../utils/address.js"
 import {firstSuccess, pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
-import {callAs} from "./store-counter.js"
+import {callAs, slownessOf} from "./store-counter.js"
 import type {StoreEras} from "./era-source.js"
 
 const RENEW_INTERVAL_MS = 300
@@ -67,6 +69,15 @@
  */
 const HELP_AFTER_MS = 150
 
+/** A claim renews its lease meanwhile if granting it took this share of its time. */
+const SLOW_GRANT_SHARE = 0.25
+
+interface HeldLease {
+  readonly lease: string
+  /** When the last answered call was sent that granted or renewed it. */
+  countsFrom: number
+}
+
 interface Renewal {
   /** Whether the service still knew the lease. */
   readonly known: boolean
@@ -75,6 +86,24 @@
   readonly byOthers: boolean
 }
 
+const leaderRecord = z.object({
+  box: z.string(),
+  incarnation: z.string(),
+  address: z.string().refine(isHostAddress),
+  era: z.number().optional(),
+  lease: z.string().optional()
+})
+
+/** Returns undefined if the text is no record of a leader. */
+function parseRecord(text: string): LeaderRecord | undefined {
+  try {
+    const {success, data} = leaderRecord.safeParse(JSON.parse(text))
+    return success ? data : undefined
+  } catch {
+    return undefined
+  }
+}
+
 export interface ElectionOptions extends LeadershipOptions {
   readonly key: string
   readonly self: LeaderRecord
@@ -91,6 +120,8 @@
   readonly suspended: () => void
   readonly confirmed: (fence: number) => void
   readonly leaderFound: (leader: LeaderRecord) => void
+  /** The leader's key holds no record of a leader. */
+  readonly unreadable: (key: string, revision: number) => void
   /**
    * The key-value service answered at `at` that there is no leader, to a question sent at
    * `askedAt`.
@@ -118,6 +149,10 @@
   private linked_ = false
   private busy_ = false
   private renewedByOthers_ = false
+  /** Revision of the leader's key at which it was last found unreadable. */
+  private unreadableRevision_: number | undefined
+  /** When the last renewal was sent. */
+  private renewedAt_ = -Infinity
   /** Since when no leader was found. Undefined while there is one. */
   private missingSince_: number | undefined
   /** Whether the next look is due at once. */
@@ -222,17 +257,26 @@
       this.looksAtOnce_ = false
       return waitMs
     }
-    return confirmed && isLeader(this.leadership, clockNow())
-      ? RENEW_INTERVAL_MS
-      : CONFIRM_INTERVAL_MS
+    const now = clockNow()
+    if (!confirmed || !isLeader(this.leadership, now)) return CONFIRM_INTERVAL_MS
+    return Math.max(0, this.renewedAt_ + RENEW_INTERVAL_MS - now)
   }
 
-  private keepLeadership(): Promise<void> {
-    return this.leadership.confirmed ? this.renew() : this.confirm()
+  /**
+   * Waits for a renewal only until the next one is due: answers of the service may take
+   * longer than that, and the lease lasts as long as one of them arrives in time.
+   */
+  private async keepLeadership(): Promise<void> {
+    if (!this.leadership.confirmed) return this.confirm()
+    this.renewedAt_ = clockNow()
+    const renewal = this.renew()
+    renewal.catch(() => undefined)
+    await Promise.race([renewal, pause(RENEW_INTERVAL_MS)])
   }
 
   private lookIntervalMs(): number {
-    return Math.max(LOOK_INTERVAL_MS, this.events_.boxCount() * LOOK_INTERVAL_PER_BOX_MS)
+    const forAllMs = this.events_.boxCount() * LOOK_INTERVAL_PER_BOX_MS
+    return Math.max(LOOK_INTERVAL_MS * slownessOf(this.kv_), forAllMs)
   }
 
   /**
@@ -305,10 +349,25 @@
 
   private isClaimedByOther(entry: KvEntry | undefined): boolean {
     if (!entry) return false
-    const {incarnation, era} = JSON.parse(entry.value) as LeaderRecord
+    const record = this.readRecord(entry)
+    if (!record) return true
+    const {incarnation, era} = record
     return era === entry.era && incarnation !== this.options_.self.incarnation
   }
 
+  /**
+   * Returns the leader that the key names. Undefined if another writer stored something
+   * else: the box that leads may go on, so that no other one may claim.
+   */
+  private readRecord({value, revision}: KvEntry): LeaderRecord | undefined {
+    const record = parseRecord(value)
+    if (!record && revision !== this.unreadableRevision_) {
+      this.unreadableRevision_ = revision
+      this.events_.unreadable(this.options_.key, revision)
+    }
+    return record
+  }
+
   private toClaim(fence: number, lease: string, sentAt: number): Claim {
     return {fence, lease, sentAt, eraBegunBy: this.options_.eras.known?.begunBy}
   }
@@ -322,7 +381,8 @@
       return this.mustDefer() ? undefined : this.claimLater()
     }
     this.missingSince_ = undefined
-    const leader = JSON.parse(entry.value) as LeaderRecord
+    const leader = this.readRecord(entry)
+    if (!leader) return
     if (leader.incarnation !== this.options_.self.incarnation) {
       return this.events_.leaderFound(leader)
     }
@@ -350,7 +410,10 @@
     const kv = this.storeAs("leader-claim")
     const sentAt = clockNow()
     const lease = await kv.grantLease(this.options_.ttlMs)
-    const fence = await this.claim(kv, lease, undefined)
+    const held: HeldLease = {lease, countsFrom: sentAt}
+    const claim = this.claim(kv, lease, undefined)
+    await this.renewDuring(claim, held)
+    const fence = await claim
     if (fence === undefined) {
       void this.storeAs("lease-end")
         .revokeLease(lease)
@@ -366,21 +429,53 @@
         .catch(() => undefined)
     beginLeadership(
       this.leadership,
-      this.toClaim(fence, lease, sentAt),
+      this.toClaim(fence, lease, held.countsFrom),
       now,
       this.options_
     )
     this.missingSince_ = undefined
+    this.renewedAt_ = Math.max(this.renewedAt_, held.countsFrom)
     if (isLeader(this.leadership, now)) this.events_.won(fence)
     else this.loseLeadership("claim took too long")
   }
 
+  /**
+   * Renews the lease of a claim at the usual intervals until the claim is answered. Does
+   * nothing if the lease was granted soon.
+   */
+  private async renewDuring(claim: Promise<unknown>, held: HeldLease): Promise<void> {
+    const grantedMs = clockNow() - held.countsFrom
+    if (grantedMs < SLOW_GRANT_SHARE * this.options_.ttlMs) return
+    const answered = claim.then(
+      () => true,
+      () => true
+    )
+    const first = this.renewHeld(held)
+    while (!(await Promise.race([answered, pause(RENEW_INTERVAL_MS)])))
+      void this.renewHeld(held)
+    await first
+  }
+
+  /** Renews a lease once. A renewal that is answered after the claim extends it, too. */
+  private async renewHeld(held: HeldLease): Promise<void> {
+    const sentAt = clockNow()
+    const known = await this.storeAs("lease-renew")
+      .keepAlive(held.lease)
+      .catch(() => false)
+    if (!known) return
+    held.countsFrom = Math.max(held.countsFrom, sentAt)
+    const {lease, confirmed} = this.leadership
+    if (lease === held.lease && confirmed)
+      extendLease(this.leadership, sentAt, this.options_)
+  }
+
   private claimDelayMs(): number {
     const now = clockNow()
     const age = now - this.startedAt_
     const young =
       age > SETTLED_MS && age < YOUNG_AGE_SHARE * this.events_.medianAgeMs(now)
-    return Math.random() * CLAIM_SCATTER_MS * (young ? YOUNG_SCATTER_SHARE : 1)
+    const scatterMs = CLAIM_SCATTER_MS * slownessOf(this.kv_)
+    return Math.random() * scatterMs * (young ? YOUNG_SCATTER_SHARE : 1)
   }
 
   /**
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -366,6 +366,8 @@
           this.usageStore_.noteLeader()
           this.session_.follow(leader)
         },
+        unreadable: (key, revision) =>
+          log("entry-unreadable", {key, revision, reason: "is no record of a leader"}),
         noLeaderFound: (askedAt, at) => {
           if (settings.usage) this.usageStore_.noteNoLeader(askedAt, at)
         },
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -1,9 +1,11 @@
 /** Calls the key-value service over HTTP, with timeouts. Replaces silent connections. */
 import {Pool} from "undici"
+import {AnswerTimes} from "../core/answer-times.js"
 import {LATE_ANSWER_MS} from "../core/snapshot-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import type {KvTransport} from "../ports/ports.js"
 import {limitTime} from "../utils/time-limit.js"
+import {startAnswerTimer, type Timer} from "../utils/timers.js"
 import {readAnswerText} from "./answer-text.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
@@ -11,7 +13,10 @@
 export interface StoreCallsOptions {
   /** IP number and port. */
   readonly address: string
-  /** Timeout of a call, added to its `watchMs`. */
+  /**
+   * Timeout of a call, added to its `watchMs`. Longer by as much as answers take longer
+   * than usual.
+   */
   readonly timeoutMs: number
   readonly eras: StoreEras
   /** Name of the answer header with the era, in lower case. */
@@ -37,17 +42,31 @@
   readonly era: number | undefined
 }
 
-const CONNECT_TIMEOUT_MS = 600
-const MAX_CONNECTIONS = 8
+const MAX_CONNECTIONS = 16
 
 /** A timer that fires later than this shows that the process had no processor. */
 const STARVED_MS = 50
 
+/** Longest time until an answer counts as late, however slow the service is. */
+const MAX_LATE_ANSWER_MS = 1_000
+
+/**
+ * For how long an answer is awaited that its caller has given up. It shows how long
+ * answers take.
+ */
+const MAX_EXCHANGE_MS = 4_000
+
+/** The time limits of the calls end before. */
+const CONNECT_TIMEOUT_MS = MAX_EXCHANGE_MS
+
 /** Errors while connecting. The service cannot have received the call. */
 const CONNECT_ERROR_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
 
 export class StoreCalls {
   private pool_: Pool
+  private readonly times_ = new AnswerTimes(LATE_ANSWER_MS, MAX_LATE_ANSWER_MS)
+  /** Pools with a connection on which a call was answered. */
+  private readonly answered_ = new WeakSet<Pool>()
   private readonly observed_ = {connections: 0, lateCalls: 0, starvedCalls: 0}
 
   constructor(private readonly options_: StoreCallsOptions) {
@@ -58,16 +77,48 @@
     return this.observed_
   }
 
+  /** By how many times answers take longer than usual, 1 or more. */
+  get slowness(): number {
+    return this.times_.slowness
+  }
+
   /**
    * @throws KvUnavailable if the call was not executed, KvUnknown if it may have been.
    */
-  async call({method, path, body, watchMs = 0, signal}: StoreCall): Promise<StoreAnswer> {
+  async call(call: StoreCall): Promise<StoreAnswer> {
     const pool = this.pool_
-    const {eras, eraHeader} = this.options_
+    const {watchMs = 0} = call
     const sentAt = clockNow()
-    const limit = limitTime(watchMs + this.options_.timeoutMs, signal)
-    const lateAt = sentAt + watchMs + LATE_ANSWER_MS
-    const late = setTimeout(() => this.handleLate(pool, lateAt), lateAt - sentAt)
+    const lateAfterMs = watchMs + this.times_.lateAfterMs
+    const timeoutMs = Math.round(watchMs + this.options_.timeoutMs * this.slowness)
+    const late = startAnswerTimer(lateAfterMs, () =>
+      this.handleLate(pool, sentAt + lateAfterMs)
+    )
+    let timeout: Timer | undefined
+    const expired = new Promise<never>((_, reject) => {
+      timeout = startAnswerTimer(timeoutMs, () => {
+        this.replacePool(pool)
+        reject(new KvUnknown(`no answer within ${timeoutMs} ms`))
+      })
+    })
+    const answer = this.exchange(pool, call, sentAt)
+    answer.catch(() => undefined)
+    try {
+      return await Promise.race([answer, expired])
+    } finally {
+      late.clear()
+      timeout?.clear()
+    }
+  }
+
+  /** Sends a call and reads its answer, also after its caller has given it up. */
+  private async exchange(
+    pool: Pool,
+    {method, path, body, watchMs, signal}: StoreCall,
+    sentAt: number
+  ): Promise<StoreAnswer> {
+    const {eras, eraHeader} = this.options_
+    const limit = limitTime((watchMs ?? 0) + MAX_EXCHANGE_MS, signal)
     try {
       const answer = await pool.request({
         method,
@@ -77,14 +128,14 @@
         signal: limit.signal
       })
       const text = await readAnswerText(answer.body)
+      this.answered_.add(pool)
+      if (watchMs === undefined) this.times_.record(clockNow() - sentAt)
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
       return {status: answer.statusCode, body: parseBody(text), era}
     } catch (cause) {
-      if (limit.hasExpired()) this.replacePool(pool)
       throw toKvError(cause as Error)
     } finally {
-      clearTimeout(late)
       limit.clear()
     }
   }
@@ -92,7 +143,9 @@
   private handleLate(pool: Pool, lateAt: number): void {
     this.observed_.lateCalls++
     if (clockNow() - lateAt > STARVED_MS) this.observed_.starvedCalls++
-    this.replacePool(pool)
+    // A pool that has not answered yet shows that the service is slow, not that connections
+    // are silent.
+    if (this.answered_.has(pool)) this.replacePool(pool)
   }
 
   private openPool(): Pool {
--- a/src/adapters/store-counter.ts
+++ b/src/adapters/store-counter.ts
@@ -67,6 +67,11 @@
   return kv.as?.(purpose) ?? kv
 }
 
+/** By how many times the service answers later than usual, 1 or more. */
+export function slownessOf({slowness = 1}: KvStore): number {
+  return slowness
+}
+
 class StoreCounts {
   total = 0
   private readonly counts_ = new Map<string, number>()
@@ -103,6 +108,10 @@
     private readonly purpose_: CallPurpose
   ) {}
 
+  get slowness(): number {
+    return slownessOf(this.kv_)
+  }
+
   as(purpose: CallPurpose): KvStore {
     return new CountedStore(this.kv_, this.counts_, {...this.purpose_, ...purpose})
   }
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -11,7 +11,7 @@
 import {hedgeAfter, pause} from "../utils/promises.js"
 import {limitTime} from "../utils/time-limit.js"
 import {clockNow} from "./clock.js"
-import {callAs} from "./store-counter.js"
+import {callAs, slownessOf} from "./store-counter.js"
 
 const MIN_RETRY_PAUSE_MS = 60
 const MAX_RETRY_PAUSE_MS = 500
@@ -87,8 +87,9 @@
 
   /** Whether the answer to a list is late, or the last list of a prefix failed. */
   isFailing(now: number): boolean {
+    const lateAfterMs = LATE_ANSWER_MS * slownessOf(this.kv_)
     for (const askedAt of this.pendingSince_.values())
-      if (now - askedAt > LATE_ANSWER_MS) return true
+      if (now - askedAt > lateAfterMs) return true
     return this.failedPrefixes_.size > 0
   }
 
@@ -111,7 +112,8 @@
         this.events_.listFailed(prefix, (cause as Error).message)
         failures++
         reason = "after-failure"
-        await pause(backoffMs(failures, MIN_RETRY_PAUSE_MS, this.maxRetryPauseMs()))
+        const minPauseMs = MIN_RETRY_PAUSE_MS * slownessOf(this.kv_)
+        await pause(backoffMs(failures, minPauseMs, this.maxRetryPauseMs()))
       }
     }
   }
@@ -164,7 +166,7 @@
       const lastRevision = position.revision
       // A watch that does not end in time is silent. The next list includes what it
       // missed.
-      const limit = limitTime(waitMs + LATE_ANSWER_MS, signal)
+      const limit = limitTime(waitMs + LATE_ANSWER_MS * slownessOf(this.kv_), signal)
       try {
         const kv = callAs(this.kv_, {caller: "leader-watch", reason})
         position = await kv.watch(prefix, position, handleChange, limit.signal, waitMs)
@@ -207,7 +209,7 @@
       return store.list(prefix, from)
     }
     const answer = await (retryLate
-      ? hedgeAfter(LATE_ANSWER_MS, requestPage)
+      ? hedgeAfter(LATE_ANSWER_MS * slownessOf(kv), requestPage)
       : requestPage())
     // Pages aren't a consistent snapshot. A watch from the first page's position repeats
     // what changed since.
--- a/src/ports/ports.ts
+++ b/src/ports/ports.ts
@@ -89,6 +89,11 @@
   as?(purpose: CallPurpose): KvStore
   /** Undefined if the client does not observe its connections. */
   readonly transport?: KvTransport
+  /**
+   * By how many times answers take longer than usual, 1 or more. Undefined if the client
+   * does not observe it.
+   */
+  readonly slowness?: number
 }
 
 /** The platform's list of boxes and backend servers, which may be out of date. */
--- a/src/utils/promises.ts
+++ b/src/utils/promises.ts
@@ -1,3 +1,5 @@
+import {startAnswerTimer} from "./timers.js"
+
 /** Resolves after `ms` milliseconds; a negative time counts as 0. */
 export function pause(ms: number): Promise<undefined> {
   return new Promise(resolve => setTimeout(() => resolve(undefined), Math.max(0, ms)))
@@ -23,8 +25,9 @@
       () => true,
       () => true
     )
+    const late = new Promise<false>(resolve => startAnswerTimer(ms, () => resolve(false)))
     // If the first request fails, the caller of this function decides about a retry.
-    if (await Promise.race([settled, pause(ms)])) return first
+    if (await Promise.race([settled, late])) return first
     return send()
   }
   return firstSuccess([first, sendSecond()])
--- a/src/utils/time-limit.ts
+++ b/src/utils/time-limit.ts
@@ -1,3 +1,5 @@
+import {startAnswerTimer} from "./timers.js"
+
 export interface TimeLimit {
   /** Aborts after the time limit, or when the parent signal aborts. */
   readonly signal: AbortSignal
@@ -15,10 +17,10 @@
 export function limitTime(ms: number, parent?: AbortSignal): TimeLimit {
   const controller = new AbortController()
   let expired = false
-  const timer = setTimeout(() => {
+  const timer = startAnswerTimer(ms, () => {
     expired = true
     controller.abort(new DOMException(`no answer within ${ms} ms`, "TimeoutError"))
-  }, ms)
+  })
   const abort = (): void => controller.abort(parent?.reason)
   if (parent?.aborted) abort()
   parent?.addEventListener("abort", abort, {once: true})
@@ -26,7 +28,7 @@
     signal: controller.signal,
     hasExpired: () => expired,
     clear: () => {
-      clearTimeout(timer)
+      timer.clear()
       parent?.removeEventListener("abort", abort)
     }
   }
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -41,6 +41,7 @@
       suspended: () => undefined,
       confirmed: () => undefined,
       leaderFound: () => undefined,
+      unreadable: () => undefined,
       noLeaderFound: () => undefined,
       boxCount: () => 3,
       medianAgeMs: () => 0,
--- a/test/store-counter.test.ts
+++ b/test/store-counter.test.ts
@@ -181,6 +181,7 @@
       lost: () => undefined,
       suspended: () => undefined,
       confirmed: () => undefined,
+      unreadable: () => undefined,
       leaderFound: () => undefined,
       noLeaderFound: () => undefined,
       boxCount: () => 1,
