A leader stores less as what it took over expires

Callers with keys got 429 for up to 13 s after several leaders in a row, although nothing ran. Cause: a projection counts from the begin of the leader that reads it, and a leader wrote its own only as usage grew, so that each one handed on the whole of what it took over. The class: a value of the store without an age.

--- a/src/core/usage-ledger.ts
+++ b/src/core/usage-ledger.ts
@@ -69,6 +69,13 @@
  */
 const SCARCE_SHARE = 0.3
 
+/**
+ * What expired of earlier leaders' usage, as a share of the limit, from which on the
+ * projection is lowered, at the earliest one step after the last write. The next leader
+ * counts a projection from its own begin.
+ */
+const EXPIRED_SHARE = 0.06
+
 /** Interval of writes that lower the projection once all claimed boxes are accounted for. */
 const LOWER_INTERVAL_MS = 250
 
@@ -149,6 +156,8 @@
 export class UsageLedger {
   private readonly buckets_ = new Map<string, UsageBucket>()
   private readonly accounts_ = new Map<string, UsageAccount>()
+  /** Until then usage of earlier leaders may count. */
+  private takenOverUntil_ = -Infinity
   /** All limits count as used up until then. */
   private exhaustedUntil_ = -Infinity
   private phase_: "new" | "reading" | "known" = "new"
@@ -236,6 +245,7 @@
     now: number,
     claims: UsageClaims | undefined
   ): void {
+    this.takenOverUntil_ = now + this.steps_ * PROJECTION_STEP_MS
     for (const [organisation, projection] of Object.entries(outlooks)) {
       addProjection(this.accountOf(organisation).earlier, projection, now)
     }
@@ -666,11 +676,14 @@
     const wasExhausted = this.savedAt_ < this.exhaustedUntil_
     if (wasExhausted && sinceSave >= PROJECTION_STEP_MS) return this.save(now)
     const releasesUnused = sinceSave > UNUSED_GROWTH_MS
+    const releasesExpired = now < this.takenOverUntil_ && sinceSave >= PROJECTION_STEP_MS
     const due = [...this.limits_()].some(([organisation, limit]) => {
       const account = this.accountOf(organisation)
       const total = this.total(account, now)
       const stored = account.stored[0] ?? 0
       if (releasesUnused && stored - total > UNUSED_GROWTH_SHARE * limit) return true
+      const needed = Math.min(limit, total + HEADROOM_SHARE * limit)
+      if (releasesExpired && stored - needed > EXPIRED_SHARE * limit) return true
       const growth = Math.min(LOW_HEADROOM_SHARE * limit, limit - total)
       if (this.storedRoom(account, now) < growth) return true
       const isOwnUsed = account.boxes.has(this.ownBox_ ?? "")
