--- a/test/support/fault-proxy.ts
+++ b/test/support/fault-proxy.ts
@@ -9,8 +9,21 @@
   /** Closes new connections at once. */
   readonly refuse?: boolean
   readonly delayMs?: number
+  /**
+   * Cuts the heads of answers to requests with such a first line. Undefined if the head of
+   * this one is not cut.
+   */
+  readonly cutHead?: (requestLine: string) => HeadCut | undefined
 }
 
+/** Where the head of an answer stops, and what becomes of its connection. */
+export interface HeadCut {
+  readonly bytes: number
+  readonly how: "end" | "reset" | "stall"
+}
+
+const ANSWER_BEGIN = Buffer.from("HTTP/1.")
+
 /** One direction of a connection. */
 interface Direction {
   readonly from: Socket
@@ -18,6 +31,8 @@
   /** Data received while the direction was blocked; sent when it is unblocked. */
   readonly buffered: Buffer[]
   readonly isBlocked: () => boolean
+  /** Where to cut the answer whose first bytes are in a chunk. */
+  readonly cutOf?: (chunk: Buffer) => HeadCut | undefined
   /** Discards all data and the end of the stream. The sender doesn't notice. */
   silent: boolean
 }
@@ -107,6 +122,15 @@
   private accept(client: Socket, target: number): void {
     if (this.faults_.refuse) return void client.destroy()
     const upstream = connect({port: target, host: "127.0.0.1", noDelay: true})
+    let requestLine = ""
+    client.on("data", (chunk: Buffer) => {
+      const [line = ""] = chunk.toString("latin1").split("\r\n", 1)
+      if (line.includes(" HTTP/1.")) requestLine = line
+    })
+    const cutOf = (chunk: Buffer): HeadCut | undefined =>
+      chunk.subarray(0, ANSWER_BEGIN.length).equals(ANSWER_BEGIN)
+        ? this.faults_.cutHead?.(requestLine)
+        : undefined
     this.forward({
       from: client,
       to: upstream,
@@ -119,6 +143,7 @@
       to: client,
       buffered: [],
       isBlocked: () => this.faults_.blockDown === true,
+      cutOf,
       silent: false
     })
   }
@@ -126,8 +151,10 @@
   private forward(direction: Direction): void {
     const {from, to, buffered, isBlocked} = direction
     this.directions_.add(direction)
-    from.on("data", chunk => {
+    from.on("data", (chunk: Buffer) => {
       if (direction.silent) return
+      const cut = direction.cutOf?.(chunk)
+      if (cut) return this.cutHead(direction, chunk, cut)
       if (!isBlocked()) return this.write(to, chunk)
       buffered.push(chunk)
       from.pause()
@@ -145,6 +172,17 @@
     })
   }
 
+  private cutHead(direction: Direction, chunk: Buffer, {bytes, how}: HeadCut): void {
+    const {from, to} = direction
+    const headBytes = chunk.indexOf("\r\n\r\n")
+    direction.silent = true
+    to.write(chunk.subarray(0, Math.min(bytes, headBytes)), () => {
+      if (how === "end") to.end()
+      else if (how === "reset") to.resetAndDestroy()
+      if (how !== "stall") from.destroy()
+    })
+  }
+
   private write(to: Socket, chunk: Buffer): void {
     const {delayMs} = this.faults_
     if (delayMs) setTimeout(() => to.writable && to.write(chunk), delayMs)
