A stream of unknown begin needs a list of servers that is newer than its request

Callers' streams held events of two software versions (ORDER): a box that was cut off from the store and from the others, also a leader, took the one version in its list for the only one, while a new one had joined within the 1.7 s for which a list counts as recent. Class: a list that proves an absence must not be older than what it is asked about.

Where no other box knows the begin, the box now reads the servers before it concludes anything, and refuses the stream (old-list, 503, Retry-After 1 s) if it cannot. Streams whose begin is known cost nothing more; others one list.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -235,6 +235,7 @@
       ownAddress: settings.boxes,
       post,
       serving: () => serving,
+      readServers: () => this.snapshotSource_.readNow(),
       log
     })
     this.carrier_ = new Carrier({
--- a/src/adapters/snapshot-source.ts
+++ b/src/adapters/snapshot-source.ts
@@ -37,8 +37,12 @@
 import type {StoreEras} from "./era-source.js"
 import type {SettledEra} from "./settled-era.js"
 import {listForPeers, type Listing, StoreFollower} from "./store-follower.js"
+import {pause} from "../utils/promises.js"
 import type {StorePosition} from "../types/store-position.js"
 
+/** For how long a request waits for a list of servers that is newer than itself. */
+const MAX_READ_MS = 300
+
 /** Time for a starting box to find a leader before it reads the store itself. */
 const LEADER_SEARCH_MS = 600
 
@@ -333,6 +337,22 @@
     await this.pendingRead_
   }
 
+  /** Reads the store, unless a read that begins later than now ends first. */
+  async readNow(): Promise<void> {
+    const now = clockNow()
+    await Promise.race([this.readSince(now), pause(MAX_READ_MS)])
+  }
+
+  private async readSince(at: number): Promise<void> {
+    // A read that is pending began earlier.
+    await this.pendingRead_?.catch(() => undefined)
+    if (this.snapshotAge_.readAt >= at) return
+    this.pendingRead_ ??= this.readOnce().finally(() => (this.pendingRead_ = undefined))
+    await this.pendingRead_.catch((cause: Error) =>
+      this.options_.log("kv-trouble", {prefix: "", reason: cause.message})
+    )
+  }
+
   private async readOnce(): Promise<void> {
     const {kv, records} = this.options_
     const prefixes = [records.operatorPrefix, records.backendPrefix]
--- a/src/adapters/stream-peers.ts
+++ b/src/adapters/stream-peers.ts
@@ -62,6 +62,8 @@
   readonly ownAddress: string
   readonly post: (event: ServingEvent) => void
   readonly serving: () => BoxServing
+  /** Reads the list of servers now, if the key-value service answers in time. */
+  readonly readServers: () => Promise<void>
   readonly log: Log
 }
 
@@ -97,13 +99,14 @@
     }, BATCH_MS)
   }
 
-  /** Posts what other boxes know of the begin of a stream. */
+  /**
+   * Posts what other boxes know of the begin of a stream. If they don't know it, what
+   * versions there are decides, by a list that is newer than the question.
+   */
   async ask(id: string, stream: string, service: string): Promise<void> {
-    this.options_.post({
-      type: "origin-answer",
-      id,
-      answer: await this.collectAnswers(stream, service)
-    })
+    const found = await this.collectAnswers(stream, service)
+    if (!found.origin) await this.options_.readServers()
+    this.options_.post({type: "origin-answer", id, answer: found})
   }
 
   /** Handles a message of another box. Returns whether the request is one. */
--- a/src/core/box-streams.ts
+++ b/src/core/box-streams.ts
@@ -21,6 +21,9 @@
 /** Longest time since the begin of a stream that is resumed, in time limits of its route. */
 const MAX_AGE_TIMEOUTS = 2
 
+/** Time after which a box that could not read the servers may have read them. */
+const OLD_LIST_RETRY_MS = 1_000
+
 /** Software versions of a service, as boxes have seen them. */
 export interface VersionHistory {
   readonly recent: readonly string[]
@@ -60,24 +63,28 @@
   {origin, ...history}: OriginAnswer,
   now: number
 ): boolean {
-  if (request.originAskedAt === undefined) return false
+  const askedAt = request.originAskedAt
+  if (askedAt === undefined) return false
   request.originAskedAt = undefined
   if (origin) {
     bindTo(box, request, origin, "other-box")
     return true
   }
-  bindToOnlyVersion(box, request, history, now)
+  bindToOnlyVersion(box, request, history, askedAt, now)
   return box.requests.has(request.arrival.id)
 }
 
 /**
  * Binds a stream of unknown begin if only one version can have begun it, as this box or
- * another one has observed since then. Otherwise refuses it.
+ * another one has observed since then. Otherwise refuses it. The servers must have been
+ * read since the request came: the stream may have begun at a version that joined shortly
+ * before, of which the boxes that know it could not tell this one.
  */
 function bindToOnlyVersion(
   box: BoxServing,
   request: BoxRequest,
   others: VersionHistory,
+  askedAt: number,
   now: number
 ): void {
   const {service, route} = request.arrival
@@ -87,6 +94,9 @@
   if (only === undefined || more.length > 0) {
     return refuseStream(box, request, "unknown-begin", now)
   }
+  if ((box.readAt ?? -Infinity) < askedAt) {
+    return refuseStream(box, request, "old-list", now, OLD_LIST_RETRY_MS)
+  }
   const missingMs = maxAgeMs(box, route) - observedMs
   if (missingMs > 0) return refuseStream(box, request, "short-history", now, missingMs)
   bindTo(box, request, {service, software: only}, "only-version", observedMs)
@@ -160,7 +170,7 @@
 function refuseStream(
   box: BoxServing,
   request: BoxRequest,
-  reason: "unknown-begin" | "short-history" | "version-gone",
+  reason: "unknown-begin" | "short-history" | "version-gone" | "old-list",
   now: number,
   /** Time after which the stream may go on. Undefined if unknown. */
   inMs?: number
--- a/test/version-history.test.ts
+++ b/test/version-history.test.ts
@@ -60,17 +60,22 @@
     }
   }
 
-  /** Takes a stream up. Returns where it is sent, or why it is refused. */
+  /**
+   * Takes a stream up. Returns where it is sent, or why it is refused. A box reads the store
+   * before the other boxes' answer counts, if the store answers it.
+   */
   takeUp(
     begunBy: string | undefined,
     others = NO_HISTORY,
-    route: Route = STREAM
+    route: Route = STREAM,
+    reads = true
   ): string {
     const id = `take-up-${++this.requests_}`
     const request = {id, name: id, route, service: "s", tokens: 0, rank: 1}
     const named = begunBy === undefined ? {} : {begunBy}
     const arrival = {...request, ...named, lastEventId: "3", deadlineMs: 4_000}
     this.step({type: "arrive", arrival})
+    if (reads) this.step({type: "news", at: this.now, read: true})
     const answer = {origin: undefined, ...others}
     for (const effect of this.step({type: "origin-answer", id, answer})) {
       if (effect.type === "send") return effect.backend.id
@@ -162,6 +167,17 @@
   })
 }
 
+// ORDER: a version that joined since the list was read may have begun the stream.
+t.test("a list that is older than the request binds no stream", async t => {
+  const box = new Subject()
+  box.observe(LONG_MS, "v2")
+  for (const begunBy of [undefined, "begin"]) {
+    box.now += 100
+    t.equal(box.takeUp(begunBy, NO_HISTORY, STREAM, false), "old-list")
+    t.equal(box.takeUp(begunBy), "v2")
+  }
+})
+
 t.test("after a gap a box reads what the leader stored", async t => {
   const box = new Subject()
   box.observe(LONG_MS, "v1")
@@ -192,6 +208,7 @@
   const request = {id, name: id, route: STREAM, service: "s", tokens: 0, rank: 1}
   const arrival = {...request, lastEventId: "3", deadlineMs: 60_000}
   box.step({type: "arrive", arrival})
+  box.step({type: "news", at: box.now, read: true})
   const answer = {origin: undefined, ...NO_HISTORY}
   const effects = box.step({type: "origin-answer", id, answer})
   t.match(
