Time limits of answers let the event loop read its sockets first

A starved box closed links to the leader that had opened, gave up leases that other boxes had renewed, and took connections to servers for unanswered (not-sent, so requests were refused or sent elsewhere), as due timers run before sockets are read.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -10,6 +10,7 @@
   ToLeader
 } from "../types/box-messages.js"
 import {splitAddress} from "../utils/address.js"
+import {startAnswerTimer, type Timer} from "../utils/timers.js"
 import {clockNow} from "./clock.js"
 import {packDeflated, packPlain, unpack} from "./link-codec.js"
 
@@ -197,19 +198,19 @@
 
   private accept(socket: WebSocket): void {
     let box: string | undefined
-    const firstMessageTimer = setTimeout(() => follower.close(), HELLO_TIMEOUT_MS)
+    const firstMessageTimer = startAnswerTimer(HELLO_TIMEOUT_MS, () => follower.close())
     const handle = (message: ToLeader): void => {
       if (message.t === "ask-news") return void this.answer(follower, message)
       if (message.t === "hello") {
         if (!this.events_.acceptsFollowers()) return follower.close()
-        clearTimeout(firstMessageTimer)
+        firstMessageTimer.clear()
         box = message.incarnation
         return this.join(follower, message)
       }
       if (box !== undefined) this.events_.message(box, message)
     }
     const follower: Follower = new BoxLink(socket, parseToLeader, handle, () => {
-      clearTimeout(firstMessageTimer)
+      firstMessageTimer.clear()
       if (box === undefined || this.followers_.get(box) !== follower) return
       this.followers_.delete(box)
       this.startedAt_.delete(box)
@@ -256,11 +257,11 @@
         link.close()
       },
       () => {
-        clearTimeout(timer)
+        timer.clear()
         resolve(undefined)
       }
     )
-    const timer = setTimeout(() => link.close(), limitMs)
+    const timer = startAnswerTimer(limitMs, () => link.close())
     socket.once("open", () => link.send(ask))
   })
 }
@@ -290,7 +291,7 @@
   /** When `hello` was sent. Infinity while the connection is not up yet. */
   greetedAt = Infinity
   private readonly link_: BoxLink<ToLeader, FromLeader>
-  private readonly timer_: NodeJS.Timeout
+  private readonly timer_: Timer
 
   constructor(
     readonly address: string,
@@ -299,13 +300,13 @@
   ) {
     const socket = openSocket(address)
     this.link_ = new BoxLink(socket, acceptUnchecked, events.message, () => {
-      clearTimeout(this.timer_)
+      this.timer_.clear()
       events.down()
     })
     // Limits the time to connect; TCP itself would try for minutes.
-    this.timer_ = setTimeout(() => {
+    this.timer_ = startAnswerTimer(CONNECT_TIMEOUT_MS, () => {
       if (socket.readyState !== WebSocket.OPEN) this.link_.close()
-    }, CONNECT_TIMEOUT_MS)
+    })
     socket.once("open", () => {
       this.greetedAt = clockNow()
       this.link_.heardAt = this.greetedAt
--- a/src/adapters/carrier.ts
+++ b/src/adapters/carrier.ts
@@ -36,6 +36,7 @@
 import {probeServer} from "./server-probe.js"
 import type {SurplusAnswers} from "./surplus-answers.js"
 import type {UnreadAnswers} from "./unread-answers.js"
+import {startAnswerTimer} from "../utils/timers.js"
 
 /** Requests of other boxes in progress; more are left to other boxes. */
 const MAX_CARRIED = 100
@@ -107,7 +108,7 @@
     const end = (how: CarriedEnd): boolean => {
       if (hasEnded) return false
       hasEnded = true
-      clearTimeout(timer)
+      timer.clear()
       this.inProgress_--
       if (hasStarted) post({type: "carried-ended", id, end: how})
       return true
@@ -115,11 +116,11 @@
     const refuseOnce = (reason: NotCarried): void => {
       if (end("refused")) this.refuse(req, res, facts, reason)
     }
-    const timer = setTimeout(() => {
+    const timer = startAnswerTimer(CONNECT_PATIENCE_MS, () => {
       if (hasStarted) return
       post({type: "connect-failed", backend: backend.id})
       refuseOnce("not-sent")
-    }, CONNECT_PATIENCE_MS)
+    })
     res.on("close", () => {
       if (end("closed")) abort?.()
     })
--- a/src/adapters/engine-driver.ts
+++ b/src/adapters/engine-driver.ts
@@ -16,6 +16,7 @@
 import type {Log} from "./log.js"
 import {mapHeaders} from "./relay-exchange.js"
 import type {SurplusAnswers} from "./surplus-answers.js"
+import {startAnswerTimer} from "../utils/timers.js"
 
 /**
  * Engines answer orders within a few milliseconds. An unanswered order can be retried at
@@ -152,7 +153,7 @@
     const finish = (result: CallResult): void => {
       if (ended) return
       ended = true
-      clearTimeout(timer)
+      timer.clear()
       end(result)
     }
     const giveUp = (): void => {
@@ -165,7 +166,7 @@
       surplus.logMismatch({request: requestId, backend: id, answered, sentMs})
       giveUp()
     }
-    const timer = setTimeout(giveUp, timeoutMs)
+    const timer = startAnswerTimer(timeoutMs, giveUp)
     const bytes = body === undefined ? null : Buffer.from(body)
     const options = {method, path, headers: [...headers], body: bytes}
     this.options_.pools.send(orderPool(id), address, CONNECTIONS, options, {
--- a/src/adapters/lease-help.ts
+++ b/src/adapters/lease-help.ts
@@ -7,6 +7,7 @@
  * box stops raise the earned share of the worth of all requests from 0.916 to 0.953.
  */
 import {KvUnavailable} from "../errors.js"
+import {startAnswerTimer} from "../utils/timers.js"
 
 /** Boxes that are asked at the same time, as the service may reject some of them, too. */
 const BOXES_PER_RENEWAL = 3
@@ -31,12 +32,12 @@
     const request = ++this.lastRequest_
     const boxes = this.drawBoxes_(BOXES_PER_RENEWAL)
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => {
+      const timer = startAnswerTimer(ANSWER_TIMEOUT_MS, () => {
         this.waiting_.delete(request)
         reject(new KvUnavailable("no box could renew the lease"))
-      }, ANSWER_TIMEOUT_MS)
+      })
       this.waiting_.set(request, known => {
-        clearTimeout(timer)
+        timer.clear()
         this.waiting_.delete(request)
         resolve(known)
       })
--- a/src/adapters/peer-probe.ts
+++ b/src/adapters/peer-probe.ts
@@ -3,6 +3,7 @@
 import {splitAddress} from "../utils/address.js"
 import {firstSuccess} from "../utils/promises.js"
 import {PROBE_HEADER} from "./carry-headers.js"
+import {limitTime} from "../utils/time-limit.js"
 
 /** Allows for the other box's own test connection and the link delays. */
 const ANSWER_TIMEOUT_MS = 600
@@ -37,12 +38,14 @@
 
 /** Returns the answer of one box. Undefined if it gives none in time. */
 function askBox(address: string, server: string): Promise<string | undefined> {
+  const limit = limitTime(ANSWER_TIMEOUT_MS)
   return new Promise(resolve => {
     const call = get({
       ...splitAddress(address),
       headers: {[PROBE_HEADER]: server},
-      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS)
+      signal: limit.signal
     })
+    call.on("close", limit.clear)
     // No answer says nothing of the server.
     call.on("error", () => resolve(undefined))
     call.on("response", answer => {
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -33,6 +33,7 @@
 import {StartupWait} from "./startup-wait.js"
 import type {SurplusAnswers} from "./surplus-answers.js"
 import type {UnreadAnswers} from "./unread-answers.js"
+import {startAnswerTimer} from "../utils/timers.js"
 
 const END_STATUS: Readonly<Record<EndReason, number>> = {
   "not-run": 503,
@@ -333,9 +334,9 @@
     let begun = false
     let sentAt = 0
     const {pools, name, connections, headers} = path
-    const patience = setTimeout(() => {
+    const patience = startAnswerTimer(CONNECT_PATIENCE_MS, () => {
       if (!started && pools.isConnecting(name)) fail(unsent)
-    }, CONNECT_PATIENCE_MS)
+    })
     pools.send(
       name,
       path.address,
@@ -344,7 +345,7 @@
       {
         passedOver: () => surplus.logPassedOver(request, backend.id),
         started: abort => {
-          clearTimeout(patience)
+          patience.clear()
           if (!current()) return false
           // The server may have become unusable while the request waited for a
           // connection.
@@ -419,7 +420,7 @@
         },
         failed: cause => {
           answer.end()
-          clearTimeout(patience)
+          patience.clear()
           if (started && current()) {
             const end = answer.describeEnd(errorCode(cause))
             post({type: "answer-ended", id, attempt, end})
--- a/src/adapters/stream-messages.ts
+++ b/src/adapters/stream-messages.ts
@@ -3,6 +3,7 @@
 import * as z from "zod"
 import {splitAddress} from "../utils/address.js"
 import {STREAMS_HEADER} from "./carry-headers.js"
+import {limitTime} from "../utils/time-limit.js"
 
 /** Allows for connecting and the link delays. */
 const ANSWER_TIMEOUT_MS = 250
@@ -44,6 +45,7 @@
   kind: StreamMessageKind,
   body: string
 ): Promise<PeerAnswer | undefined> {
+  const limit = limitTime(ANSWER_TIMEOUT_MS)
   return new Promise(resolve => {
     const call = request({
       ...splitAddress(address),
@@ -53,8 +55,9 @@
         [STREAMS_HEADER]: kind,
         "content-length": String(Buffer.byteLength(body))
       },
-      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS)
+      signal: limit.signal
     })
+    call.on("close", limit.clear)
     call.on("error", () => resolve(undefined))
     call.on("response", answered => {
       let content = ""
--- a/src/adapters/write-help.ts
+++ b/src/adapters/write-help.ts
@@ -11,6 +11,7 @@
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import type {KvPutOptions, KvPutResult, KvStore} from "../ports/ports.js"
 import type {WriteAnswer, WriteRequest} from "../types/box-messages.js"
+import {startAnswerTimer} from "../utils/timers.js"
 
 /** A box without an answer after this time may be rejected, too; the next one is asked. */
 const ANSWER_TIMEOUT_MS = 150
@@ -63,11 +64,13 @@
     const ask = ++this.lastRequest_
     return new Promise(resolve => {
       const settle = (answer: Result): void => {
-        clearTimeout(timer)
+        timer.clear()
         this.waiting_.delete(ask)
         resolve(answer)
       }
-      const timer = setTimeout(() => settle({ask, result: "unknown"}), ANSWER_TIMEOUT_MS)
+      const timer = startAnswerTimer(ANSWER_TIMEOUT_MS, () =>
+        settle({ask, result: "unknown"})
+      )
       this.waiting_.set(ask, settle)
       this.send_(box, {ask, key, value, expectRevision, expectEra})
     })
--- a/test/starved-box.test.ts
+++ b/test/starved-box.test.ts
@@ -66,8 +66,9 @@
   t.test("a link to the leader that opened meanwhile is kept", async t => {
     const address = await startServer(
       t,
-      `const server = listening(require("node:http").createServer())
-       new (require("ws").WebSocketServer)({server})`
+      `const links = new (require("ws").WebSocketServer)({noServer: true})
+       listening(require("node:http").createServer().on("upgrade", (...upgrade) =>
+         setTimeout(() => links.handleUpgrade(...upgrade, () => undefined), 20)))`
     )
     let down = false
     const self = {box: "a", incarnation: "a", configVersion: -1, ageMs: 0}
