--- a/src/adapters/leader-channel.ts
+++ b/src/adapters/leader-channel.ts
@@ -22,6 +22,8 @@
   readonly isLeading: () => boolean
   /** Whether this box is the confirmed leader by its own clock. */
   readonly mayGrant: () => boolean
+  /** Whether it may also grant allowances of organisations' limits. */
+  readonly mayAllow: () => boolean
   readonly boxCount: () => number
 }
 
@@ -111,7 +113,7 @@
       }
       case "allow":
         // The leadership may have ended since the box sent its request.
-        if (this.options_.mayGrant()) this.sendAllowances(effect)
+        if (this.options_.mayAllow()) this.sendAllowances(effect)
         return true
       case "send-grants":
         if (this.options_.mayGrant()) this.sendGrants(effect)
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -18,6 +18,7 @@
 import type {RoutedState} from "../core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
 import {PROCESS_PAUSE_MS} from "../core/snapshot-age.js"
+import {DEFAULT_USAGE} from "../core/usage-limits.js"
 import {KvUnavailable} from "../errors.js"
 import type {Dialect, FleetRecords} from "../ports/fleet-ports.js"
 import type {KvPutOptions, KvPutResult, KvStore} from "../ports/ports.js"
@@ -60,6 +61,7 @@
 import {VersionStore} from "./version-store.js"
 import {SurplusAnswers} from "./surplus-answers.js"
 import {boxBoundBytes, UnreadAnswers} from "./unread-answers.js"
+import {UsageMarks} from "./usage-marks.js"
 import {UsageStore} from "./usage-store.js"
 import type {StoreEras} from "./era-source.js"
 import {SettledEra} from "./settled-era.js"
@@ -131,6 +133,7 @@
   private readonly session_: LeaderSession
   private readonly leaderChannel_: LeaderChannel
   private readonly peerSnapshots_: PeerSnapshots
+  private readonly usageMarks_: UsageMarks
   private readonly usageStore_: UsageStore
   private readonly crashStore_: CrashStore
   private readonly versionStore_: VersionStore
@@ -186,6 +189,11 @@
       orderGapMs: settings.orders.leaseMs
     }
     this.leadershipOptions_ = leadershipOptions
+    const usage = settings.usage && {
+      windowMs: settings.usage.windowS * 1000,
+      overage: settings.usage.overage,
+      slack: settings.usage.slack
+    }
     const serving = createBoxServing({
       incarnation: this.incarnation_,
       dataCentre: settings.dataCentre,
@@ -196,11 +204,7 @@
       },
       handoverMs: handoverMs(leadershipOptions),
       takenAwayMs: settings.keys?.takenAwayMs,
-      usage: settings.usage && {
-        windowMs: settings.usage.windowS * 1000,
-        overage: settings.usage.overage,
-        slack: settings.usage.slack
-      },
+      usage,
       random: draw
     })
     const initial: RoutedState = {serving, fleet: undefined}
@@ -304,8 +308,17 @@
       hub: () => this.hub_,
       isLeading: () => this.isLeading,
       mayGrant: () => this.mayGrant,
+      mayAllow: () => this.mayGrant && this.usageMarks_.isHeld(clockNow()),
       boxCount: () => serving.boxCount
     })
+    this.usageMarks_ = new UsageMarks({
+      kv,
+      prefix: `${settings.store.prefix}usage-marks/`,
+      usage: usage ?? DEFAULT_USAGE,
+      leading: () => this.isLeading,
+      renewElsewhere: lease => this.renewElsewhere(lease),
+      log
+    })
     this.usageStore_ = new UsageStore({
       kv,
       key: `${settings.store.prefix}usage`,
@@ -314,6 +327,7 @@
       fence: () => (this.mayGrant ? this.election_.leadership.fence : undefined),
       eras,
       leaseTtlMs: settings.store.leaseTtlMs,
+      marks: this.usageMarks_,
       writeElsewhere: (key, value, options) => this.writeElsewhere(key, value, options),
       log
     })
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -11,6 +11,7 @@
 import {FIRST_ERA} from "../core/eras.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
+import type {UsageMarks} from "./usage-marks.js"
 import {pause} from "../utils/promises.js"
 import type {Log} from "./log.js"
 import {callAs} from "./store-counter.js"
@@ -26,6 +27,8 @@
   /** Era of the write. Undefined if the service reported none. */
   era: z.number().optional(),
   outlooks: projections,
+  /** Whether the leader that wrote the value kept marks. */
+  marked: z.boolean().optional(),
   /** Undefined if an earlier program wrote the value. */
   claims: z
     .object({
@@ -43,6 +46,7 @@
   readonly claims?: UsageClaims | undefined
   /** How long no earlier leader can have granted anything. */
   readonly endedForMs?: number
+  readonly marked?: boolean | undefined
 }
 
 /** What the key held at a time when there may have been no leader. */
@@ -67,6 +71,7 @@
   readonly eras: StoreEras
   /** How long a leader may go on after the store was restored without its lease. */
   readonly leaseTtlMs: number
+  readonly marks: Pick<UsageMarks, "takeOver">
   /** Has another box write a value. */
   readonly writeElsewhere: (
     key: string,
@@ -86,6 +91,8 @@
   /** Undefined while there is a leader, and until the key has been read since. */
   private seen_: SeenPosition | undefined
   private isLooking_ = false
+  /** When this box last had a leader, or led. */
+  private leaderSeenAt_ = -Infinity
 
   constructor(private readonly options_: UsageStoreOptions) {}
 
@@ -94,7 +101,7 @@
     const {leading, fence, post} = this.options_
     while (leading()) {
       const fenceBefore = fence()
-      const usage = await this.attempt(() => this.readOnce())
+      const usage = await this.attempt(() => this.readWithMarks())
       // A read for an earlier leadership of this box may lack usage that other leaders
       // granted since.
       if (usage && fenceBefore !== undefined && fence() === fenceBefore) {
@@ -105,6 +112,15 @@
     }
   }
 
+  private async readWithMarks(): Promise<ReadUsage> {
+    const usage = await this.readOnce()
+    const {endedForMs = 0, marked = false} = usage
+    const idleMs = await this.options_.marks.takeOver()
+    // An absent mark proves nothing of the time in which this box itself saw a leader.
+    const provenMs = marked ? Math.min(idleMs, clockNow() - this.leaderSeenAt_) : 0
+    return {...usage, endedForMs: Math.max(endedForMs, provenMs)}
+  }
+
   /**
    * Records that there was no leader, as the service answered at `at` to a question sent at
    * `askedAt`. A leader stores usage before it grants any, so none has granted anything
@@ -118,6 +134,7 @@
 
   /** Records that there is a leader. */
   noteLeader(): void {
+    this.leaderSeenAt_ = clockNow()
     this.seen_ = undefined
   }
 
@@ -155,8 +172,9 @@
   ): Promise<void> {
     const {fence, post} = this.options_
     const fenceBefore = fence()
+    this.leaderSeenAt_ = clockNow()
     const {era} = this.options_.eras
-    const text = JSON.stringify({era, ...value})
+    const text = JSON.stringify({era, marked: true, ...value})
     const ok = await this.attempt(() => this.write(text))
     if (!ok) {
       await pause(RETRY_MS)
--- a/src/types/store-calls.ts
+++ b/src/types/store-calls.ts
@@ -37,6 +37,8 @@
   "usage-read",
   /** A leader stores the usage projections of organisations. */
   "usage-save",
+  /** A leader keeps the leases that show that it may grant allowances. */
+  "usage-mark",
   /** A new leader reads which requests crash servers. */
   "crash-read",
   /** A leader stores which requests crash servers. */
--- a/test/box-link-messages.test.ts
+++ b/test/box-link-messages.test.ts
@@ -146,6 +146,7 @@
       send: message => this.session_?.send(message),
       hub: () => this.hub_,
       isLeading: () => isLeading,
+      mayAllow: () => true,
       mayGrant: () => isLeading,
       boxCount: () => BOXES
     })
--- a/test/leader-channel.test.ts
+++ b/test/leader-channel.test.ts
@@ -27,6 +27,7 @@
     send: message => this.sent.push(message),
     hub: () => undefined,
     isLeading: () => false,
+    mayAllow: () => true,
     mayGrant: () => false,
     boxCount: () => BOXES
   })
