The soak starts all boxes beside a slow store, stores odd entries, cuts heads

Safe calls within 6 s of cut heads are excused, as of other broken answers; odd entries excuse nothing.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -31,6 +31,7 @@
 cli.option("--no-parts", "No shared part of prompts crashes engines")
 cli.option("--no-repeats", "No worker repeats answers")
 cli.option("--no-mass-kills", "All boxes are never killed at once")
+cli.option("--no-starts", "No slow starts of all boxes, odd entries or heads cut midway")
 cli.option("--no-promises", "No promise to callers of requests to real worker processes")
 cli.help()
 const {options} = cli.parse()
@@ -61,6 +62,7 @@
     parts: options["parts"] !== false,
     repeats: options["repeats"] !== false,
     massKills: options["massKills"] !== false,
+    starts: options["starts"] !== false,
     promises: options["promises"] !== false
   })
   rounds++
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -9,6 +9,7 @@
 } from "./soak-organisations.js"
 import {IncidentFaults} from "./soak-incident-faults.js"
 import {CutFaults} from "./soak-cut-faults.js"
+import {StartFaults} from "./soak-start-faults.js"
 import {StreamFaults} from "./soak-stream-faults.js"
 import type {LoadCallers} from "./soak-load-callers.js"
 import {LoadFaults} from "./soak-load-faults.js"
@@ -85,6 +86,11 @@
   readonly repeats?: boolean
   /** All boxes are killed at once, in series, beside releases of the engines. */
   readonly massKills?: boolean
+  /**
+   * All boxes start while the store is slow, another writer stores odd entries, and heads of
+   * answers stop midway.
+   */
+  readonly starts?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -137,6 +143,7 @@
     partDraws: readonly [faults: SoakDraws, calls: SoakDraws],
     repeatDraws: SoakDraws,
     massKillDraws: SoakDraws,
+    startDraws: SoakDraws,
     promiseDraws: readonly [faults: SoakDraws, calls: SoakDraws]
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
@@ -187,6 +194,10 @@
       restart: (box, signal) => this.restart(box, signal),
       haveFaultsEnded: () => this.haveFaultsEnded_
     })
+    const starts = new StartFaults(this.bed_, startDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_
+    })
     this.promises = new PromiseFaults(this.bed_, ...promiseDraws, this.record_, {
       repeats: this.options_.repeats === true,
       restart: (box, signal) => this.restart(box, signal),
@@ -203,6 +214,7 @@
       this.options_.parts ? parts.play() : undefined,
       this.options_.repeats ? repeats.play() : undefined,
       this.options_.massKills ? massKills.play() : undefined,
+      this.options_.starts ? starts.play() : undefined,
       this.options_.promises ? this.promises.play() : undefined
     ])
   }
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -46,7 +46,8 @@
   "server-asks-rest",
   "server-speaks-oddly",
   "plain-names-rate",
-  "plain-answers-break"
+  "plain-answers-break",
+  "heads-cut"
 ])
 
 /** Limit of reported findings, as they are alike. */
