--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -1,5 +1,4 @@
 /** Leader election by a leased key in the key-value service. */
-import * as z from "zod"
 import {KvUnavailable, KvUnknown} from "../errors.js"
 import {
   type Claim,
@@ -16,9 +15,9 @@
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {LeaderRecord} from "../types/box-messages.js"
 import type {StoreCaller} from "../types/store-calls.js"
-import {isHostAddress} from "../utils/address.js"
 import {firstSuccess, pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
+import {parseLeaderRecord} from "./leader-key.js"
 import {callAs, slownessOf} from "./store-counter.js"
 import type {StoreEras} from "./era-source.js"
 
@@ -86,24 +85,6 @@
   readonly byOthers: boolean
 }
 
-const leaderRecord = z.object({
-  box: z.string(),
-  incarnation: z.string(),
-  address: z.string().refine(isHostAddress),
-  era: z.number().optional(),
-  lease: z.string().optional()
-})
-
-/** Returns undefined if the text is no record of a leader. */
-function parseRecord(text: string): LeaderRecord | undefined {
-  try {
-    const {success, data} = leaderRecord.safeParse(JSON.parse(text))
-    return success ? data : undefined
-  } catch {
-    return undefined
-  }
-}
-
 export interface ElectionOptions extends LeadershipOptions {
   readonly key: string
   readonly self: LeaderRecord
@@ -360,7 +341,7 @@
    * else: the box that leads may go on, so that no other one may claim.
    */
   private readRecord({value, revision}: KvEntry): LeaderRecord | undefined {
-    const record = parseRecord(value)
+    const record = parseLeaderRecord(value)
     if (!record && revision !== this.unreadableRevision_) {
       this.unreadableRevision_ = revision
       this.events_.unreadable(this.options_.key, revision)
