--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -51,13 +51,13 @@
 const MAX_LATE_ANSWER_MS = 1_000
 
 /**
- * For how long an answer is awaited that its caller has given up. It shows how long
+ * For how long an answer is awaited after its caller has given it up. It shows how long
  * answers take.
  */
-const MAX_EXCHANGE_MS = 4_000
+const GIVEN_UP_MS = 1_500
 
-/** The time limits of the calls end before. */
-const CONNECT_TIMEOUT_MS = MAX_EXCHANGE_MS
+/** Longer than calls take: a call that ends closes the connection that it waits for. */
+const CONNECT_TIMEOUT_MS = 5_000
 
 /** Errors while connecting. The service cannot have received the call. */
 const CONNECT_ERROR_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
@@ -101,7 +101,7 @@
         reject(new KvUnknown(`no answer within ${timeoutMs} ms`))
       })
     })
-    const answer = this.exchange(pool, call, sentAt)
+    const answer = this.exchange(pool, call, sentAt, timeoutMs + GIVEN_UP_MS)
     answer.catch(() => undefined)
     try {
       return await Promise.race([answer, expired])
@@ -115,10 +115,11 @@
   private async exchange(
     pool: Pool,
     {method, path, body, watchMs, signal}: StoreCall,
-    sentAt: number
+    sentAt: number,
+    limitMs: number
   ): Promise<StoreAnswer> {
     const {eras, eraHeader} = this.options_
-    const limit = limitTime((watchMs ?? 0) + MAX_EXCHANGE_MS, signal)
+    const limit = limitTime(limitMs, signal)
     try {
       const answer = await pool.request({
         method,
