Slow answers of long ago don't make a connection late

Found by reading: a box with a leader makes no calls to the store, so that slow answers from its start on few processors would have let it wait a second for a silent connection hours later, where DRAIN allows two in all.

--- a/src/adapters/snapshot-source.ts
+++ b/src/adapters/snapshot-source.ts
@@ -337,7 +337,7 @@
     await this.pendingRead_
   }
 
-  /** Reads the store, unless a read that begins later than now ends first. */
+  /** Waits for a read of the store that begins from now on, at most for `MAX_READ_MS`. */
   async readNow(): Promise<void> {
     const now = clockNow()
     await Promise.race([this.readSince(now), pause(MAX_READ_MS)])
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -79,7 +79,7 @@
 
   /** By how many times answers take longer than usual, 1 or more. */
   get slowness(): number {
-    return this.times_.slowness
+    return this.times_.slowness(clockNow())
   }
 
   /**
@@ -89,7 +89,7 @@
     const pool = this.pool_
     const {watchMs = 0} = call
     const sentAt = clockNow()
-    const lateAfterMs = watchMs + this.times_.lateAfterMs
+    const lateAfterMs = watchMs + this.times_.lateAfterMs(sentAt)
     const timeoutMs = Math.round(watchMs + this.options_.timeoutMs * this.slowness)
     const late = startAnswerTimer(lateAfterMs, () =>
       this.handleLate(pool, sentAt + lateAfterMs)
@@ -130,7 +130,8 @@
       })
       const text = await readAnswerText(answer.body)
       this.answered_.add(pool)
-      if (watchMs === undefined) this.times_.record(clockNow() - sentAt)
+      const now = clockNow()
+      if (watchMs === undefined) this.times_.record(now - sentAt, now)
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
       return {status: answer.statusCode, body: parseBody(text), era}
--- a/src/core/answer-times.ts
+++ b/src/core/answer-times.ts
@@ -8,9 +8,13 @@
 const DEVIATION_WEIGHT = 1 / 4
 const DEVIATIONS = 4
 
+/** After this time without an answer, earlier ones tell nothing any more. */
+const FORGET_MS = 5_000
+
 export class AnswerTimes {
   private meanMs_: number | undefined
   private deviationMs_ = 0
+  private recordedAt_ = -Infinity
 
   /** The limit is between `leastMs` and `mostMs`. */
   constructor(
@@ -19,8 +23,10 @@
   ) {}
 
   /** Records that an answer took `ms` milliseconds, also one that nobody waited for. */
-  record(ms: number): void {
-    if (this.meanMs_ === undefined) {
+  record(ms: number, now: number): void {
+    const isForgotten = now - this.recordedAt_ > FORGET_MS
+    this.recordedAt_ = now
+    if (this.meanMs_ === undefined || isForgotten) {
       this.meanMs_ = ms
       this.deviationMs_ = ms / 2
       return
@@ -31,13 +37,14 @@
   }
 
   /** Time after which an answer is late (ms). */
-  get lateAfterMs(): number {
+  lateAfterMs(now: number): number {
+    if (now - this.recordedAt_ > FORGET_MS) return this.leastMs_
     const expectedMs = (this.meanMs_ ?? 0) + DEVIATIONS * this.deviationMs_
     return Math.min(this.mostMs_, Math.max(this.leastMs_, expectedMs))
   }
 
   /** By how many times answers take longer than usual, 1 or more. */
-  get slowness(): number {
-    return this.lateAfterMs / this.leastMs_
+  slowness(now: number): number {
+    return this.lateAfterMs(now) / this.leastMs_
   }
 }
--- a/src/core/snapshot-age.ts
+++ b/src/core/snapshot-age.ts
@@ -40,7 +40,8 @@
 
 /**
  * Timeout of an answer of the store, after which a new connection is used. The store
- * answers within some 10 ms, and nothing else shows that a connection is dead.
+ * answers within some 10 ms, and nothing else shows that a connection is dead. Longer while
+ * answers take longer (`answer-times.ts`).
  */
 export const LATE_ANSWER_MS = 150
 
