Links given up, late leases and refusals without a leader can be told from logs

Cause: the logs did not tell a box without a link from one whose leader is slow, nor links that end before they are open, nor how late a leader's loop was as its lease ran out.

--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -109,13 +109,19 @@
     if (this.link_ || isStopping()) return
     this.leader_ = leader
     peerSnapshots.addAddresses([leader.address])
+    const startedAt = clockNow()
     const link = new LeaderLink(leader.address, this.hello(), {
       down: () => {
         if (this.link_ === link) this.link_ = undefined
         if (this.leader_ === leader) this.leader_ = undefined
         const wasLinked = this.linked_
         this.linked_ = false
-        if (!wasLinked) return
+        if (!wasLinked)
+          return log("leader-unreached", {
+            leader: leader.box,
+            afterMs: Math.round(clockNow() - startedAt),
+            opened: link.greetedAt !== Infinity
+          })
         log("leader-lost", {leader: leader.box})
         leaderLost()
       },
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -152,6 +152,8 @@
   /** Total time of suspensions of the machine at the last check. */
   private suspendedMs_ = clockSuspendedMs()
   private lastTickAt_ = clockNow()
+  /** Time between the last two ticks. */
+  private tickGapMs_ = 0
   private resignCheckAt_ = -Infinity
   private stopping_ = false
   private random_ = createRandom(Date.now() & 0x7fffffff)
@@ -538,6 +540,7 @@
   /** Does the periodic work of a tick. Returns whether orders may be sent. */
   private tick(): boolean {
     const now = clockNow()
+    this.tickGapMs_ = now - this.lastTickAt_
     this.detectPause(now)
     this.lastTickAt_ = now
     this.election_.endIfExpired()
@@ -638,7 +641,11 @@
   }
 
   private handleLeadershipEnded(reason: string): void {
-    this.context_.log("lead-over", {reason})
+    this.context_.log("lead-over", {
+      reason,
+      overdueMs: Math.round(clockNow() - this.election_.leadership.validUntil),
+      gapMs: Math.round(this.tickGapMs_)
+    })
     this.hub_?.closeLinks()
     this.loop_.post({type: "lead-over"})
     this.expectTakeover()
--- a/src/events.ts
+++ b/src/events.ts
@@ -196,12 +196,21 @@
   },
   "leader-linked": {number: 182, level: "info", text: "The link to the leader is up."},
   "leader-lost": {number: 183, level: "warn", text: "The link to the leader is down."},
+  "leader-unreached": {
+    number: 279,
+    level: "info",
+    text: "A link to the leader ended before the leader had answered on it. `afterMs`: how long this box waited; `opened`: whether the connection was up."
+  },
   leading: {
     number: 184,
     level: "info",
     text: "This box is the leader and sends orders to the engines."
   },
-  "lead-over": {number: 185, level: "warn", text: "This box is no longer the leader."},
+  "lead-over": {
+    number: 185,
+    level: "warn",
+    text: "This box is no longer the leader. `overdueMs`: for how long its lease had expired by its own clock; `gapMs`: time between its last two ticks."
+  },
   "box-linked": {number: 186, level: "info", text: "A box has connected to this leader."},
   "box-unlinked": {
     number: 187,
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -64,6 +64,8 @@
 export interface StoreFaults {
   /** Calls are refused with 503. */
   refusing?: boolean
+  /** Every n-th call is refused with 503. */
+  refuseEach?: number
   /** Calls are neither executed nor answered. */
   silent?: boolean
   /** Every n-th change is executed but not answered. */
@@ -302,10 +304,11 @@
       return
     }
     this.calls++
-    const {refusing, silent, delayMs} = this.faults
+    const {refusing, refuseEach, silent, delayMs} = this.faults
     if (this.isAway_) return void res.destroy()
     if (silent) return
-    if (refusing) return this.answer(res, 503, {})
+    const isTurnedAway = refuseEach !== undefined && this.calls % refuseEach === 0
+    if (refusing || isTurnedAway) return this.answer(res, 503, {})
     const text = Buffer.concat(chunks).toString()
     const body = text === "" ? {} : (JSON.parse(text) as object)
     if (delayMs) await new Promise(resolve => setTimeout(resolve, delayMs))
--- a/test/stand-ins/process-store.ts
+++ b/test/stand-ins/process-store.ts
@@ -4,6 +4,7 @@
  */
 import {type ChildProcess, fork} from "node:child_process"
 import {fileURLToPath} from "node:url"
+import type {StoreFaults} from "./platform-store.js"
 
 const PROGRAM = fileURLToPath(new URL("../support/store-process.js", import.meta.url))
 
@@ -21,6 +22,7 @@
 export type ToStore =
   | {readonly t: "write"; readonly key: string; readonly value: object}
   | {readonly t: "remove"; readonly key: string}
+  | {readonly t: "faults"; readonly faults: StoreFaults}
 
 export type FromStore =
   | {readonly t: "started"; readonly address: string}
@@ -68,6 +70,11 @@
     this.tell({t: "remove", key})
   }
 
+  /** Injects faults in place of the earlier ones. */
+  setFaults(faults: StoreFaults): void {
+    this.tell({t: "faults", faults})
+  }
+
   /** Returns the value of the leader's key, the only one that the process reports. */
   read(key: string): string | undefined {
     return key === REPORTED_KEY ? this.leader_ : undefined
--- a/test/support/store-process.ts
+++ b/test/support/store-process.ts
@@ -27,7 +27,8 @@
 }
 
 process.on("message", (message: ToStore) => {
-  if (message.t === "write") store.write(message.key, message.value)
+  if (message.t === "faults") store.faults = message.faults
+  else if (message.t === "write") store.write(message.key, message.value)
   else store.remove(message.key)
 })
 process.on("disconnect", () => process.exit(0))
