Boxes wait for a leader that opens their links late

Cause: a link was given up 0.6 s after its request and asked for again after the next look. Fix: 0.6 s limit the time to connect, which the leader's system answers; the leader's first answer is awaited for 1.8 s, and twice as long after each failure, 4.8 s at most. Looks go on meanwhile, and a leader that the store no longer names is given up at once.

--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -1,5 +1,6 @@
 /** WebSocket links between boxes and their leader, with `msgpackr` messages. */
 import {createServer, type RequestListener, type Server} from "node:http"
+import {connect} from "node:net"
 import {WebSocket, WebSocketServer} from "ws"
 import {parseToLeader} from "../types/box-frames.js"
 import type {
@@ -266,10 +267,12 @@
   })
 }
 
-function openSocket(address: string): WebSocket {
+/** Opens a link. `connected` is called once the peer's system accepted the connection. */
+function openSocket(address: string, connected: () => void = () => undefined): WebSocket {
   return new WebSocket(`ws://${address}`, {
     perMessageDeflate: false,
-    maxPayload: MAX_MESSAGE_BYTES
+    maxPayload: MAX_MESSAGE_BYTES,
+    createConnection: () => connect(splitAddress(address), connected)
   })
 }
 
@@ -291,22 +294,29 @@
   /** When `hello` was sent. Infinity while the connection is not up yet. */
   greetedAt = Infinity
   private readonly link_: BoxLink<ToLeader, FromLeader>
-  private readonly timer_: Timer
+  private timer_: Timer
 
+  /** `answerMs` limits the time from a connection to the leader's first message. */
   constructor(
     readonly address: string,
     hello: ToLeader,
+    answerMs: number,
     events: LeaderLinkEvents
   ) {
-    const socket = openSocket(address)
-    this.link_ = new BoxLink(socket, acceptUnchecked, events.message, () => {
+    const socket = openSocket(address, () => {
+      this.timer_.clear()
+      this.timer_ = startAnswerTimer(answerMs, () => this.link_.close())
+    })
+    const handle = (message: FromLeader): void => {
+      this.timer_.clear()
+      events.message(message)
+    }
+    this.link_ = new BoxLink(socket, acceptUnchecked, handle, () => {
       this.timer_.clear()
       events.down()
     })
     // Limits the time to connect; TCP itself would try for minutes.
-    this.timer_ = startAnswerTimer(CONNECT_TIMEOUT_MS, () => {
-      if (socket.readyState !== WebSocket.OPEN) this.link_.close()
-    })
+    this.timer_ = startAnswerTimer(CONNECT_TIMEOUT_MS, () => this.link_.close())
     socket.once("open", () => {
       this.greetedAt = clockNow()
       this.link_.heardAt = this.greetedAt
--- a/src/adapters/leader-session.ts
+++ b/src/adapters/leader-session.ts
@@ -5,6 +5,7 @@
   recordMessage,
   transitMs
 } from "../core/link-delay.js"
+import {LinkPatience} from "../core/link-patience.js"
 import type {RoutedEvent} from "../core/serving-events.js"
 import type {KvStore} from "../ports/ports.js"
 import type {
@@ -66,6 +67,7 @@
   private link_: LeaderLink | undefined
   private leader_: LeaderRecord | undefined
   private linked_ = false
+  private readonly patience_ = new LinkPatience()
   /** Delay of the link. Undefined until a message with a timestamp has arrived. */
   private delay_: LinkDelay | undefined
   private nextPongAt_ = 0
@@ -97,31 +99,46 @@
   tick(now: number, leading: boolean): void {
     const intervalMs = pingMs(this.options_.boxCount())
     const maxSilenceMs = Math.max(LINK_SILENCE_MS, MAX_SILENT_PINGS * intervalMs)
-    if (this.link_ && this.link_.silentMs > maxSilenceMs) this.link_.close()
+    if (this.linked_ && this.link_ && this.link_.silentMs > maxSilenceMs)
+      this.link_.close()
     if (leading || now < this.nextPongAt_) return
     this.nextPongAt_ = now + intervalMs
     this.send({t: "pong"})
   }
 
-  /** Links to a leader, unless there is a link already. */
+  /**
+   * Links to the leader that the store names, unless there is a link to a leader already.
+   * Another leader that has not answered yet is given up.
+   */
+  followNamed(leader: LeaderRecord): void {
+    const isOther = this.leader_?.incarnation !== leader.incarnation
+    if (isOther && !this.linked_) this.link_?.close()
+    this.follow(leader)
+  }
+
+  /** Links to a leader, unless this box links to one already. */
   follow(leader: LeaderRecord): void {
     const {isStopping, peerSnapshots, log, leaderLost, post} = this.options_
     if (this.link_ || isStopping()) return
     this.leader_ = leader
     peerSnapshots.addAddresses([leader.address])
     const startedAt = clockNow()
-    const link = new LeaderLink(leader.address, this.hello(), {
+    const {incarnation} = leader
+    const answerMs = this.patience_.waitMs(incarnation)
+    const link = new LeaderLink(leader.address, this.hello(), answerMs, {
       down: () => {
         if (this.link_ === link) this.link_ = undefined
         if (this.leader_ === leader) this.leader_ = undefined
         const wasLinked = this.linked_
         this.linked_ = false
-        if (!wasLinked)
+        if (!wasLinked) {
+          this.patience_.recordFailure(incarnation)
           return log("leader-unreached", {
             leader: leader.box,
             afterMs: Math.round(clockNow() - startedAt),
             opened: link.greetedAt !== Infinity
           })
+        }
         log("leader-lost", {leader: leader.box})
         leaderLost()
       },
@@ -130,6 +147,7 @@
         if (this.link_ !== link) return
         if (!this.linked_) {
           this.linked_ = true
+          this.patience_.recordAnswer()
           log("leader-linked", {leader: leader.box})
           post({type: "leader-new"})
         }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -381,7 +381,7 @@
         },
         leaderFound: leader => {
           this.usageStore_.noteLeader()
-          this.session_.follow(leader)
+          this.session_.followNamed(leader)
         },
         unreadable: (key, revision) =>
           log("entry-unreadable", {key, revision, reason: "is no record of a leader"}),
--- a/test/starved-box.test.ts
+++ b/test/starved-box.test.ts
@@ -73,7 +73,7 @@
     let down = false
     const self = {box: "a", incarnation: "a", configVersion: -1, ageMs: 0}
     const hello = {t: "hello" as const, ...self, address: "127.0.0.1:1", capacity: 1}
-    const link = new LeaderLink(address, hello, {
+    const link = new LeaderLink(address, hello, 600, {
       message: () => undefined,
       down: () => (down = true)
     })
--- a/test/starved-leader.test.ts
+++ b/test/starved-leader.test.ts
@@ -26,6 +26,7 @@
 const LOOK_INTERVAL_MS = 250
 
 const TICK_MS = 100
+const PING_MS = 250
 
 const PING: FromLeader = {
   t: "ping",
@@ -55,8 +56,10 @@
         leader.links_.handleUpgrade(req, socket, head, link => {
           link.on("error", () => link.terminate())
           link.once("message", () => link.send(packPlain(PING)))
+          const pings = setInterval(() => link.send(packPlain(PING)), PING_MS)
+          link.once("close", () => clearInterval(pings))
         })
-      }, leader.reserve())
+      }, leader.reserve()).unref()
     })
     await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve))
     t.teardown(() => {
@@ -148,6 +151,21 @@
   })
 }
 
+t.test(
+  "a box that waits for a leader follows the next one that the store names",
+  async t => {
+    const [silent, next] = [await freePort(), await freePort()]
+    await BusyLeader.start(t, silent, 60_000)
+    await BusyLeader.start(t, next, 10)
+    const [session] = startBoxes(t, 1, `127.0.0.1:${silent}`)
+    await sleep(2 * LOOK_INTERVAL_MS)
+    const record = {box: "next", incarnation: "next", address: `127.0.0.1:${next}`}
+    session?.followNamed(record)
+    await until("the next leader is reached", () => Promise.resolve(session?.linked))
+    t.equal(session?.leader?.box, "next")
+  }
+)
+
 /** Answers renewals of a lease over a connection, from a thread of its own. */
 async function startStore(t: Test): Promise<KvStore> {
   const server = new Worker(
