A leader without a processor keeps a lease that the store has renewed

Callers saw: 503 while leaders followed each other, each for some 1 s, as all boxes started. Cause: a leader ended as its lease had expired by its own clock, in a timer that runs before the loop reads the answer of the renewal. With turns of half a second an answer is read 1 s after its renewal was due. Fix: if the checks of the lease are late, the leader waits up to 0.4 s for the answer, 1.2 s after the lease at most, as it does after a suspension of its machine. It sends no orders and grants nothing meanwhile; a store that still knows the lease has had no other leader.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -57,11 +57,14 @@
 const CONFIRM_INTERVAL_MS = 50
 
 /**
- * A lease that may have expired while the machine was suspended is renewed within this
- * time; otherwise the leadership ends.
+ * A lease that may have expired while the machine was suspended, or while this process had
+ * no processor, is renewed within this time; otherwise the leadership ends.
  */
 const EXPIRED_RENEW_MS = 400
 
+/** Checks of the lease are further apart only if this process had no processor. */
+const STARVED_CHECK_MS = 200
+
 /**
  * Other boxes are asked to renew the lease, too, if the service has not answered after
  * this time.
@@ -140,6 +143,7 @@
   private looksAtOnce_ = false
   /** Until then a lease that has expired by the clock may still be renewed. */
   private renewUntil_ = -Infinity
+  private checkedAt_ = clockNow()
   private readonly startedAt_ = clockNow()
 
   constructor(
@@ -262,14 +266,27 @@
 
   /**
    * Ends the leadership if the lease has expired by this box's clock, even if a call is
-   * pending.
+   * pending. Called at intervals.
    */
   endIfExpired(): void {
     const now = clockNow()
+    const wasStarved = now - this.checkedAt_ > STARVED_CHECK_MS
+    this.checkedAt_ = now
     if (this.leadership.fence === undefined || isLeader(this.leadership, now)) return
+    if (wasStarved) this.awaitRenewal(now)
     if (now >= this.renewUntil_) this.loseLeadership("lease ran out")
   }
 
+  /**
+   * Waits for the answer to a renewal, which may have arrived while this process had no
+   * processor. If the service still knows the lease, no other box has led. No order is sent
+   * until then.
+   */
+  private awaitRenewal(now: number): void {
+    const latest = this.leadership.validUntil + this.options_.ttlMs
+    this.renewUntil_ = Math.min(now + EXPIRED_RENEW_MS, latest)
+  }
+
   private async renew(): Promise<void> {
     const {lease} = this.leadership
     if (lease === undefined) return
--- a/test/starved-leader.test.ts
+++ b/test/starved-leader.test.ts
@@ -272,3 +272,16 @@
   await sleep(1_200)
   t.same(ends, ["lease ran out"])
 })
+
+t.test("a leader with long turns whose renewals have no answer ends, too", async t => {
+  const kv = await startStore(t)
+  let isSilent = false
+  const {ends} = await startLeader(t, {
+    ...kv,
+    keepAlive: lease => (isSilent ? new Promise(() => undefined) : kv.keepAlive(lease))
+  } as KvStore)
+  await sleep(500)
+  isSilent = true
+  await starve(600, 3_000)
+  t.same(ends, ["lease ran out"])
+})
