A request waits for the allowance of its leader as long as its caller can

Callers saw: 503 for keys at boxes with a leader that answered later than 50 ms (25 ms for plain calls of the site), though they had seconds left. Cause: the wait was a quarter of the route's target time, so that a leader that has just begun, or is starved, was as good as none. Fix: with a leader a request waits for 0.45 of its caller's time, as for weights; once the leader has answered no request for a second, all are refused as soon as before. All boxes have the same leader, so its caller would wait as long elsewhere. Without a leader nothing changes.

--- a/src/core/allowance-pool.ts
+++ b/src/core/allowance-pool.ts
@@ -120,6 +120,8 @@
   private readonly openRequests_ = new Map<number, OpenRequest>()
   /** The latest request has no answer yet. */
   private awaitsAnswer_ = false
+  /** When the first of the requests without an answer was sent. Undefined if none is. */
+  private unansweredSince_: number | undefined
   private lastRequest_ = 0
   private retryAt_ = -Infinity
   private retryMs_ = RETRY_MS
@@ -213,9 +215,15 @@
       Object.assign(holding, {used: 0, returned: 0, mustState: true})
     }
     this.awaitsAnswer_ = false
+    this.unansweredSince_ = undefined
     this.retryMs_ = RETRY_MS
   }
 
+  /** Returns for how long the leader has answered no request. 0 if none waits for it. */
+  unansweredMs(now: number): number {
+    return this.unansweredSince_ === undefined ? 0 : now - this.unansweredSince_
+  }
+
   /** Returns the report and requests to send now, or undefined if there are none. */
   buildRequest(
     needs: ReadonlyMap<string, AllowanceDemand>,
@@ -259,6 +267,7 @@
   private recordRequest(ask: number, now: number): void {
     if (this.awaitsAnswer_) this.retryMs_ = Math.min(MAX_RETRY_MS, 2 * this.retryMs_)
     this.awaitsAnswer_ = true
+    this.unansweredSince_ ??= now
     this.lastRequest_ = ask
     this.retryAt_ = now + this.retryMs_
     this.openRequests_.set(ask, {at: now, term: this.term_})
@@ -271,6 +280,7 @@
   handleGrants(ask: number, grants: readonly AllowanceGrant[], now: number): void {
     const asked = this.openRequests_.get(ask)
     if (ask === this.lastRequest_) this.awaitsAnswer_ = false
+    this.unansweredSince_ = undefined
     this.retryMs_ = RETRY_MS
     for (const grant of grants) {
       const {organisation, amount, roomInMs, isUnknown = false} = grant
--- a/src/core/box-usage.ts
+++ b/src/core/box-usage.ts
@@ -13,11 +13,20 @@
 import type {AllowanceDemand} from "./allowance-pool.js"
 
 /**
- * Longest wait for an allowance, as a part of the target time: the caller can still retry
- * in time.
+ * Longest wait for an allowance without a leader that answers, as a part of the target
+ * time: the caller can still retry in time.
  */
 const HOLD_SHARE = 0.25
 
+/**
+ * Longest wait for the allowance of a leader, as a part of the caller's time limit. All
+ * boxes have the same leader, so the caller would wait as long elsewhere.
+ */
+const LEADER_HOLD_SHARE = 0.45
+
+/** Requests do not wait for a leader that has answered none of them for this time. */
+const SILENT_LEADER_MS = 1_000
+
 /** Random extension of `retryAfterMs` for callers over their limit, as a part of it. */
 const RETRY_JITTER_SHARE = 0.5
 
@@ -50,7 +59,7 @@
   const leaderInMs = timeUntilOrdersMs(box, now)
   const waitMs = request.answerStarted
     ? request.holdUntil - now
-    : HOLD_SHARE * request.arrival.route.targetMs
+    : longestWaitMs(box, request, now)
   if (leaderInMs <= waitMs) return false
   const jitter = 1 + RETRY_JITTER_SHARE * box.options.random()
   const reason = request.runs > 0 ? "unknown" : "not-run"
@@ -58,6 +67,17 @@
   return true
 }
 
+/** Returns how long a request waits for an allowance, from when it was asked for. */
+function longestWaitMs(
+  {hasLeader, usageAllowances}: BoxServing,
+  {arrival, arrivedAt, deadlineAt}: BoxRequest,
+  now: number
+): number {
+  const shortMs = HOLD_SHARE * arrival.route.targetMs
+  if (!hasLeader || usageAllowances.unansweredMs(now) > SILENT_LEADER_MS) return shortMs
+  return Math.max(shortMs, LEADER_HOLD_SHARE * (deadlineAt - arrivedAt))
+}
+
 /**
  * Refuses a request whose organisation has reached its limit, or may have. If its answer
  * has begun, it waits for room that there will be in time. Returns whether it is refused
@@ -108,9 +128,9 @@
   request: BoxRequest,
   now: number
 ): boolean {
-  const {allowanceRequestedAt, answerStarted, arrival, runs} = request
+  const {allowanceRequestedAt, answerStarted, runs} = request
   if (allowanceRequestedAt === undefined || answerStarted) return false
-  if (now - allowanceRequestedAt < HOLD_SHARE * arrival.route.targetMs) return false
+  if (now - allowanceRequestedAt < longestWaitMs(box, request, now)) return false
   failRequest(box, request, runs > 0 ? "unknown" : "not-run", now)
   return true
 }
