The soak draws starts of all boxes on few processors

Cause: no round let boxes compete for processors as they start, so that links given up and leases that ended late were never seen: rounds have 3 to 9 boxes, which start within half a second.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -32,6 +32,7 @@
 cli.option("--no-repeats", "No worker repeats answers")
 cli.option("--no-mass-kills", "All boxes are never killed at once")
 cli.option("--no-starts", "No slow starts of all boxes, odd entries or heads cut midway")
+cli.option("--no-starved", "No starts of all boxes on few processors")
 cli.option("--no-promises", "No promise to callers of requests to real worker processes")
 cli.help()
 const {options} = cli.parse()
@@ -63,6 +64,7 @@
     repeats: options["repeats"] !== false,
     massKills: options["massKills"] !== false,
     starts: options["starts"] !== false,
+    starved: options["starved"] !== false,
     promises: options["promises"] !== false
   })
   rounds++
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -85,8 +85,8 @@
  * XORed with the seed of a round, give the seeds of the incidents, of the rate faults, of
  * the cuts, of the faults of streams, of releases, of the streams' callers, of overload
  * and of its callers, of the workers that stand still, of the parts that crash engines and
- * their callers, of repeated answers, of kills of all boxes, of starts, and of what may
- * lead to false promises and its callers.
+ * their callers, of repeated answers, of kills of all boxes, of starts, of starved starts, and of what may lead
+ * to false promises and its callers.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
@@ -102,6 +102,7 @@
 const REPEAT_SEED_MASK = 0x4e9a
 const MASS_KILL_SEED_MASK = 0x4e4d
 const START_SEED_MASK = 0x57a7
+const STARVED_SEED_MASK = 0x57a4
 const PROMISE_SEED_MASK = 0x9402
 const PROMISE_CALL_SEED_MASK = 0x940c
 
@@ -262,6 +263,7 @@
           new SoakDraws(seed ^ REPEAT_SEED_MASK),
           new SoakDraws(seed ^ MASS_KILL_SEED_MASK),
           new SoakDraws(seed ^ START_SEED_MASK),
+          new SoakDraws(seed ^ STARVED_SEED_MASK),
           [
             new SoakDraws(seed ^ PROMISE_SEED_MASK),
             new SoakDraws(seed ^ PROMISE_CALL_SEED_MASK)
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -10,6 +10,7 @@
 import {IncidentFaults} from "./soak-incident-faults.js"
 import {CutFaults} from "./soak-cut-faults.js"
 import {StartFaults} from "./soak-start-faults.js"
+import {StarvedFaults} from "./soak-starved-faults.js"
 import {StreamFaults} from "./soak-stream-faults.js"
 import type {LoadCallers} from "./soak-load-callers.js"
 import {LoadFaults} from "./soak-load-faults.js"
@@ -91,6 +92,8 @@
    * answers stop midway.
    */
   readonly starts?: boolean
+  /** All boxes start on few processors. */
+  readonly starved?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -144,6 +147,7 @@
     repeatDraws: SoakDraws,
     massKillDraws: SoakDraws,
     startDraws: SoakDraws,
+    starvedDraws: SoakDraws,
     promiseDraws: readonly [faults: SoakDraws, calls: SoakDraws]
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
@@ -198,6 +202,10 @@
       restart: (box, signal) => this.restart(box, signal),
       haveFaultsEnded: () => this.haveFaultsEnded_
     })
+    const starved = new StarvedFaults(this.bed_, starvedDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_
+    })
     this.promises = new PromiseFaults(this.bed_, ...promiseDraws, this.record_, {
       repeats: this.options_.repeats === true,
       restart: (box, signal) => this.restart(box, signal),
@@ -215,6 +223,7 @@
       this.options_.repeats ? repeats.play() : undefined,
       this.options_.massKills ? massKills.play() : undefined,
       this.options_.starts ? starts.play() : undefined,
+      this.options_.starved ? starved.play() : undefined,
       this.options_.promises ? this.promises.play() : undefined
     ])
   }
