Marks prove the time of a loss of all boxes from three seconds on

Cause: the shortest mark had a lease of 6.7 s, so that a shorter loss proved nothing and the next leader counted all that the last one had stored from its own begin. Fix: marks of 0.1, 0.2 and 0.3 of the time for which grants count as well. The proof is the same for each mark. What a leader stores names its marks: the absence of a mark that a leader of an earlier version did not keep proves nothing.

--- a/src/adapters/usage-marks.ts
+++ b/src/adapters/usage-marks.ts
@@ -57,13 +57,19 @@
     return this.marks_.every(({renewedAt}) => now - renewedAt < MAX_RENEWAL_AGE_MS)
   }
 
+  /** Names of the marks that this leader keeps. */
+  get names(): readonly string[] {
+    return this.marks_.map(({name}) => name)
+  }
+
   /**
    * Reads which marks earlier leaders left, and then keeps them while this box leads.
-   * Returns for how long nothing was granted.
+   * Returns for how long nothing was granted. `kept` are the marks that the last leader kept:
+   * the absence of another one proves nothing.
    *
    * @throws KvUnavailable or KvUnknown if the service did not answer.
    */
-  async takeOver(): Promise<number> {
+  async takeOver(kept: readonly string[] = this.names): Promise<number> {
     const {kv, prefix} = this.options_
     const {entries} = await callAs(kv, {caller: "usage-read"}).list(prefix)
     const leases = new Map(
@@ -77,7 +83,8 @@
     this.timer_ = setInterval(() => void this.renewAll(), RENEW_INTERVAL_MS)
     this.timer_.unref()
     await this.renewAll()
-    return provenIdleMs(this.marks_, new Set(leases.keys()))
+    const proving = this.marks_.filter(({name}) => kept.includes(name))
+    return provenIdleMs(proving, new Set(leases.keys()))
   }
 
   private async renewAll(): Promise<void> {
--- a/src/adapters/usage-store.ts
+++ b/src/adapters/usage-store.ts
@@ -9,6 +9,7 @@
 import type {StoreCaller} from "../types/store-calls.js"
 import type {UsageClaims, UsageProjections} from "../types/usage-messages.js"
 import {FIRST_ERA} from "../core/eras.js"
+import {UNNAMED_MARKS} from "../core/usage-marks.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
 import type {UsageMarks} from "./usage-marks.js"
@@ -29,6 +30,8 @@
   outlooks: projections,
   /** Whether the leader that wrote the value kept marks. */
   marked: z.boolean().optional(),
+  /** Names of these marks. Undefined if an earlier program wrote the value. */
+  marks: z.array(z.string()).optional(),
   /** Undefined if an earlier program wrote the value. */
   claims: z
     .object({
@@ -47,6 +50,7 @@
   /** How long no earlier leader can have granted anything. */
   readonly endedForMs?: number
   readonly marked?: boolean | undefined
+  readonly marks?: readonly string[] | undefined
 }
 
 /** What the key held at a time when there may have been no leader. */
@@ -71,7 +75,7 @@
   readonly eras: StoreEras
   /** How long a leader may go on after the store was restored without its lease. */
   readonly leaseTtlMs: number
-  readonly marks: Pick<UsageMarks, "takeOver">
+  readonly marks: Pick<UsageMarks, "takeOver" | "names">
   /** Has another box write a value. */
   readonly writeElsewhere: (
     key: string,
@@ -114,8 +118,8 @@
 
   private async readWithMarks(): Promise<ReadUsage> {
     const usage = await this.readOnce()
-    const {endedForMs = 0, marked = false} = usage
-    const idleMs = await this.options_.marks.takeOver()
+    const {endedForMs = 0, marked = false, marks = UNNAMED_MARKS} = usage
+    const idleMs = await this.options_.marks.takeOver(marks)
     // An absent mark proves nothing of the time in which this box itself saw a leader.
     const provenMs = marked ? Math.min(idleMs, clockNow() - this.leaderSeenAt_) : 0
     return {...usage, endedForMs: Math.max(endedForMs, provenMs)}
@@ -173,8 +177,9 @@
     const {fence, post} = this.options_
     const fenceBefore = fence()
     this.leaderSeenAt_ = clockNow()
-    const {era} = this.options_.eras
-    const text = JSON.stringify({era, marked: true, ...value})
+    const {eras, marks} = this.options_
+    const {era} = eras
+    const text = JSON.stringify({era, marked: true, marks: marks.names, ...value})
     const ok = await this.attempt(() => this.write(text))
     if (!ok) {
       await pause(RETRY_MS)
--- a/src/core/usage-marks.ts
+++ b/src/core/usage-marks.ts
@@ -20,21 +20,37 @@
 export const RENEW_INTERVAL_MS = 700
 export const MAX_RENEWAL_AGE_MS = 1_500
 
-/** What the marks prove, as shares of the time for which grants can count. */
-const PROVEN_SHARES = [0.4, 0.6, 0.8, 1]
-
 export interface UsageMark {
   readonly name: string
   readonly ttlMs: number
 }
 
+/**
+ * What each mark proves, by its name, as a share of the time for which grants can count. A
+ * name keeps its share: another one would prove something else to a box of another version.
+ */
+const PROVEN_SHARES: Readonly<Record<string, number>> = {
+  "4": 0.1,
+  "5": 0.2,
+  "6": 0.3,
+  "0": 0.4,
+  "1": 0.6,
+  "2": 0.8,
+  "3": 1
+}
+
+/** The marks of leaders that do not name theirs: they keep no others. */
+export const UNNAMED_MARKS: readonly string[] = ["0", "1", "2", "3"]
+
 /** Returns the marks of a leader, the shortest first. */
 export function listMarks(options: UsageOptions): UsageMark[] {
   const countsMs = ALLOWANCE_LIFETIME_MS + usageLifetimeMs(options)
-  return PROVEN_SHARES.map((share, index) => ({
-    name: String(index),
-    ttlMs: Math.ceil(share * countsMs) + MAX_RENEWAL_AGE_MS
-  }))
+  return Object.entries(PROVEN_SHARES)
+    .map(([name, share]) => ({
+      name,
+      ttlMs: Math.ceil(share * countsMs) + MAX_RENEWAL_AGE_MS
+    }))
+    .sort((a, b) => a.ttlMs - b.ttlMs)
 }
 
 /** Returns for how long nothing was granted, if these marks are present. */
--- a/test/usage-marks.test.ts
+++ b/test/usage-marks.test.ts
@@ -82,6 +82,25 @@
   t.ok(proven > 0 && proven < COUNTS_MS)
 })
 
+// RECOVER: as nothing proved the time of a loss of all boxes under 7 s, the next leader
+// counted all that the last one had stored, and organisations were refused for seconds more.
+t.test("a loss of five seconds proves at least two of them", async t => {
+  const marks = listMarks(USAGE)
+  const present = marks.filter(({ttlMs}) => ttlMs > 5_000).map(({name}) => name)
+  t.ok(provenIdleMs(marks, new Set(present)) >= 2_000)
+})
+
+// A leader of an earlier version keeps fewer marks.
+t.test(
+  "the absence of a mark that the last leader did not keep proves nothing",
+  async t => {
+    const store = new LeaseStore()
+    const [, ...kept] = listMarks(USAGE).map(({name}) => name)
+    for (const name of kept) store.write(`${PREFIX}${name}`, "lease")
+    t.equal(await createMarks(store).takeOver(kept), 0)
+  }
+)
+
 t.test("the next leader takes marks over, and an ended lease counts", async t => {
   const store = new LeaseStore()
   let isLeading = true
--- a/test/usage-without-a-leader.test.ts
+++ b/test/usage-without-a-leader.test.ts
@@ -79,7 +79,7 @@
       post: event => void this.posts.push(event),
       leading: () => true,
       fence: () => 1,
-      marks: {takeOver: () => Promise.resolve(0)},
+      marks: {names: [], takeOver: () => Promise.resolve(0)},
       eras: new StoreEras(() => undefined),
       leaseTtlMs: 1_200,
       writeElsewhere: () => Promise.reject(new Error("unused")),
