box-limits waits for log lines, which a box writes up to 200 ms late

Traced by that run's output: the box was not ready and had closed the connection, as the test asks; a box writes its log each 200 ms, and the test read it at once. Change: the test waits for the lines of events 267 and 268 and then matches them as before.

--- a/test/box-limits.test.ts
+++ b/test/box-limits.test.ts
@@ -201,10 +201,13 @@
   const idle = await connectIdle(box.callers, 90)
   await until("it is not ready", async () => !(await bed.isReady(box)))
   t.match(await callAnew(box), {status: 0})
-  t.match(box.child.output, '"event":267,"reason":"descriptors"')
+  const reason = '"event":267,"reason":"descriptors"'
+  await until("its log says why", () => box.child.output.includes(reason))
+  t.match(box.child.output, reason)
   for (const socket of idle) socket.destroy()
   await until("it is ready", () => bed.isReady(box))
   t.equal((await callAnew(box)).status, 200)
+  await until("its log says so", () => box.child.output.includes('"event":268'))
   t.match(box.child.output, '"event":268')
 })
 
