A late call opens no connection while another one is opening

Callers saw: no service after a start of 86 boxes on two processors, not within 60 s after a cold start. Cause: each late call replaced all connections to the store, and each call that found them busy opened one more. A store (any process) without a processor accepts one connection in each turn of its loop, those that were given up before those that are awaited. So new connections waited for 2.4 to 6.9 s while open ones were answered in 3 to 38 ms, calls ended after 0.45 to 3 s, and more connections came. Change: one connection at a time is opened. Until a call was answered in time, calls go one after another; a connection is kept, and awaited, for twice as long each time one was replaced before it answered (8 s at most). A late answer replaces connections only if it was sent on one that had answered. Calls that were given up before they were sent are not sent. Renewals of leases and watches don't wait.

--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -1,5 +1,5 @@
 /** Calls the key-value service over HTTP, with timeouts. Replaces silent connections. */
-import {Pool} from "undici"
+import type {Dispatcher} from "undici"
 import {AnswerTimes} from "../core/answer-times.js"
 import {LATE_ANSWER_MS} from "../core/snapshot-age.js"
 import {KvUnavailable, KvUnknown} from "../errors.js"
@@ -9,6 +9,7 @@
 import {readAnswerText} from "./answer-text.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
+import {type StoreConnection, StorePool} from "./store-pool.js"
 
 export interface StoreCallsOptions {
   /** IP number and port. */
@@ -32,6 +33,8 @@
   /** How long the service may wait for changes before it answers. */
   readonly watchMs?: number
   readonly signal?: AbortSignal
+  /** Sent at once while other calls are sent one at a time. */
+  readonly isUrgent?: boolean
 }
 
 export interface StoreAnswer {
@@ -42,8 +45,6 @@
   readonly era: number | undefined
 }
 
-const MAX_CONNECTIONS = 16
-
 /** A timer that fires later than this shows that the process had no processor. */
 const STARVED_MS = 50
 
@@ -56,17 +57,20 @@
  */
 const GIVEN_UP_MS = 1_500
 
-/** Longer than calls take: a call that ends closes the connection that it waits for. */
-const CONNECT_TIMEOUT_MS = 5_000
+/**
+ * Longest time that connections are kept which have answered no call in time. They may wait
+ * for a service that opens them slowly, so each further ones are kept for twice as long.
+ */
+const MAX_PATIENCE_MS = 8_000
 
 /** Errors while connecting. The service cannot have received the call. */
 const CONNECT_ERROR_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
 
 export class StoreCalls {
-  private pool_: Pool
+  private pool_: StorePool
   private readonly times_ = new AnswerTimes(LATE_ANSWER_MS, MAX_LATE_ANSWER_MS)
-  /** Pools with a connection on which a call was answered. */
-  private readonly answered_ = new WeakSet<Pool>()
+  /** Pools in a row that were replaced before they answered a call in time. */
+  private replacedUnproven_ = 0
   private readonly observed_ = {connections: 0, lateCalls: 0, starvedCalls: 0}
 
   constructor(private readonly options_: StoreCallsOptions) {
@@ -88,20 +92,21 @@
   async call(call: StoreCall): Promise<StoreAnswer> {
     const pool = this.pool_
     const {watchMs = 0} = call
-    const sentAt = clockNow()
-    const lateAfterMs = watchMs + this.times_.lateAfterMs(sentAt)
+    const calledAt = clockNow()
+    const lateAfterMs = watchMs + this.times_.lateAfterMs(calledAt)
     const timeoutMs = Math.round(watchMs + this.options_.timeoutMs * this.slowness)
+    const exchange = new StoreExchange(pool, call, timeoutMs)
     const late = startAnswerTimer(lateAfterMs, () =>
-      this.handleLate(pool, sentAt + lateAfterMs)
+      this.handleLate(exchange, calledAt + lateAfterMs)
     )
     let timeout: Timer | undefined
     const expired = new Promise<never>((_, reject) => {
       timeout = startAnswerTimer(timeoutMs, () => {
-        this.replacePool(pool)
-        reject(new KvUnknown(`no answer within ${timeoutMs} ms`))
+        this.handleTimeout(pool, timeoutMs)
+        reject(exchange.giveUp())
       })
     })
-    const answer = this.exchange(pool, call, sentAt, timeoutMs + GIVEN_UP_MS)
+    const answer = this.exchange(exchange)
     answer.catch(() => undefined)
     try {
       return await Promise.race([answer, expired])
@@ -112,26 +117,18 @@
   }
 
   /** Sends a call and reads its answer, also after its caller has given it up. */
-  private async exchange(
-    pool: Pool,
-    {method, path, body, watchMs, signal}: StoreCall,
-    sentAt: number,
-    limitMs: number
-  ): Promise<StoreAnswer> {
+  private async exchange(exchange: StoreExchange): Promise<StoreAnswer> {
     const {eras, eraHeader} = this.options_
-    const limit = limitTime(limitMs, signal)
+    const {pool, call} = exchange
+    const connection = await pool.take(isSentAtOnce(call))
+    const limit = limitTime(exchange.limitMs, call.signal, () => exchange.extendMs())
     try {
-      const answer = await pool.request({
-        method,
-        path,
-        headers: body ? {"content-type": "application/json"} : {},
-        body: body ? JSON.stringify(body) : null,
-        signal: limit.signal
-      })
+      const sentAt = clockNow()
+      const lateAfterMs = this.times_.lateAfterMs(sentAt)
+      const answer = await exchange.send(connection, limit.signal)
       const text = await readAnswerText(answer.body)
-      this.answered_.add(pool)
-      const now = clockNow()
-      if (watchMs === undefined) this.times_.record(now - sentAt, now)
+      connection.hasAnswered = true
+      if (call.watchMs === undefined) this.recordAnswer(pool, sentAt, lateAfterMs)
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
       return {status: answer.statusCode, body: parseBody(text), era}
@@ -139,36 +136,118 @@
       throw toKvError(cause as Error)
     } finally {
       limit.clear()
+      pool.release(connection)
     }
   }
 
-  private handleLate(pool: Pool, lateAt: number): void {
+  private recordAnswer(pool: StorePool, sentAt: number, lateAfterMs: number): void {
+    const now = clockNow()
+    this.times_.record(now - sentAt, now)
+    if (now - sentAt > lateAfterMs) return
+    pool.recordPromptAnswer()
+    this.replacedUnproven_ = 0
+  }
+
+  private handleLate({pool, isOnOpenConnection}: StoreExchange, lateAt: number): void {
     this.observed_.lateCalls++
     if (clockNow() - lateAt > STARVED_MS) this.observed_.starvedCalls++
-    // A pool that has not answered yet shows that the service is slow, not that connections
-    // are silent.
-    if (this.answered_.has(pool)) this.replacePool(pool)
+    // Connections that have answered no call in time show that the service is slow, not that
+    // they are silent.
+    if (pool.isPrompt && isOnOpenConnection) this.replacePool(pool)
   }
 
-  private openPool(): Pool {
-    const pool = new Pool(`http://${this.options_.address}`, {
-      connections: MAX_CONNECTIONS,
-      pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      keepAliveTimeout: 30_000
-    })
-    pool.on("connect", () => this.observed_.connections++)
-    return pool
+  /** Replaces connections that may be silent, unless the service may still open them. */
+  private handleTimeout(pool: StorePool, timeoutMs: number): void {
+    if (pool.isPrompt) return
+    const patienceMs = Math.min(
+      MAX_PATIENCE_MS,
+      timeoutMs * 2 ** (this.replacedUnproven_ + 1)
+    )
+    if (this.pool_ !== pool || clockNow() - pool.openedAt < patienceMs) return
+    this.replacedUnproven_++
+    this.replacePool(pool)
+  }
+
+  private openPool(): StorePool {
+    return new StorePool(this.options_.address, () => this.observed_.connections++)
   }
 
   /**
    * Uses new connections for later calls. If one connection is silent, others may be too,
    * and each would cost a call its whole timeout. Calls in progress continue.
    */
-  private replacePool(pool: Pool): void {
+  private replacePool(pool: StorePool): void {
     if (this.pool_ !== pool) return
     this.pool_ = this.openPool()
-    pool.close().catch(() => undefined)
+    pool.close()
+  }
+}
+
+/** Whether a call does not wait for others: it takes long itself, or is of no use later. */
+function isSentAtOnce({watchMs, isUrgent}: StoreCall): boolean {
+  return watchMs !== undefined || isUrgent === true
+}
+
+/** A call, which its caller may give up before it is sent or answered. */
+class StoreExchange {
+  private isSent_ = false
+  private isGivenUp_ = false
+  private isOnOpenConnection_ = false
+  private isExtended_ = false
+  private connection_: StoreConnection | undefined
+
+  constructor(
+    readonly pool: StorePool,
+    readonly call: StoreCall,
+    private readonly timeoutMs_: number
+  ) {}
+
+  /** Whether it was sent on a connection that had answered a call before. */
+  get isOnOpenConnection(): boolean {
+    return this.isOnOpenConnection_
+  }
+
+  /** How long the answer is awaited, once the call is sent (ms). */
+  get limitMs(): number {
+    return this.timeoutMs_ + GIVEN_UP_MS
+  }
+
+  /** Returns for how much longer (ms) the service may need to open the connection. */
+  extendMs(): number {
+    const {connection_: connection, pool} = this
+    const isOpened = (connection?.socket?.bytesRead ?? 0) > 0 || pool.isPrompt
+    if (isOpened || this.isExtended_) return 0
+    this.isExtended_ = true
+    return MAX_PATIENCE_MS
+  }
+
+  /**
+   * Sends the call.
+   * @throws KvUnavailable if it was given up before.
+   */
+  async send(
+    connection: StoreConnection,
+    signal: AbortSignal
+  ): Promise<Dispatcher.ResponseData> {
+    if (this.isGivenUp_) throw new KvUnavailable("the call was given up")
+    this.isSent_ = true
+    this.isOnOpenConnection_ = connection.hasAnswered
+    this.connection_ = connection
+    const {method, path, body} = this.call
+    return connection.client.request({
+      method,
+      path,
+      headers: body ? {"content-type": "application/json"} : {},
+      body: body ? JSON.stringify(body) : null,
+      signal
+    })
+  }
+
+  /** Gives the call up. Returns the error for its caller. */
+  giveUp(): Error {
+    this.isGivenUp_ = true
+    const reason = `no answer within ${this.timeoutMs_} ms`
+    return this.isSent_ ? new KvUnknown(reason) : new KvUnavailable(reason)
   }
 }
 
@@ -177,7 +256,7 @@
 }
 
 function toKvError(cause: Error & {readonly code?: string}): Error {
-  if (cause instanceof KvUnknown) return cause
+  if (cause instanceof KvUnknown || cause instanceof KvUnavailable) return cause
   return CONNECT_ERROR_CODES.has(cause.code ?? "")
     ? new KvUnavailable(cause.message)
     : new KvUnknown(`${cause.name}: ${cause.message}`)
--- a/src/utils/time-limit.ts
+++ b/src/utils/time-limit.ts
@@ -12,15 +12,23 @@
 /**
  * Creates an abort signal with a time limit and an optional parent. Does not combine
  * `AbortSignal.any` with `AbortSignal.timeout`, because Node 20 may garbage-collect a
- * signal that is only referenced by the combination, which then never aborts.
+ * signal that is only referenced by the combination, which then never aborts. `extendMs` is
+ * called at the end of the limit, and returns for how much longer it lasts; 0 ends it.
  */
-export function limitTime(ms: number, parent?: AbortSignal): TimeLimit {
+export function limitTime(
+  ms: number,
+  parent?: AbortSignal,
+  extendMs: () => number = () => 0
+): TimeLimit {
   const controller = new AbortController()
   let expired = false
-  const timer = startAnswerTimer(ms, () => {
+  const expire = (): void => {
+    const moreMs = extendMs()
+    if (moreMs > 0) return void (timer = startAnswerTimer(moreMs, expire))
     expired = true
     controller.abort(new DOMException(`no answer within ${ms} ms`, "TimeoutError"))
-  })
+  }
+  let timer = startAnswerTimer(ms, expire)
   const abort = (): void => controller.abort(parent?.reason)
   if (parent?.aborted) abort()
   parent?.addEventListener("abort", abort, {once: true})
--- a/test/store-calls.test.ts
+++ b/test/store-calls.test.ts
@@ -90,7 +90,9 @@
 t.test("after a connection went silent, calls use new connections", async t => {
   const {store, kv} = await connect()
   t.teardown(() => store.close())
-  await Promise.all([1, 2, 3].map(() => kv.list("a/")))
+  // Connections open one after another.
+  for (let round = 0; round < 3; round++)
+    await Promise.all([1, 2, 3].map(() => kv.list("a/")))
   t.equal(store.connections, 3)
   store.silence()
   const late = kv.list("a/").catch(() => "late")
