Boxes that link at about the same time share one full state

Cause: the leader prepared, packed and deflated its full state for each box that linked, in eight writes, and listed the addresses of all boxes twice for each. While all boxes compete for processors it has the share of one of them.

Change: boxes that link, or ask for a full update, within a batch interval (100 ms at most, none up to 16 boxes) get the same packed messages, each box in one write. A box that waits for them gets no broadcasts: a ping that arrives before the full state would make its own, older list appear new. The state is prepared as it is sent, so nothing in it is stale. Messages and their order are the same as before, so boxes of the previous version read them.

Why it works: the leader prepares at most ten full states a second, whatever the number of boxes, and due timers run before what has arrived is read, so a leader whose turns are long sends all that has piled up with one preparation.

--- a/src/adapters/box-hub.ts
+++ b/src/adapters/box-hub.ts
@@ -7,7 +7,12 @@
 import {newestVersionOf} from "../core/adapter-versions.js"
 import type {BoxServing} from "../core/box-state.js"
 import type {Leadership} from "../core/leadership.js"
-import {describeFleet, describeLoads, sendsUnbatched} from "../core/placement-updates.js"
+import {
+  batchIntervalMs,
+  describeFleet,
+  describeLoads,
+  sendsUnbatched
+} from "../core/placement-updates.js"
 import type {RoutedState} from "../core/serving-fleet.js"
 import type {RoutedEffect, RoutedEvent} from "../core/serving-events.js"
 import type {
@@ -26,6 +31,7 @@
 import {BackendUpdates, listUnlisted, withoutModels} from "./backend-updates.js"
 import {LinkHub} from "./box-links.js"
 import {LeaseHelp} from "./lease-help.js"
+import {SharedMessage} from "./link-codec.js"
 import type {KvPutOptions, KvPutResult} from "../ports/ports.js"
 import {WriteHelp} from "./write-help.js"
 import type {Log} from "./log.js"
@@ -48,6 +54,12 @@
 /** The link to a box that has been silent for longer than this is closed. */
 const FOLLOWER_SILENCE_MS = 2_500
 
+/**
+ * Least interval between two preparations of the full state, and so the longest time
+ * that a box waits for it.
+ */
+const MAX_STATE_INTERVAL_MS = 100
+
 export interface BoxHubOptions {
   /** The address at which this box accepts links, IP address and port. */
   readonly address: string
@@ -85,6 +97,10 @@
     (box, request) => this.links_.send(box, {t: "write", ...request})
   )
   private pingAt_ = 0
+  /** Boxes that wait for the full state, with the versions of their configurations. */
+  private readonly stateRequests_ = new Map<string, number>()
+  private stateSentAt_ = -Infinity
+  private stateTimer_: NodeJS.Timeout | undefined
 
   constructor(
     private readonly options_: BoxHubOptions,
@@ -199,6 +215,7 @@
   }
 
   close(): void {
+    clearTimeout(this.stateTimer_)
     this.links_.close()
   }
 
@@ -213,12 +230,12 @@
       request,
       acceptsFollowers: () => leadership.fence !== undefined,
       readSnapshot: ask => this.readSnapshot(ask),
-      up: (box, configVersion, follower) => {
+      up: (box, configVersion) => {
         log("box-linked", {box})
-        this.options_.addressesLearned(this.links_.drawAddresses(Infinity))
-        for (const message of this.listFullState(configVersion)) follower.send(message)
+        this.requestState(box, configVersion)
       },
       down: box => {
+        this.stateRequests_.delete(box)
         log("box-unlinked", {box})
         post({type: "box-gone", box})
       },
@@ -291,11 +308,39 @@
     return {t: "config-named", version: message.config.version}
   }
 
-  /** Returns the messages that bring a new follower up to date. */
-  private listFullState(configVersion: number): FromLeader[] {
+  /**
+   * Sends a box the full state soon. Boxes that ask at about the same time get the same
+   * messages, as all boxes link at once to a new leader.
+   */
+  private requestState(box: string, configVersion: number): void {
+    this.stateRequests_.set(box, configVersion)
+    const intervalMs = Math.min(MAX_STATE_INTERVAL_MS, batchIntervalMs(this.boxCount))
+    const waitMs = Math.max(0, this.stateSentAt_ + intervalMs - clockNow())
+    this.stateTimer_ ??= setTimeout(() => this.sendState(), waitMs)
+  }
+
+  /** Sends the full state to the boxes that wait for it. */
+  private sendState(): void {
+    this.stateTimer_ = undefined
+    if (this.stateRequests_.size === 0) return
+    this.stateSentAt_ = clockNow()
+    this.options_.addressesLearned(this.links_.drawAddresses(Infinity))
+    const {config} = this.options_.snapshotSource
+    const newConfig = config
+      ? [new SharedMessage(this.shorten({t: "config", config}))]
+      : []
+    const state = this.listFullState().map(message => new SharedMessage(message))
+    for (const [box, configVersion] of this.stateRequests_) {
+      const isBehind = config !== undefined && config.version > configVersion
+      this.links_.sendState(box, isBehind ? [...newConfig, ...state] : state)
+    }
+    this.stateRequests_.clear()
+  }
+
+  /** Returns the messages that, after the configuration, bring any box up to date. */
+  private listFullState(): FromLeader[] {
     const now = clockNow()
     const {serving, fleet} = this.options_.state()
-    const {config} = this.options_.snapshotSource
     const ageMs = this.options_.snapshotSource.ageMs(now)
     const records = this.options_.settled.mayReadRestoredEntries(now)
       ? []
@@ -303,9 +348,7 @@
     const versions = listVersions(serving)
     const engines = fleet ? describeFleet(fleet, now) : []
     const loads = fleet ? describeLoads(fleet) : {order: [], hundreds: []}
-    const newer = config && config.version > configVersion
     return [
-      ...(newer ? [this.shorten({t: "config", config})] : []),
       ...(records.length > 0
         ? [
             {
@@ -374,10 +417,7 @@
           this.links_.send(box, {t: "config", config: snapshotSource.config})
         return
       case "ask-all":
-        for (const update of this.listFullState(message.configVersion)) {
-          this.links_.send(box, update)
-        }
-        return
+        return this.requestState(box, message.configVersion)
       case "renewed":
         return this.leaseHelp_.handleAnswer(message.ask, message.known)
       case "written":
--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -1,6 +1,6 @@
 /** WebSocket links between boxes and their leader, with `msgpackr` messages. */
 import {createServer, type RequestListener, type Server} from "node:http"
-import {connect} from "node:net"
+import {connect, type Socket} from "node:net"
 import {WebSocket, WebSocketServer} from "ws"
 import {parseToLeader} from "../types/box-frames.js"
 import type {
@@ -13,7 +13,7 @@
 import {splitAddress} from "../utils/address.js"
 import {startAnswerTimer, type Timer} from "../utils/timers.js"
 import {clockNow} from "./clock.js"
-import {packDeflated, packPlain, unpack} from "./link-codec.js"
+import {packDeflated, packPlain, SharedMessage, unpack} from "./link-codec.js"
 
 /**
  * Limit of the bytes buffered for a slow peer; the link is closed when it is exceeded.
@@ -35,6 +35,11 @@
   heardAt = clockNow()
   /** Whether the peer reads deflated messages. */
   deflates = false
+  /**
+   * Whether the peer has not received the full state yet. A ping that arrives before it
+   * would make the peer's older state appear new.
+   */
+  awaitsState = false
   private ended_ = false
 
   constructor(
@@ -53,7 +58,11 @@
     this.sendPacked(this.deflates ? packDeflated(message) : packPlain(message))
   }
 
-  sendPacked(packed: Uint8Array): void {
+  sendShared(message: SharedMessage): void {
+    this.sendPacked(message.pack(this.deflates))
+  }
+
+  private sendPacked(packed: Uint8Array): void {
     if (this.ended_ || this.socket_.readyState !== WebSocket.OPEN) return
     if (this.socket_.bufferedAmount > MAX_BUFFERED_BYTES) return this.close()
     this.socket_.send(packed)
@@ -96,7 +105,7 @@
 }
 
 /** The leader's end of the link to one box. */
-export type Follower = BoxLink<FromLeader, ToLeader>
+type Follower = BoxLink<FromLeader, ToLeader>
 
 export interface HubEvents {
   /** Whether this box is the leader and accepts followers. */
@@ -106,7 +115,8 @@
    * snapshot.
    */
   readonly readSnapshot: (ask: StoreSnapshotRequest) => Promise<FromLeader | undefined>
-  readonly up: (box: string, configVersion: number, follower: Follower) => void
+  /** Called when a box has linked. It gets no broadcasts until `LinkHub.sendState`. */
+  readonly up: (box: string, configVersion: number) => void
   readonly down: (box: string) => void
   readonly message: (box: string, message: ToLeader) => void
   /** Handles requests of other boxes that are no links. */
@@ -127,6 +137,7 @@
   private readonly capacities_ = new Map<string, number>()
   /** The address at which each box accepts links. */
   private readonly addresses_ = new Map<string, string>()
+  private readonly sockets_ = new Map<string, Socket>()
 
   constructor(
     address: string,
@@ -142,7 +153,7 @@
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false
     })
-    this.server_.on("connection", socket => this.accept(socket))
+    this.server_.on("connection", (link, {socket}) => this.accept(link, socket))
     this.server_.on("listening", listening)
     this.server_.on("error", failed)
     this.http_.listen({host, port})
@@ -164,16 +175,28 @@
     return Math.max(0, ...this.capacities_.values())
   }
 
-  /** Sends a message to all boxes. It is packed at most once plain and once deflated. */
+  /**
+   * Sends a message to all boxes that have the full state. It is packed at most once plain
+   * and once deflated.
+   */
   broadcast(message: FromLeader): void {
-    let plain: Buffer | undefined
-    let deflated: Buffer | undefined
+    const shared = new SharedMessage(message)
     for (const follower of this.followers_.values()) {
-      if (follower.deflates) follower.sendPacked((deflated ??= packDeflated(message)))
-      else follower.sendPacked((plain ??= packPlain(message)))
+      if (!follower.awaitsState) follower.sendShared(shared)
     }
   }
 
+  /** Sends a box the messages of the full state, in one write. */
+  sendState(box: string, messages: readonly SharedMessage[]): void {
+    const follower = this.followers_.get(box)
+    if (!follower) return
+    const socket = this.sockets_.get(box)
+    follower.awaitsState = false
+    socket?.cork()
+    for (const message of messages) follower.sendShared(message)
+    socket?.uncork()
+  }
+
   send(box: string, message: FromLeader): void {
     this.followers_.get(box)?.send(message)
   }
@@ -206,7 +229,7 @@
     this.http_.closeAllConnections()
   }
 
-  private accept(socket: WebSocket): void {
+  private accept(link: WebSocket, socket: Socket): void {
     let box: string | undefined
     const firstMessageTimer = startAnswerTimer(HELLO_TIMEOUT_MS, () => follower.close())
     const handle = (message: ToLeader): void => {
@@ -215,30 +238,37 @@
         if (!this.events_.acceptsFollowers()) return follower.close()
         firstMessageTimer.clear()
         box = message.incarnation
-        return this.join(follower, message)
+        return this.join(follower, socket, message)
       }
       if (box !== undefined) this.events_.message(box, message)
     }
-    const follower: Follower = new BoxLink(socket, parseToLeader, handle, () => {
+    const follower: Follower = new BoxLink(link, parseToLeader, handle, () => {
       firstMessageTimer.clear()
       if (box === undefined || this.followers_.get(box) !== follower) return
       this.followers_.delete(box)
       this.startedAt_.delete(box)
       this.capacities_.delete(box)
       this.addresses_.delete(box)
+      this.sockets_.delete(box)
       this.events_.down(box)
     })
   }
 
-  private join(follower: Follower, hello: Extract<ToLeader, {t: "hello"}>): void {
+  private join(
+    follower: Follower,
+    socket: Socket,
+    hello: Extract<ToLeader, {t: "hello"}>
+  ): void {
     const {incarnation: box, ageMs, address, configVersion} = hello
     this.followers_.get(box)?.close()
     follower.deflates = hello.deflates === true
+    follower.awaitsState = true
     this.followers_.set(box, follower)
     this.startedAt_.set(box, clockNow() - ageMs)
     this.capacities_.set(box, hello.capacity ?? 0)
     this.addresses_.set(box, address)
-    this.events_.up(box, configVersion, follower)
+    this.sockets_.set(box, socket)
+    this.events_.up(box, configVersion)
   }
 
   private async answer(follower: Follower, request: StoreSnapshotRequest): Promise<void> {
--- a/src/adapters/link-codec.ts
+++ b/src/adapters/link-codec.ts
@@ -34,6 +34,20 @@
   return Buffer.concat([Buffer.from([DEFLATED]), deflateRawSync(plain, {level: 1})])
 }
 
+/** A message for several boxes. It is packed at most once in each format. */
+export class SharedMessage {
+  private plain_: Buffer | undefined
+  private deflated_: Buffer | undefined
+
+  constructor(private readonly message_: object) {}
+
+  /** Packs the message, `deflated` for boxes that announced support for it. */
+  pack(deflated: boolean): Buffer {
+    if (deflated) return (this.deflated_ ??= packDeflated(this.message_))
+    return (this.plain_ ??= packPlain(this.message_))
+  }
+}
+
 /**
  * Unpacks a plain or deflated message. Throws if it is invalid or inflates to more than
  * `maxBytes`.
