Heads, trailers and informational answers without end hold up no box

What callers saw: 30 requests at once that met servers which send a head, a trailer, informational heads or a chunk's extension without end held the box's thread for up to 8.4 s. Their answers came after the deadline (up to 8.9 s of 3 s), and other callers' requests at the box failed. One call with informational heads took a whole core until its deadline.

Cause: undici limits a head or trailer to 16 KB, but its parser goes on through all that was read (64 KB) after it has closed the connection, and makes two errors, each with a stack, for each further header: 3.4 of 4.2 s in a profile of 30 such answers. The 4 MB that a server sends of each are in the buffers of the system: the socket has read 65,536 bytes. Nothing limits informational heads and extensions, whose connections were read until the deadline (27 and 46 MB a second).

Change: the connection hands at most 16 KB to the parser at a time, nothing after it is closed, and fails once 16 KB without content (a final head, data) have been parsed. undici's own limit is higher than what it ever parses. All parts that are no content have one limit, whoever parses them, so a part that undici learns to read later has it, too.

endless-answers expected 504 for an extension without end, and let informational heads take until the deadline: such an answer looked like silence. It fails at once now, so that the request is sent to another server: the test asks for 200, and for all kinds to end before the deadline.

--- a/src/adapters/backend-pools.ts
+++ b/src/adapters/backend-pools.ts
@@ -3,8 +3,9 @@
  * connection.
  */
 import type {Client, Dispatcher} from "undici"
+import {MAX_HEADER_SIZE} from "./answer-overhead.js"
 import {ConnectionPool} from "./connection-pool.js"
-import {createReadControl, type ReadControl} from "./read-control.js"
+import {type AnswerControl, createReadControl, type ReadControl} from "./read-control.js"
 import {buildResetConnector} from "./reset-connector.js"
 
 export type {ReadControl} from "./read-control.js"
@@ -119,12 +120,13 @@
   connect: buildResetConnector(CONNECT_TIMEOUT_MS),
   headersTimeout: 0,
   bodyTimeout: 0,
+  maxHeaderSize: MAX_HEADER_SIZE,
   keepAliveTimeout: KEEP_ALIVE_MS,
   keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
 }
 
 function adapt(handler: SendHandler): Dispatcher.DispatchHandler {
-  let reading: ReadControl | undefined
+  let reading: AnswerControl | undefined
   let lastStatus = 0
   return {
     onRequestStart(controller) {
@@ -134,10 +136,14 @@
     },
     onResponseStart(controller, status) {
       lastStatus = status
-      if (status >= 200) handler.head(status, decodeHeaders(controller.rawHeaders))
+      if (status < 200) return
+      reading?.countContent()
+      handler.head(status, decodeHeaders(controller.rawHeaders))
     },
     onResponseData(_controller, chunk) {
-      if (reading) handler.data(chunk, reading)
+      if (!reading) return
+      reading.countContent()
+      handler.data(chunk, reading)
     },
     onResponseEnd() {
       handler.done()
--- a/src/adapters/read-control.ts
+++ b/src/adapters/read-control.ts
@@ -1,10 +1,11 @@
 /**
  * Pauses the reading of an answer from a backend server. While it is paused, its
- * connection fills up, so that the server slows down.
+ * connection fills up, so that the server slows down. Also counts what is no content of it.
  */
 import {channel} from "node:diagnostics_channel"
 import type {Socket} from "node:net"
 import type {Dispatcher} from "undici"
+import {type Overhead, overheadOf} from "./answer-overhead.js"
 
 export interface ReadControl {
   /** Pauses reading. To be called from the callback that receives data. */
@@ -15,31 +16,45 @@
   readonly readAheadBytes: () => number
 }
 
+/** What the one that receives the answer needs of its connection. */
+export interface AnswerControl extends ReadControl {
+  /** To be called at the final head and at all data of the answer. */
+  readonly countContent: () => void
+}
+
 interface Connection {
   socket: Socket | undefined
+  overhead: Overhead | undefined
 }
 
 /** Connections whose answers are not read. */
 const heldSockets = new WeakSet<Socket>()
 
 /** Connection of the request that starts in the current call of `undici`. */
-let starting: Connection = {socket: undefined}
+let starting: Connection = {socket: undefined, overhead: undefined}
 
 // `undici` publishes the socket in the same call that starts the request.
 channel("undici:client:sendHeaders").subscribe(message => {
-  starting.socket = (message as {readonly socket: Socket}).socket
+  const {socket} = message as {readonly socket: Socket}
+  const overhead = overheadOf(socket)
+  if (overhead) overhead.bytes = 0
+  starting.socket = socket
+  starting.overhead = overhead
   // Requests of other parts of the process are published, too.
-  starting = {socket: undefined}
+  starting = {socket: undefined, overhead: undefined}
 })
 
 /** Returns the control of a request. To be called when the request starts. */
 export function createReadControl(
   controller: Dispatcher.DispatchController
-): ReadControl {
-  const connection: Connection = {socket: undefined}
+): AnswerControl {
+  const connection: Connection = {socket: undefined, overhead: undefined}
   starting = connection
   return {
     readAheadBytes: () => connection.socket?.readableLength ?? 0,
+    countContent: () => {
+      if (connection.overhead) connection.overhead.bytes = 0
+    },
     pause: () => {
       if (connection.socket) heldSockets.add(connection.socket)
       controller.pause()
--- a/src/adapters/reset-connector.ts
+++ b/src/adapters/reset-connector.ts
@@ -1,10 +1,11 @@
 /**
  * Connects to servers so that a reset is reported as a broken answer. An answer without a
  * length ends when its connection ends, and `undici` treats a reset as this end. The
- * sockets also allow their answers to be paused.
+ * sockets also allow their answers to be paused, and limit what is no content of them.
  */
 import type {Socket} from "node:net"
 import {buildConnector} from "undici"
+import {limitOverhead} from "./answer-overhead.js"
 import {allowHolding} from "./read-control.js"
 
 /**
@@ -20,6 +21,7 @@
       const [, socket] = result
       if (socket) {
         reportResets(socket)
+        limitOverhead(socket)
         allowHolding(socket)
       }
       callback(...result)
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -237,6 +237,14 @@
   }
 }
 
+/** An answer goes on without content, such as a head without end. */
+export class AnswerOverheadTooLong extends Error {
+  constructor(limit: string) {
+    super(`the answer has more than ${limit} without content`)
+    this.name = "AnswerOverheadTooLong"
+  }
+}
+
 /** The RFC 9457 body of an error. */
 export interface Problem {
   readonly type: string
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -28,12 +28,6 @@
 /** Time that callers allow for their requests. */
 const DEADLINE_MS = 4_000
 
-/** Time that an answer at the deadline may be late, as seen by its caller. */
-const DELAY_MS = 250
-
-/** What looks like silence to a box, which may wait for an answer until the deadline. */
-const SILENT_KINDS: ReadonlySet<EndlessKind> = new Set(["informational", "extension"])
-
 /** Answers whose body has no end. */
 const BODY_KINDS: ReadonlySet<EndlessKind> = new Set([
   "body",
@@ -159,8 +153,7 @@
   t.comment(`${kind}: ${outcome.status} after ${Math.round(tookMs)} ms, ${mb} MB`)
   t.ok(hasBegun, `${kind}: was sent`)
   t.ok(mb < MAX_GROWTH_MB, `${kind}: ${mb} MB`)
-  const limitMs = SILENT_KINDS.has(kind) ? DEADLINE_MS + DELAY_MS : DEADLINE_MS
-  t.ok(tookMs < limitMs, `${kind}: ended after ${Math.round(tookMs)} ms`)
+  t.ok(tookMs < DEADLINE_MS, `${kind}: ended after ${Math.round(tookMs)} ms`)
   t.notOk(
     bed.boxes.some(({child}) => child.ended),
     `${kind}: no box ended`
@@ -197,8 +190,7 @@
   for (const kind of ENDLESS_KINDS) {
     const call = {servers: "first", path: "/safe/x"} as const
     const {status} = await callEndless(t, endless, kind, call)
-    // A plain answer that has begun isn't sent for again because of silence.
-    t.equal(status, kind === "extension" ? 504 : 200, kind)
+    t.equal(status, 200, kind)
   }
 })
 
--- a/test/support/endless-server.ts
+++ b/test/support/endless-server.ts
@@ -73,6 +73,8 @@
   sentBytes = 0
   /** Endless answers that began. */
   begun = 0
+  /** Bytes of requests were passed on to `target` this often. */
+  passedOn = 0
   /** Called when an endless answer begins. */
   onBegin: () => void = () => undefined
   private readonly open_ = new Set<Socket>()
@@ -119,6 +121,7 @@
       const head = data.toString("latin1")
       if (this.open_.has(socket)) return
       if (this.kind && this.matches_(head)) return this.answer(socket, this.kind, head)
+      this.passedOn++
       upstream ??= this.connectTo(socket)
       upstream?.write(data)
     })
