The soak draws starts of all boxes on one processor

RECOVER is judged: of the calls sent more than `recoveryS` (15 s) after the kill a quarter is served; the judge of service excuses boxes until then, and no longer once processors are back.

--- a/test/support/child.ts
+++ b/test/support/child.ts
@@ -3,6 +3,7 @@
 import {once} from "node:events"
 import {resolve} from "node:path"
 import {fileURLToPath} from "node:url"
+import {TASKSET} from "./processors.js"
 
 const ROOT = fileURLToPath(new URL("../..", import.meta.url))
 const MAX_OUTPUT = 4_000_000
@@ -16,14 +17,22 @@
   ending = false
   private readonly process_: ChildProcess
 
-  /** `script` is absolute or relative to the build root; `flags` are those of Node.js. */
+  /**
+   * `script` is absolute or relative to the build root; `flags` are those of Node.js. With
+   * `processors` the process is bound to these from its start.
+   */
   constructor(
     script: string,
     args: readonly string[],
     env: Readonly<Record<string, string>> = {},
-    flags: readonly string[] = []
+    flags: readonly string[] = [],
+    processors?: readonly number[]
   ) {
-    this.process_ = spawn(process.execPath, [...flags, resolve(ROOT, script), ...args], {
+    const command = [process.execPath, ...flags, resolve(ROOT, script), ...args]
+    const [program = "", ...rest] = processors
+      ? [TASKSET, "-c", processors.join(","), ...command]
+      : command
+    this.process_ = spawn(program, rest, {
       stdio: ["ignore", "pipe", "pipe"],
       env: {...platformVariables(), ...env}
     })
--- a/test/support/platform-bed.ts
+++ b/test/support/platform-bed.ts
@@ -166,6 +166,8 @@
   private readonly agent_ = new Agent({connections: 64, pipelining: 1})
   /** Organisations with keys in the next configuration. */
   tenants: readonly BedTenant[] | undefined
+  /** Processors to which boxes are bound that start from now on. Undefined if to none. */
+  startProcessors: readonly number[] | undefined
   private version_ = 1
   private addedEngines_ = 0
   /** Output of the ended processes of restarted boxes. */
@@ -348,7 +350,8 @@
     const args = ["--settings", settingsFile]
     if (this.options_.suspendable) {
       const env = {CLOCKS_FILE: clocksFile, CUTS_FILE: cutsFile}
-      return new Child("test/support/suspendable-box.js", args, env)
+      const {startProcessors} = this
+      return new Child("test/support/suspendable-box.js", args, env, [], startProcessors)
     }
     if (this.options_.cuttable)
       return new Child("test/support/cut-box.js", args, {CUTS_FILE: cutsFile})
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -17,6 +17,7 @@
 import {describeParts, judgeParts} from "./soak-judge-parts.js"
 import {describePauses, judgePauses} from "./soak-judge-pauses.js"
 import {judgeRound} from "./soak-judge.js"
+import {describeShortages, judgeShortages} from "./soak-judge-shortages.js"
 import {countGuaranteedCalls, judgeService} from "./soak-judge-service.js"
 import {describeStreams, isWholeStream, judgeStreams} from "./soak-judge-streams.js"
 import {type SoakCall, SoakDraws, SoakRecord, type SoakStream} from "./soak-record.js"
@@ -85,8 +86,8 @@
  * XORed with the seed of a round, give the seeds of the incidents, of the rate faults, of
  * the cuts, of the faults of streams, of releases, of the streams' callers, of overload
  * and of its callers, of the workers that stand still, of the parts that crash engines and
- * their callers, of repeated answers, of kills of all boxes, of starts, of starved starts, and of what may lead
- * to false promises and its callers.
+ * their callers, of repeated answers, of kills of all boxes, of starts, of starved starts, of what may lead
+ * to false promises and its callers, and of starts on one processor.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
@@ -105,6 +106,7 @@
 const STARVED_SEED_MASK = 0x57a4
 const PROMISE_SEED_MASK = 0x9402
 const PROMISE_CALL_SEED_MASK = 0x940c
+const PROCESSOR_SEED_MASK = 0x94c5
 
 /** Workers in processes of their own, of each kind. */
 const PROCESS_WORKERS = {engines: 2, plain: 2}
@@ -199,6 +201,10 @@
       }
       if (this.options_.repeats)
         this.notes_.push(`repeated answers ${bed.judge.repeats.length}`)
+      if (this.options_.fewProcessors) {
+        this.violations_.push(...judgeShortages(this.record_))
+        this.notes_.push(describeShortages(this.record_))
+      }
       if (this.options_.cuts)
         this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
@@ -267,7 +273,8 @@
           [
             new SoakDraws(seed ^ PROMISE_SEED_MASK),
             new SoakDraws(seed ^ PROMISE_CALL_SEED_MASK)
-          ]
+          ],
+          new SoakDraws(seed ^ PROCESSOR_SEED_MASK)
         )
     try {
       if (script) await this.playScript(faults, script)
@@ -279,6 +286,7 @@
       this.organisations_?.restoreLimits()
       await this.awaitRecovery(bed)
     } finally {
+      faults.hasServiceReturned = true
       clearInterval(callTimer)
       clearInterval(streamTimer)
     }
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -19,6 +19,7 @@
 import {PromiseFaults} from "./soak-promise-faults.js"
 import {RepeatFaults} from "./soak-repeat-faults.js"
 import {PauseFaults} from "./soak-pause-faults.js"
+import {ProcessorFaults} from "./soak-processor-faults.js"
 import {RateFaults} from "./soak-rate-faults.js"
 import {DrillFaults} from "./soak-drill-faults.js"
 import {VERSIONED_ADAPTER_COUNT, VersionFaults} from "./soak-version-faults.js"
@@ -94,6 +95,8 @@
   readonly starts?: boolean
   /** All boxes start on few processors. */
   readonly starved?: boolean
+  /** All boxes start on one processor. */
+  readonly fewProcessors?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -101,6 +104,8 @@
 export class SoakFaults {
   /** Whether the deployment has ended, after which no box is restarted. */
   hasDeploymentEnded = false
+  /** Whether everything is served again after the end of all faults. */
+  hasServiceReturned = false
   private haveFaultsEnded_ = false
   /** Boxes whose processes are stopped by SIGSTOP. */
   private readonly stoppedBoxes_ = new Set<BedBox>()
@@ -148,7 +153,8 @@
     massKillDraws: SoakDraws,
     startDraws: SoakDraws,
     starvedDraws: SoakDraws,
-    promiseDraws: readonly [faults: SoakDraws, calls: SoakDraws]
+    promiseDraws: readonly [faults: SoakDraws, calls: SoakDraws],
+    processorDraws: SoakDraws
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isStopped: box => this.stoppedBoxes_.has(box) || box.suspendedFrom !== undefined,
@@ -206,6 +212,11 @@
       restart: (box, signal) => this.restart(box, signal),
       haveFaultsEnded: () => this.haveFaultsEnded_
     })
+    const processors = new ProcessorFaults(this.bed_, processorDraws, this.record_, {
+      restart: (box, signal) => this.restart(box, signal),
+      haveFaultsEnded: () => this.haveFaultsEnded_,
+      hasServiceReturned: () => this.hasServiceReturned
+    })
     this.promises = new PromiseFaults(this.bed_, ...promiseDraws, this.record_, {
       repeats: this.options_.repeats === true,
       restart: (box, signal) => this.restart(box, signal),
@@ -224,6 +235,7 @@
       this.options_.massKills ? massKills.play() : undefined,
       this.options_.starts ? starts.play() : undefined,
       this.options_.starved ? starved.play() : undefined,
+      this.options_.fewProcessors ? processors.play() : undefined,
       this.options_.promises ? this.promises.play() : undefined
     ])
   }
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -5,6 +5,7 @@
  * limits are further reasons for a refusal: see `soak-judge-keyed-service.ts`.
  */
 import {GRACE_S} from "./platform-bed.js"
+import {RECOVERY_MS} from "./soak-judge-shortages.js"
 import type {SoakCall, SoakRecord} from "./soak-record.js"
 
 /** Time in which a box serves again after a restart, a suspension or a disconnection. */
@@ -79,6 +80,7 @@
   if (isRefusedByStop(record, call) || isRefusedByStart(record, call)) return false
   if (isExemptWithin(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
   if (isCutOff(record, box, sentAt - BOX_RECOVERY_MS, end)) return false
+  if (isShortOfProcessors(record, sentAt - BOX_RECOVERY_MS, end)) return false
   if (hasUnconfirmedServers(record, box, sentAt)) return false
   if (record.plainRepeats.some(({from, to}) => from < end && to > sentAt)) return false
   return !record.faults.some(
@@ -131,6 +133,18 @@
   return cuts.some(cut => cut.boxes.includes(box) && cut.from < to && cut.to > from)
 }
 
+/**
+ * Whether boxes had few processors, or were killed then and have time to serve again. What
+ * must be served before is judged in `soak-judge-shortages.ts`.
+ */
+function isShortOfProcessors({shortages}: SoakRecord, from: number, to: number): boolean {
+  return shortages.some(
+    shortage =>
+      shortage.from < to &&
+      (shortage.to > from || shortage.killedAt + RECOVERY_MS > from + BOX_RECOVERY_MS)
+  )
+}
+
 /**
  * Whether the box may have started with restored entries and not have confirmed its
  * servers yet. A further restore before the confirmation starts the wait again.
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -147,6 +147,15 @@
   readonly free: number
 }
 
+/** A time in which all boxes were killed and had few processors. */
+export interface ProcessorShortage {
+  readonly from: number
+  /** When the boxes were killed last. */
+  killedAt: number
+  /** Infinity while it lasts. */
+  to: number
+}
+
 /** Boxes that were cut off from backend servers. */
 export interface BoxCut {
   readonly boxes: readonly string[]
@@ -176,6 +185,7 @@
   readonly replacedEngines: ReplacedEngine[] = []
   readonly cuts: BoxCut[] = []
   readonly pauses: WorkerPause[] = []
+  readonly shortages: ProcessorShortage[] = []
   /** When plain workers refused requests and repeated answers. Infinity while they do. */
   readonly plainRepeats: {readonly from: number; to: number}[] = []
   readonly boxEnds: BoxEnd[] = []
@@ -200,6 +210,14 @@
     }
   }
 
+  /** Records that boxes have few processors. The caller sets the further times. */
+  beginShortage(): ProcessorShortage {
+    const from = performance.now()
+    const shortage = {from, killedAt: from, to: Infinity}
+    this.shortages.push(shortage)
+    return shortage
+  }
+
   /** Records that a worker stands still. Returns a function that ends it. */
   beginPause(worker: string): () => void {
     const pause = {worker, from: performance.now(), to: Infinity}
