The soak draws answers without end, many at once

Cause: `endless-answers` plays one call at a time, and no round of the soak had such answers, so that 30 of them holding a box's thread for seconds were never seen.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -34,6 +34,7 @@
 cli.option("--no-starts", "No slow starts of all boxes, odd entries or heads cut midway")
 cli.option("--no-starved", "No starts of all boxes on few processors")
 cli.option("--no-few-processors", "Boxes never start on one processor")
+cli.option("--no-endless", "No worker answers without end")
 cli.option("--no-promises", "No promise to callers of requests to real worker processes")
 cli.help()
 const {options} = cli.parse()
@@ -67,6 +68,7 @@
     starts: options["starts"] !== false,
     starved: options["starved"] !== false,
     fewProcessors: options["fewProcessors"] !== false,
+    endless: options["endless"] !== false,
     promises: options["promises"] !== false
   })
   rounds++
--- a/test/support/endless-server.ts
+++ b/test/support/endless-server.ts
@@ -149,16 +149,26 @@
     this.onBegin()
     this.open_.add(socket)
     socket.on("close", () => this.open_.delete(socket))
-    const id = /^x-request-id: *(\S+)/im.exec(head)?.[1] ?? ""
-    const own = `x-request-id: ${id}\r\nx-response-signature: s\r\n`
-    const {begin, part} = describe(kind, own)
-    socket.write(begin)
-    const write = (): void => {
-      if (socket.destroyed) return
-      this.sentBytes += part.length
-      // The pause leaves time to the processes that share the machine.
-      socket.write(part, () => setTimeout(write, PAUSE_MS))
-    }
-    write()
+    answerEndlessly(socket, kind, head, bytes => (this.sentBytes += bytes))
   }
 }
+
+/** Answers a request until the connection is closed. `sent` is told the bytes of each part. */
+export function answerEndlessly(
+  socket: Socket,
+  kind: EndlessKind,
+  head: string,
+  sent: (bytes: number) => void = () => undefined
+): void {
+  const id = /^x-request-id: *(\S+)/im.exec(head)?.[1] ?? ""
+  const own = `x-request-id: ${id}\r\nx-response-signature: s\r\n`
+  const {begin, part} = describe(kind, own)
+  socket.write(begin)
+  const write = (): void => {
+    if (socket.destroyed) return
+    sent(part.length)
+    // The pause leaves time to the processes that share the machine.
+    socket.write(part, () => setTimeout(write, PAUSE_MS))
+  }
+  write()
+}
--- a/test/support/fault-proxy.ts
+++ b/test/support/fault-proxy.ts
@@ -1,5 +1,6 @@
 /** TCP proxy that closes, blocks (each direction separately) or delays connections. */
 import {connect, createServer, type Server, type Socket} from "node:net"
+import {answerEndlessly, type EndlessKind} from "./endless-server.js"
 
 export interface ProxyFaults {
   /** Blocks data towards the server. Connections stay open. */
@@ -31,6 +32,8 @@
   /** Data received while the direction was blocked; sent when it is unblocked. */
   readonly buffered: Buffer[]
   readonly isBlocked: () => boolean
+  /** Whether a chunk is a request that is answered here. */
+  readonly isAnswered?: (chunk: Buffer) => boolean
   /** Where to cut the answer whose first bytes are in a chunk. */
   readonly cutOf?: (chunk: Buffer) => HeadCut | undefined
   /** Discards all data and the end of the stream. The sender doesn't notice. */
@@ -38,6 +41,11 @@
 }
 
 export class FaultProxy {
+  /**
+   * Requests with such a head are answered without end in place of the server, and don't
+   * reach it. Undefined if this one does.
+   */
+  answersEndlessly: (head: string) => EndlessKind | undefined = () => undefined
   private faults_: ProxyFaults = {}
   private readonly directions_ = new Set<Direction>()
 
@@ -136,6 +144,7 @@
       to: upstream,
       buffered: [],
       isBlocked: () => this.faults_.blockUp === true,
+      isAnswered: chunk => this.answerEndlessly(client, chunk),
       silent: false
     })
     this.forward({
@@ -153,6 +162,7 @@
     this.directions_.add(direction)
     from.on("data", (chunk: Buffer) => {
       if (direction.silent) return
+      if (direction.isAnswered?.(chunk)) return this.dropRest(direction)
       const cut = direction.cutOf?.(chunk)
       if (cut) return this.cutHead(direction, chunk, cut)
       if (!isBlocked()) return this.write(to, chunk)
@@ -172,6 +182,21 @@
     })
   }
 
+  /** Answers a request without end if it is to be. Returns whether it is. */
+  private answerEndlessly(client: Socket, chunk: Buffer): boolean {
+    const head = chunk.toString("latin1")
+    const kind = head.includes(" HTTP/1.") ? this.answersEndlessly(head) : undefined
+    if (!kind) return false
+    answerEndlessly(client, kind, head)
+    return true
+  }
+
+  /** Drops what else comes. The other side is closed when the sender closes. */
+  private dropRest(direction: Direction): void {
+    direction.silent = true
+    direction.from.on("close", () => direction.to.destroy())
+  }
+
   private cutHead(direction: Direction, chunk: Buffer, {bytes, how}: HeadCut): void {
     const {from, to} = direction
     const headBytes = chunk.indexOf("\r\n\r\n")
--- a/test/support/platform-soak.ts
+++ b/test/support/platform-soak.ts
@@ -12,6 +12,7 @@
 import {describeCutTries, judgeCuts, listCutTries} from "./soak-judge-cuts.js"
 import {describePromises, judgePromises} from "./judge-promises.js"
 import {describeLoad, judgeLoad, listOverloadRefusals} from "./soak-judge-load.js"
+import {describeEndless, judgeEndless} from "./soak-judge-endless.js"
 import {LoadCallers} from "./soak-load-callers.js"
 import {promptOf} from "./prompt-callers.js"
 import {describeParts, judgeParts} from "./soak-judge-parts.js"
@@ -87,7 +88,7 @@
  * the cuts, of the faults of streams, of releases, of the streams' callers, of overload
  * and of its callers, of the workers that stand still, of the parts that crash engines and
  * their callers, of repeated answers, of kills of all boxes, of starts, of starved starts, of what may lead
- * to false promises and its callers, and of starts on one processor.
+ * to false promises and its callers, of starts on one processor, and of endless answers.
  */
 const INCIDENT_SEED_MASK = 0x5eed
 const RATE_SEED_MASK = 0x1a7e
@@ -107,6 +108,7 @@
 const PROMISE_SEED_MASK = 0x9402
 const PROMISE_CALL_SEED_MASK = 0x940c
 const PROCESSOR_SEED_MASK = 0x94c5
+const ENDLESS_SEED_MASK = 0xe4d1
 
 /** Workers in processes of their own, of each kind. */
 const PROCESS_WORKERS = {engines: 2, plain: 2}
@@ -205,6 +207,10 @@
         this.violations_.push(...judgeShortages(this.record_))
         this.notes_.push(describeShortages(this.record_))
       }
+      if (this.options_.endless) {
+        this.violations_.push(...judgeEndless(this.record_))
+        this.notes_.push(describeEndless(this.record_))
+      }
       if (this.options_.cuts)
         this.notes_.push(describeCutTries(listCutTries(this.record_)))
       if (!organisations) {
@@ -274,7 +280,8 @@
             new SoakDraws(seed ^ PROMISE_SEED_MASK),
             new SoakDraws(seed ^ PROMISE_CALL_SEED_MASK)
           ],
-          new SoakDraws(seed ^ PROCESSOR_SEED_MASK)
+          new SoakDraws(seed ^ PROCESSOR_SEED_MASK),
+          new SoakDraws(seed ^ ENDLESS_SEED_MASK)
         )
     try {
       if (script) await this.playScript(faults, script)
--- a/test/support/soak-faults.ts
+++ b/test/support/soak-faults.ts
@@ -9,6 +9,7 @@
 } from "./soak-organisations.js"
 import {IncidentFaults} from "./soak-incident-faults.js"
 import {CutFaults} from "./soak-cut-faults.js"
+import {EndlessFaults} from "./soak-endless-faults.js"
 import {StartFaults} from "./soak-start-faults.js"
 import {StarvedFaults} from "./soak-starved-faults.js"
 import {StreamFaults} from "./soak-stream-faults.js"
@@ -97,6 +98,8 @@
   readonly starved?: boolean
   /** All boxes start on one processor. */
   readonly fewProcessors?: boolean
+  /** Workers answer many calls at once without end. */
+  readonly endless?: boolean
   /** Callers have keys, which are revoked, and limits, which are lowered. */
   readonly organisations?: boolean
 }
@@ -154,7 +157,8 @@
     startDraws: SoakDraws,
     starvedDraws: SoakDraws,
     promiseDraws: readonly [faults: SoakDraws, calls: SoakDraws],
-    processorDraws: SoakDraws
+    processorDraws: SoakDraws,
+    endlessDraws: SoakDraws
   ): Promise<void> {
     const faults = new IncidentFaults(this.bed_, draws, this.record_, {
       isStopped: box => this.stoppedBoxes_.has(box) || box.suspendedFrom !== undefined,
@@ -217,6 +221,10 @@
       haveFaultsEnded: () => this.haveFaultsEnded_,
       hasServiceReturned: () => this.hasServiceReturned
     })
+    const endless = new EndlessFaults(this.bed_, endlessDraws, this.record_, {
+      haveFaultsEnded: () => this.haveFaultsEnded_,
+      validKey: () => this.organisations_?.validKey
+    })
     this.promises = new PromiseFaults(this.bed_, ...promiseDraws, this.record_, {
       repeats: this.options_.repeats === true,
       restart: (box, signal) => this.restart(box, signal),
@@ -236,6 +244,7 @@
       this.options_.starts ? starts.play() : undefined,
       this.options_.starved ? starved.play() : undefined,
       this.options_.fewProcessors ? processors.play() : undefined,
+      this.options_.endless ? endless.play() : undefined,
       this.options_.promises ? this.promises.play() : undefined
     ])
   }
--- a/test/support/soak-judge-service.ts
+++ b/test/support/soak-judge-service.ts
@@ -114,6 +114,24 @@
   )
 }
 
+/** Whether a box was struck, or was stopping, within a time or shortly before it. */
+export function wasStruck(
+  record: SoakRecord,
+  box: string,
+  from: number,
+  to: number
+): boolean {
+  const isStopping = record.stops.some(
+    stop => stop.box === box && stop.from < to && stop.until > from
+  )
+  const early = from - BOX_RECOVERY_MS
+  return (
+    isStopping ||
+    isExemptWithin(record, box, early, to) ||
+    isShortOfProcessors(record, early, to)
+  )
+}
+
 function isExemptWithin(
   {exemptions}: SoakRecord,
   box: string,
--- a/test/support/soak-record.ts
+++ b/test/support/soak-record.ts
@@ -1,6 +1,7 @@
 /** Record of a soak round for its judge. Times are those of `performance.now()`. */
 import {createRandom, uniformFloat64} from "../../src/utils/random.js"
 import type {StandInWorker} from "../stand-ins/platform-worker.js"
+import type {EndlessKind} from "./endless-server.js"
 import type {Outcome} from "./platform-bed.js"
 import type {StreamCall} from "./stream-caller.js"
 
@@ -118,6 +119,18 @@
   readonly parts?: readonly string[]
 }
 
+/** A call that servers answer without end. */
+export interface EndlessCall {
+  readonly path: string
+  readonly kind: EndlessKind
+  readonly box: string
+  readonly outcome: Outcome
+  readonly sentAt: number
+  /** When its caller saw that its time was over. Undefined if it ended before. */
+  readonly overAt: number | undefined
+  readonly answeredAt: number
+}
+
 /** A box that was restarted, suspended, disconnected or removed, and when. */
 export interface BoxExemption {
   readonly box: string
@@ -170,6 +183,7 @@
   readonly calls: SoakCall[] = []
   readonly streams: SoakStream[] = []
   readonly crashing: CrashingCall[] = []
+  readonly endless: EndlessCall[] = []
   /** When boxes were restarted, suspended, disconnected or removed. */
   readonly exemptions: BoxExemption[] = []
   /** Returns the box that leads, as far as the store knows. */
