The overhead limit concerns answers whose handler counts their content

Cause: found on rereading: requests of other parts over the same kind of connection count no content, so that a long sound answer to them would have been closed as 16 KB without content.

--- a/src/adapters/answer-overhead.ts
+++ b/src/adapters/answer-overhead.ts
@@ -21,24 +21,26 @@
  */
 export const MAX_HEADER_SIZE = MAX_OVERHEAD_BYTES + PART_BYTES
 
-/** Bytes of a connection that were parsed since the last content. */
 export interface Overhead {
+  /** Bytes that were parsed since the last content. */
   bytes: number
+  /** Whether the current answer is limited: its handler counts the content. */
+  isLimited: boolean
 }
 
 const overheads = new WeakMap<Socket, Overhead>()
 
-/** Returns the count of a connection. Undefined if its overhead is not limited. */
+/** Returns the count of a connection. Undefined if `limitOverhead` was not called. */
 export function overheadOf(socket: Socket): Overhead | undefined {
   return overheads.get(socket)
 }
 
 /**
  * Makes a connection of `undici` fail with `AnswerOverheadTooLong` if an answer goes on
- * without content. Whoever handles the answer sets the count to 0 at its head and its data.
+ * without content. Holds for requests with an `AnswerControl`, which count their content.
  */
 export function limitOverhead(socket: Socket): void {
-  const overhead: Overhead = {bytes: 0}
+  const overhead: Overhead = {bytes: 0, isLimited: false}
   overheads.set(socket, overhead)
   const read = socket.read.bind(socket)
   socket.read = (size?: number): unknown => {
@@ -46,7 +48,11 @@
     // `undici` reads on after it has closed a connection.
     if (socket.destroyed) return null
     const {readableLength} = socket
-    if (overhead.bytes >= MAX_OVERHEAD_BYTES && readableLength > 0) {
+    if (
+      overhead.isLimited &&
+      overhead.bytes >= MAX_OVERHEAD_BYTES &&
+      readableLength > 0
+    ) {
       socket.destroy(new AnswerOverheadTooLong(`${MAX_OVERHEAD_BYTES} bytes`))
       return null
     }
--- a/src/adapters/read-control.ts
+++ b/src/adapters/read-control.ts
@@ -25,30 +25,41 @@
 interface Connection {
   socket: Socket | undefined
   overhead: Overhead | undefined
+  /** Whether the request has an `AnswerControl`. */
+  readonly isControlled: boolean
+}
+
+const UNCONTROLLED: Connection = {
+  socket: undefined,
+  overhead: undefined,
+  isControlled: false
 }
 
 /** Connections whose answers are not read. */
 const heldSockets = new WeakSet<Socket>()
 
 /** Connection of the request that starts in the current call of `undici`. */
-let starting: Connection = {socket: undefined, overhead: undefined}
+let starting: Connection = {...UNCONTROLLED}
 
 // `undici` publishes the socket in the same call that starts the request.
 channel("undici:client:sendHeaders").subscribe(message => {
   const {socket} = message as {readonly socket: Socket}
   const overhead = overheadOf(socket)
-  if (overhead) overhead.bytes = 0
+  if (overhead) {
+    overhead.bytes = 0
+    overhead.isLimited = starting.isControlled
+  }
   starting.socket = socket
   starting.overhead = overhead
   // Requests of other parts of the process are published, too.
-  starting = {socket: undefined, overhead: undefined}
+  starting = {...UNCONTROLLED}
 })
 
 /** Returns the control of a request. To be called when the request starts. */
 export function createReadControl(
   controller: Dispatcher.DispatchController
 ): AnswerControl {
-  const connection: Connection = {socket: undefined, overhead: undefined}
+  const connection: Connection = {...UNCONTROLLED, isControlled: true}
   starting = connection
   return {
     readAheadBytes: () => connection.socket?.readableLength ?? 0,
