Boxes wait longer for a leader that the store still names

Callers saw: keys refused for 13 s after a leader stood and all boxes had started on three processors. Cause: a link that a box gave up after 1.8 s (4.8 s at most) was asked for again, and the leader opened the one that had been given up first: 20 to 60 such links in each second, while 5 to 9 came about. Change: 4.8 s, doubled to 9.6 s. That a leader is gone shows by its lease: the next one that the store names ends the wait at once, as before. The limit is for connections that are silent only.

--- a/src/core/link-patience.ts
+++ b/src/core/link-patience.ts
@@ -6,10 +6,10 @@
  */
 
 /** By then the lease of a leader whose process stands still has run out. */
-const FIRST_WAIT_MS = 1_800
+const FIRST_WAIT_MS = 4_800
 
 /** Limits how late a box finds out that its connection is silent, not its leader slow. */
-const MAX_WAIT_MS = 4_800
+const MAX_WAIT_MS = 9_600
 
 export class LinkPatience {
   private leader_: string | undefined
--- a/test/starved-leader.test.ts
+++ b/test/starved-leader.test.ts
@@ -157,6 +157,18 @@
   })
 }
 
+// RECOVER: a leader that opened links for 8 s was asked again by each box that it had not
+// reached within 1.8 s, and opened those links that had been given up first.
+if (!passIfKnownRed("starved-leader 6")) {
+  t.test("boxes wait for a leader that keeps its lease", async t => {
+    const port = await freePort()
+    const leader = await BusyLeader.start(t, port, 100)
+    const sessions = startBoxes(t, 86, `127.0.0.1:${port}`)
+    t.equal(await waitForLinks(sessions), 86)
+    t.ok(leader.requests <= 2 * 86, `${leader.requests} links were requested`)
+  })
+}
+
 t.test(
   "a box that waits for a leader follows the next one that the store names",
   async t => {
