A silent new connection holds up no calls to the store

Change: connections open at intervals of 0.5 s, doubled to 2 s, while the service opens them late, and at once after one has answered its first call in time. Those that wait are still awaited, so that nothing is given up.

--- a/src/adapters/answer-overhead.ts
+++ b/src/adapters/answer-overhead.ts
@@ -7,10 +7,10 @@
 import {AnswerOverheadTooLong} from "../errors.js"
 
 /**
- * Bytes without content after which a connection is closed, once they have been parsed.
- * The longest head that Node.js accepts.
+ * Bytes without content after which a connection is closed, once they have been parsed:
+ * the longest head that Node.js accepts, and as much of informational answers before it.
  */
-const MAX_OVERHEAD_BYTES = 16 << 10
+const MAX_OVERHEAD_BYTES = 32 << 10
 
 /** Greatest number of bytes that are parsed at once. */
 const PART_BYTES = 16 << 10
--- a/src/adapters/loop-lag.ts
+++ b/src/adapters/loop-lag.ts
@@ -11,8 +11,9 @@
 
 const MAX_STRETCH = 5
 
-/** Share of a shorter sample in the lag. A longer one counts whole. */
-const DECAY = 0.3
+/** Weight of a sample in the lag: a single pause of the process is no lag. */
+const SAMPLE_WEIGHT = 0.2
+const MAX_SAMPLE_MS = MAX_STRETCH * USUAL_LAG_MS
 
 class LoopLag {
   private lagMs_ = 0
@@ -23,7 +24,7 @@
   }
 
   get stretch(): number {
-    return Math.min(MAX_STRETCH, Math.max(1, this.lagMs_ / USUAL_LAG_MS))
+    return Math.max(1, this.lagMs_ / USUAL_LAG_MS)
   }
 
   private schedule(): void {
@@ -32,8 +33,8 @@
   }
 
   private sample(): void {
-    const lateMs = clockNow() - this.dueAt_
-    this.lagMs_ = Math.max(lateMs, this.lagMs_ + DECAY * (lateMs - this.lagMs_))
+    const lateMs = Math.min(MAX_SAMPLE_MS, clockNow() - this.dueAt_)
+    this.lagMs_ += SAMPLE_WEIGHT * (lateMs - this.lagMs_)
     this.schedule()
   }
 }
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -33,7 +33,7 @@
   /** How long the service may wait for changes before it answers. */
   readonly watchMs?: number
   readonly signal?: AbortSignal
-  /** Sent at once while other calls are sent one at a time. */
+  /** Sent at once while other calls wait for connections to open. */
   readonly isUrgent?: boolean
 }
 
@@ -57,11 +57,8 @@
  */
 const GIVEN_UP_MS = 1_500
 
-/**
- * Longest time that connections are kept which have answered no call in time. They may wait
- * for a service that opens them slowly, so each further ones are kept for twice as long.
- */
-const MAX_PATIENCE_MS = 8_000
+/** For how much longer an answer is awaited on a connection that may not be open yet. */
+const OPEN_WAIT_MS = 8_000
 
 /** Errors while connecting. The service cannot have received the call. */
 const CONNECT_ERROR_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
@@ -69,8 +66,6 @@
 export class StoreCalls {
   private pool_: StorePool
   private readonly times_ = new AnswerTimes(LATE_ANSWER_MS, MAX_LATE_ANSWER_MS)
-  /** Pools in a row that were replaced before they answered a call in time. */
-  private replacedUnproven_ = 0
   private readonly observed_ = {connections: 0, lateCalls: 0, starvedCalls: 0}
 
   constructor(private readonly options_: StoreCallsOptions) {
@@ -102,7 +97,6 @@
     let timeout: Timer | undefined
     const expired = new Promise<never>((_, reject) => {
       timeout = startAnswerTimer(timeoutMs, () => {
-        this.handleTimeout(pool, timeoutMs)
         reject(exchange.giveUp())
       })
     })
@@ -120,15 +114,19 @@
   private async exchange(exchange: StoreExchange): Promise<StoreAnswer> {
     const {eras, eraHeader} = this.options_
     const {pool, call} = exchange
-    const connection = await pool.take(isSentAtOnce(call))
-    const limit = limitTime(exchange.limitMs, call.signal, () => exchange.extendMs())
+    const connection = await pool.take(isUrgent(call))
+    const limit = limitTime(exchange.limitMs, call.signal, () =>
+      exchange.takeOpenWaitMs()
+    )
     try {
       const sentAt = clockNow()
       const lateAfterMs = this.times_.lateAfterMs(sentAt)
       const answer = await exchange.send(connection, limit.signal)
       const text = await readAnswerText(answer.body)
-      connection.hasAnswered = true
-      if (call.watchMs === undefined) this.recordAnswer(pool, sentAt, lateAfterMs)
+      const tookMs = clockNow() - sentAt
+      const {watchMs = 0} = call
+      if (call.watchMs === undefined) this.times_.record(tookMs, clockNow())
+      pool.recordAnswer(connection, tookMs <= watchMs + lateAfterMs)
       const header = answer.headers[eraHeader]
       const era = eras.resolveEra(Array.isArray(header) ? header[0] : header, sentAt)
       return {status: answer.statusCode, body: parseBody(text), era}
@@ -140,14 +138,6 @@
     }
   }
 
-  private recordAnswer(pool: StorePool, sentAt: number, lateAfterMs: number): void {
-    const now = clockNow()
-    this.times_.record(now - sentAt, now)
-    if (now - sentAt > lateAfterMs) return
-    pool.recordPromptAnswer()
-    this.replacedUnproven_ = 0
-  }
-
   private handleLate({pool, isOnOpenConnection}: StoreExchange, lateAt: number): void {
     this.observed_.lateCalls++
     if (clockNow() - lateAt > STARVED_MS) this.observed_.starvedCalls++
@@ -156,18 +146,6 @@
     if (pool.isPrompt && isOnOpenConnection) this.replacePool(pool)
   }
 
-  /** Replaces connections that may be silent, unless the service may still open them. */
-  private handleTimeout(pool: StorePool, timeoutMs: number): void {
-    if (pool.isPrompt) return
-    const patienceMs = Math.min(
-      MAX_PATIENCE_MS,
-      timeoutMs * 2 ** (this.replacedUnproven_ + 1)
-    )
-    if (this.pool_ !== pool || clockNow() - pool.openedAt < patienceMs) return
-    this.replacedUnproven_++
-    this.replacePool(pool)
-  }
-
   private openPool(): StorePool {
     return new StorePool(this.options_.address, () => this.observed_.connections++)
   }
@@ -183,9 +161,9 @@
   }
 }
 
-/** Whether a call does not wait for others: it takes long itself, or is of no use later. */
-function isSentAtOnce({watchMs, isUrgent}: StoreCall): boolean {
-  return watchMs !== undefined || isUrgent === true
+/** Whether a call waits for no connection: it takes long itself, or is of no use later. */
+function isUrgent(call: StoreCall): boolean {
+  return call.watchMs !== undefined || call.isUrgent === true
 }
 
 /** A call, which its caller may give up before it is sent or answered. */
@@ -193,7 +171,7 @@
   private isSent_ = false
   private isGivenUp_ = false
   private isOnOpenConnection_ = false
-  private isExtended_ = false
+  private hasTakenOpenWait_ = false
   private connection_: StoreConnection | undefined
 
   constructor(
@@ -212,13 +190,15 @@
     return this.timeoutMs_ + GIVEN_UP_MS
   }
 
-  /** Returns for how much longer (ms) the service may need to open the connection. */
-  extendMs(): number {
-    const {connection_: connection, pool} = this
-    const isOpened = (connection?.socket?.bytesRead ?? 0) > 0 || pool.isPrompt
-    if (isOpened || this.isExtended_) return 0
-    this.isExtended_ = true
-    return MAX_PATIENCE_MS
+  /**
+   * Returns for how much longer the answer is awaited (ms), as a service may be slow to open
+   * the connection. At most once.
+   */
+  takeOpenWaitMs(): number {
+    const isOpened = (this.connection_?.socket?.bytesRead ?? 0) > 0
+    if (isOpened || this.hasTakenOpenWait_) return 0
+    this.hasTakenOpenWait_ = true
+    return OPEN_WAIT_MS
   }
 
   /**
--- a/src/adapters/store-pool.ts
+++ b/src/adapters/store-pool.ts
@@ -1,7 +1,7 @@
 /**
- * Connections to the key-value service. Opens one at a time, and a second one only after a
- * call was answered in time: a service that opens connections slowly has to open those, too,
- * whose calls were given up.
+ * Connections to the key-value service. They open at growing intervals until one has
+ * answered its first call in time: a service that opens connections slowly has to open
+ * those, too, whose calls were given up.
  */
 import type {Socket} from "node:net"
 import {buildConnector, Client} from "undici"
@@ -16,6 +16,10 @@
 
 const KEEP_ALIVE_MS = 30_000
 
+/** First and longest interval at which connections open while the service opens them late. */
+const OPEN_INTERVAL_MS = 500
+const MAX_OPEN_INTERVAL_MS = 2_000
+
 /** A connection, which carries one call at a time. */
 export interface StoreConnection {
   /** Opens its connection when needed. */
@@ -28,11 +32,14 @@
 }
 
 export class StorePool {
-  readonly openedAt = clockNow()
   private readonly connections_: StoreConnection[] = []
   /** Calls that wait for a connection. */
   private readonly waiting_: ((connection: StoreConnection) => void)[] = []
   private isPrompt_ = false
+  /** Interval until the next connection may open. 0 if the service opens them in time. */
+  private openIntervalMs_ = OPEN_INTERVAL_MS
+  private mayOpenAt_ = -Infinity
+  private openTimer_: NodeJS.Timeout | undefined
   private isClosed_ = false
 
   /** `connected` is called with each new connection. */
@@ -46,21 +53,34 @@
     return this.isPrompt_
   }
 
-  recordPromptAnswer(): void {
-    this.isPrompt_ = true
+  /** Records an answer. `inTime`: it was not late. */
+  recordAnswer(connection: StoreConnection, inTime: boolean): void {
+    if (inTime) this.isPrompt_ = true
+    if (!connection.hasAnswered) this.recordOpened(inTime)
+    connection.hasAnswered = true
   }
 
-  /** Takes a connection for a call. `atOnce`: does not wait for other calls. */
-  async take(atOnce: boolean): Promise<StoreConnection> {
-    const connection = this.findFree(atOnce)
-    if (!connection) return new Promise(resolve => this.waiting_.push(resolve))
-    connection.isBusy = true
-    return connection
+  /** Takes a connection for a call. `isUrgent`: does not wait for one to open. */
+  async take(isUrgent: boolean): Promise<StoreConnection> {
+    const connection = this.findFree(isUrgent)
+    if (connection) {
+      connection.isBusy = true
+      return connection
+    }
+    return new Promise(resolve => {
+      this.waiting_.push(resolve)
+      this.scheduleOpening()
+    })
   }
 
   /** Returns a connection at the end of its call. */
   release(connection: StoreConnection): void {
     connection.isBusy = false
+    this.startWaiting()
+    this.closeIfDone()
+  }
+
+  private startWaiting(): void {
     for (;;) {
       const [next] = this.waiting_
       const free = next && this.findFree(false)
@@ -69,7 +89,14 @@
       free.isBusy = true
       next(free)
     }
-    this.closeIfDone()
+    this.scheduleOpening()
+  }
+
+  private scheduleOpening(): void {
+    clearTimeout(this.openTimer_)
+    if (this.waiting_.length === 0 || this.connections_.length >= MAX_CONNECTIONS) return
+    const waitMs = Math.max(1, this.mayOpenAt_ - clockNow())
+    this.openTimer_ = setTimeout(() => this.startWaiting(), waitMs)
   }
 
   /** Closes all connections after the calls in progress. */
@@ -78,21 +105,27 @@
     this.closeIfDone()
   }
 
-  private findFree(atOnce: boolean): StoreConnection | undefined {
+  private findFree(isUrgent: boolean): StoreConnection | undefined {
     const free = this.connections_.filter(({isBusy}) => !isBusy)
     const open = free.find(({hasAnswered}) => hasAnswered)
     if (open) return open
-    if (!atOnce && !this.mayOpen) return undefined
+    const now = clockNow()
+    if (!isUrgent && now < this.mayOpenAt_) return undefined
     const [unopened] = free
-    if (unopened) return unopened
-    return this.connections_.length < MAX_CONNECTIONS ? this.add() : undefined
+    const isFull = this.connections_.length >= MAX_CONNECTIONS
+    const connection = unopened ?? (isFull ? undefined : this.add())
+    if (connection) this.recordOpening(now)
+    return connection
+  }
+
+  private recordOpened(inTime: boolean): void {
+    this.openIntervalMs_ = inTime ? 0 : Math.max(OPEN_INTERVAL_MS, this.openIntervalMs_)
+    if (inTime) this.mayOpenAt_ = -Infinity
   }
 
-  /** Whether one more connection may be opened. */
-  private get mayOpen(): boolean {
-    const busy = this.connections_.filter(({isBusy}) => isBusy)
-    if (!this.isPrompt_) return busy.length === 0
-    return busy.every(({hasAnswered}) => hasAnswered)
+  private recordOpening(now: number): void {
+    this.mayOpenAt_ = now + this.openIntervalMs_
+    this.openIntervalMs_ = Math.min(MAX_OPEN_INTERVAL_MS, 2 * this.openIntervalMs_)
   }
 
   private add(): StoreConnection {
--- a/test/slow-connections.test.ts
+++ b/test/slow-connections.test.ts
@@ -2,11 +2,14 @@
  * Boxes at a service that opens connections one after another (RECOVER). A connection that
  * is given up has to be opened all the same, before those that are awaited.
  */
+import type {Socket} from "node:net"
 import {setTimeout as sleep} from "node:timers/promises"
 import t from "tap"
 import {connectStore} from "../platform/store.js"
 import {StoreEras} from "../src/adapters/era-source.js"
 import type {KvStore} from "../src/ports/ports.js"
+import {STALE_MS} from "../src/core/snapshot-age.js"
+import {startRawServer} from "./support/raw-http.js"
 import {SlowAcceptor} from "./stand-ins/slow-acceptor.js"
 import {passIfKnownRed} from "./support/known-red.js"
 
@@ -64,3 +67,52 @@
     t.ok(store.connections <= MAX_CONNECTIONS * CLIENTS, `${store.connections}`)
   })
 }
+
+const OK = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+
+/** Answers the request that has arrived on a connection, and all further ones. */
+function answerAll(socket: Socket): void {
+  socket.write(OK)
+  socket.on("data", () => socket.write(OK))
+}
+
+/** Calls until a call is answered. Returns how long that took (ms). */
+async function callUntilAnswered(kv: KvStore): Promise<number> {
+  const startedAt = performance.now()
+  for (;;) {
+    const answered = await kv.remove("k").then(
+      () => true,
+      () => false
+    )
+    if (answered) return performance.now() - startedAt
+  }
+}
+
+// RECOVER: calls waited for a new connection that was silent, while others worked.
+t.test("a new connection that is silent holds up no other calls", async t => {
+  let connections = 0
+  const server = await startRawServer(socket => {
+    if (++connections > 1) answerAll(socket)
+  })
+  t.teardown(server.close)
+  const eras = new StoreEras(() => undefined)
+  const kv = connectStore({address: server.address, timeoutMs: 450, watchMs: 900, eras})
+  const tookMs = await callUntilAnswered(kv)
+  t.ok(tookMs < STALE_MS, `${tookMs} ms`)
+})
+
+// The intervals at which connections open are bounded.
+t.test("a store whose connections were all silent is called again soon", async t => {
+  const startedAt = performance.now()
+  let isSilent = true
+  const server = await startRawServer(socket => {
+    if (!isSilent) answerAll(socket)
+  })
+  t.teardown(server.close)
+  const eras = new StoreEras(() => undefined)
+  const kv = connectStore({address: server.address, timeoutMs: 450, watchMs: 900, eras})
+  setTimeout(() => (isSilent = false), 6_000)
+  await callUntilAnswered(kv)
+  const lateMs = performance.now() - startedAt - 6_000
+  t.ok(lateMs < 3_000, `${lateMs} ms after new connections work`)
+})
