The store's informational heads and extensions without end end their call at once

Change: the store's connections have the same limit. An interceptor counts the content, as undici's own handler reads these answers.

--- a/src/adapters/read-control.ts
+++ b/src/adapters/read-control.ts
@@ -89,3 +89,36 @@
   socket.read = (size?: number): unknown =>
     heldSockets.has(socket) ? null : (read(size) as unknown)
 }
+
+/**
+ * An interceptor of `undici` that counts the content of answers whose handlers do not.
+ * Its connections are limited by `limitOverhead`.
+ */
+export function countContent(dispatch: Dispatcher["dispatch"]): Dispatcher["dispatch"] {
+  return (options, handler) => {
+    let control: AnswerControl | undefined
+    return dispatch(options, {
+      onRequestStart(controller, context) {
+        control = createReadControl(controller)
+        handler.onRequestStart?.(controller, context)
+      },
+      onRequestUpgrade(...upgrade) {
+        handler.onRequestUpgrade?.(...upgrade)
+      },
+      onResponseStart(controller, status, ...rest) {
+        if (status >= 200) control?.countContent()
+        handler.onResponseStart?.(controller, status, ...rest)
+      },
+      onResponseData(...data) {
+        control?.countContent()
+        handler.onResponseData?.(...data)
+      },
+      onResponseEnd(...end) {
+        handler.onResponseEnd?.(...end)
+      },
+      onResponseError(...failure) {
+        handler.onResponseError?.(...failure)
+      }
+    })
+  }
+}
--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -9,6 +9,7 @@
 import {readAnswerText} from "./answer-text.js"
 import {clockNow} from "./clock.js"
 import type {StoreEras} from "./era-source.js"
+import {countContent} from "./read-control.js"
 import {type StoreConnection, StorePool} from "./store-pool.js"
 
 export interface StoreCallsOptions {
@@ -214,7 +215,7 @@
     this.isOnOpenConnection_ = connection.hasAnswered
     this.connection_ = connection
     const {method, path, body} = this.call
-    return connection.client.request({
+    return connection.client.compose(countContent).request({
       method,
       path,
       headers: body ? {"content-type": "application/json"} : {},
--- a/src/adapters/store-pool.ts
+++ b/src/adapters/store-pool.ts
@@ -5,6 +5,7 @@
  */
 import type {Socket} from "node:net"
 import {buildConnector, Client} from "undici"
+import {limitOverhead, MAX_HEADER_SIZE} from "./answer-overhead.js"
 import {clockNow} from "./clock.js"
 
 const MAX_CONNECTIONS = 16
@@ -131,9 +132,11 @@
   private add(): StoreConnection {
     const client = new Client(`http://${this.address_}`, {
       pipelining: 1,
+      maxHeaderSize: MAX_HEADER_SIZE,
       connect: (options, done) =>
         CONNECT(options, (...[cause, socket]) => {
           connection.socket = socket ?? undefined
+          if (socket) limitOverhead(socket)
           if (cause) done(cause, null)
           else done(null, socket)
         }),
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -36,6 +36,14 @@
   "foreign"
 ])
 
+/** Answers without end that carry no content. */
+const OVERHEAD_KINDS: ReadonlySet<EndlessKind> = new Set([
+  "head",
+  "informational",
+  "extension",
+  "trailer"
+])
+
 /**
  * Bytes that may be sent, in MB, to a box that wants a short answer. The system takes some
  * of them before the box reads any.
@@ -50,6 +58,9 @@
 
 const DETECTION_MS = 2_500
 
+/** Time limit of calls to the store. */
+const STORE_TIMEOUT_MS = 450
+
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
@@ -269,7 +280,7 @@
 function connectTo(address: string): KvStore {
   return connectStore({
     address,
-    timeoutMs: 450,
+    timeoutMs: STORE_TIMEOUT_MS,
     watchMs: 900,
     eras: new StoreEras(() => undefined)
   })
@@ -300,6 +311,20 @@
   }
 })
 
+// Guards against parsing an answer of the store that is none until the call's time limit.
+t.test("overhead without end of the store ends before the time limit", async t => {
+  const server = await EndlessServer.start()
+  t.teardown(() => server.close())
+  const kv = connectTo(server.address)
+  for (const kind of OVERHEAD_KINDS) {
+    server.kind = kind
+    const startedAt = performance.now()
+    await t.rejects(kv.get("k"), `${kind}: fails`)
+    const tookMs = performance.now() - startedAt
+    t.ok(tookMs < STORE_TIMEOUT_MS, `${kind}: after ${Math.round(tookMs)} ms`)
+  }
+})
+
 t.test("the store's client goes on with its next call", async t => {
   const store = await PlatformBed.start({boxes: 1, engines: 0, plain: 0})
   t.teardown(() => store.stop())
