--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -13,6 +13,7 @@
 import {splitAddress} from "../utils/address.js"
 import {startAnswerTimer, type Timer} from "../utils/timers.js"
 import {clockNow} from "./clock.js"
+import {limitInformational} from "./informational-heads.js"
 import {packDeflated, packPlain, SharedMessage, unpack} from "./link-codec.js"
 
 /**
@@ -311,7 +312,11 @@
   return new WebSocket(`ws://${address}`, {
     perMessageDeflate: false,
     maxPayload: MAX_MESSAGE_BYTES,
-    createConnection: () => connect(splitAddress(address), connected)
+    createConnection: () => connect(splitAddress(address), connected),
+    finishRequest: call => {
+      limitInformational(call)
+      call.end()
+    }
   })
 }
 
--- a/src/adapters/peer-probe.ts
+++ b/src/adapters/peer-probe.ts
@@ -3,6 +3,7 @@
 import {splitAddress} from "../utils/address.js"
 import {firstSuccess} from "../utils/promises.js"
 import {PROBE_HEADER} from "./carry-headers.js"
+import {limitInformational} from "./informational-heads.js"
 import {limitTime} from "../utils/time-limit.js"
 
 /** Allows for the other box's own test connection and the link delays. */
@@ -45,6 +46,7 @@
       headers: {[PROBE_HEADER]: server},
       signal: limit.signal
     })
+    limitInformational(call)
     call.on("close", limit.clear)
     // No answer says nothing of the server.
     call.on("error", () => resolve(undefined))
--- a/src/adapters/stream-messages.ts
+++ b/src/adapters/stream-messages.ts
@@ -3,6 +3,7 @@
 import * as z from "zod"
 import {splitAddress} from "../utils/address.js"
 import {STREAMS_HEADER} from "./carry-headers.js"
+import {limitInformational} from "./informational-heads.js"
 import {limitTime} from "../utils/time-limit.js"
 
 /** Allows for connecting and the link delays. */
@@ -57,6 +58,7 @@
       },
       signal: limit.signal
     })
+    limitInformational(call)
     call.on("close", limit.clear)
     call.on("error", () => resolve(undefined))
     call.on("response", answered => {
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -3,11 +3,13 @@
  * that keep them in memory, read them for ever, or leave the request without an answer.
  */
 import {readFileSync} from "node:fs"
+import {globalAgent} from "node:http"
 import t, {type Test} from "tap"
 import {connectStore} from "../platform/store.js"
 import {StoreEras} from "../src/adapters/era-source.js"
 import {requestStoreSnapshot} from "../src/adapters/box-links.js"
 import {askServerState} from "../src/adapters/peer-probe.js"
+import {postMessage} from "../src/adapters/stream-messages.js"
 import type {KvStore} from "../src/ports/ports.js"
 import {passIfKnownRed} from "./support/known-red.js"
 import {ENDLESS_KINDS, type EndlessKind, EndlessServer} from "./support/endless-server.js"
@@ -58,8 +60,11 @@
 
 const DETECTION_MS = 2_500
 
-/** Time limit of calls to the store. */
+/** Time limits of calls to the store and to other boxes. */
 const STORE_TIMEOUT_MS = 450
+const SNAPSHOT_TIMEOUT_MS = 400
+const PROBE_TIMEOUT_MS = 600
+const STREAM_MESSAGE_TIMEOUT_MS = 250
 
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
@@ -325,6 +330,35 @@
   }
 })
 
+// Guards against parsing an answer of another box that is none until the time limit.
+t.test("overhead without end of other boxes ends before the time limit", async t => {
+  const server = await EndlessServer.start()
+  t.teardown(() => server.close())
+  const {address} = server
+  const ask = {t: "ask-news"} as never
+  const calls = [
+    {limitMs: PROBE_TIMEOUT_MS, call: () => askServerState([address], "s")},
+    {
+      limitMs: SNAPSHOT_TIMEOUT_MS,
+      call: () => requestStoreSnapshot(address, ask, SNAPSHOT_TIMEOUT_MS)
+    },
+    {
+      limitMs: STREAM_MESSAGE_TIMEOUT_MS,
+      call: () => postMessage(globalAgent, address, "ask", "{}")
+    }
+  ]
+  for (const kind of OVERHEAD_KINDS) {
+    server.kind = kind
+    for (const [i, {limitMs, call}] of calls.entries()) {
+      const startedAt = performance.now()
+      await call()
+      const tookMs = performance.now() - startedAt
+      t.ok(tookMs < limitMs, `${kind}, call ${i}: after ${Math.round(tookMs)} ms`)
+    }
+    await checkClosed(t, [server], kind)
+  }
+})
+
 t.test("the store's client goes on with its next call", async t => {
   const store = await PlatformBed.start({boxes: 1, engines: 0, plain: 0})
   t.teardown(() => store.stop())
