--- a/src/adapters/store-calls.ts
+++ b/src/adapters/store-calls.ts
@@ -115,7 +115,8 @@
   private async exchange(exchange: StoreExchange): Promise<StoreAnswer> {
     const {eras, eraHeader} = this.options_
     const {pool, call} = exchange
-    const connection = await pool.take(isUrgent(call))
+    const connection = await pool.take(isUrgent(call), () => exchange.isGivenUp)
+    if (!connection) throw new KvUnavailable("the call was given up before it was sent")
     const limit = limitTime(exchange.limitMs, call.signal, () =>
       exchange.takeOpenWaitMs()
     )
@@ -181,6 +182,10 @@
     private readonly timeoutMs_: number
   ) {}
 
+  get isGivenUp(): boolean {
+    return this.isGivenUp_
+  }
+
   /** Whether it was sent on a connection that had answered a call before. */
   get isOnOpenConnection(): boolean {
     return this.isOnOpenConnection_
--- a/src/adapters/store-pool.ts
+++ b/src/adapters/store-pool.ts
@@ -18,7 +18,7 @@
 const KEEP_ALIVE_MS = 30_000
 
 /** First and longest interval at which connections open while the service opens them late. */
-const OPEN_INTERVAL_MS = 500
+const OPEN_INTERVAL_MS = 700
 const MAX_OPEN_INTERVAL_MS = 2_000
 
 /** A connection, which carries one call at a time. */
@@ -32,10 +32,16 @@
   socket: Socket | undefined
 }
 
+/** A call that waits for a connection. It gets none if it has been given up. */
+interface WaitingCall {
+  readonly isGivenUp: () => boolean
+  readonly start: (connection: StoreConnection | undefined) => void
+}
+
 export class StorePool {
   private readonly connections_: StoreConnection[] = []
   /** Calls that wait for a connection. */
-  private readonly waiting_: ((connection: StoreConnection) => void)[] = []
+  private readonly waiting_: WaitingCall[] = []
   private isPrompt_ = false
   /** Interval until the next connection may open. 0 if the service opens them in time. */
   private openIntervalMs_ = OPEN_INTERVAL_MS
@@ -61,15 +67,21 @@
     connection.hasAnswered = true
   }
 
-  /** Takes a connection for a call. `isUrgent`: does not wait for one to open. */
-  async take(isUrgent: boolean): Promise<StoreConnection> {
+  /**
+   * Takes a connection for a call. Undefined if the call is given up before there is one.
+   * `isUrgent`: does not wait for one to open.
+   */
+  async take(
+    isUrgent: boolean,
+    isGivenUp: () => boolean
+  ): Promise<StoreConnection | undefined> {
     const connection = this.findFree(isUrgent)
     if (connection) {
       connection.isBusy = true
       return connection
     }
-    return new Promise(resolve => {
-      this.waiting_.push(resolve)
+    return new Promise(start => {
+      this.waiting_.push({isGivenUp, start})
       this.scheduleOpening()
     })
   }
@@ -84,11 +96,13 @@
   private startWaiting(): void {
     for (;;) {
       const [next] = this.waiting_
-      const free = next && this.findFree(false)
-      if (!free) break
+      if (!next) break
+      const isGivenUp = next.isGivenUp()
+      const free = isGivenUp ? undefined : this.findFree(false)
+      if (!free && !isGivenUp) break
       this.waiting_.shift()
-      free.isBusy = true
-      next(free)
+      if (free) free.isBusy = true
+      next.start(free)
     }
     this.scheduleOpening()
   }
