A stopping box accepts what has connected before it closes its port

Cause: after a late turn of the loop the timer of the stop closes the port before the loop has accepted the connections that arrived meanwhile.

Change: the stop looks at its times after the sockets have been read.

Evidence: the new test of stop-answers stops the process by SIGSTOP past the time of closing.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -30,7 +30,7 @@
 } from "../types/box-messages.js"
 import type {BackendRecord} from "../types/fleet.js"
 import type {RoutedSettings} from "../types/routed-settings.js"
-import {pause} from "../utils/promises.js"
+import {pause, pauseAndRead} from "../utils/promises.js"
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {clockNow, clockSuspendedMs} from "./clock.js"
 import {Carrier} from "./carrier.js"
@@ -482,7 +482,7 @@
       const isListening = clockNow() < listenUntil
       if (!isListening) this.closeIdle()
       if (!isListening && hasHandedOver && this.openAnswers === 0) break
-      await pause(Math.min(STOP_CHECK_MS, endAt - clockNow()))
+      await pauseAndRead(Math.min(STOP_CHECK_MS, endAt - clockNow()))
     }
     await this.answerOpenRequests(exitAt)
     this.logLeftOpen(this.callerAnswers_, false)
--- a/src/utils/promises.ts
+++ b/src/utils/promises.ts
@@ -5,6 +5,14 @@
   return new Promise(resolve => setTimeout(() => resolve(undefined), Math.max(0, ms)))
 }
 
+/**
+ * Resolves after `ms` milliseconds, and not before the event loop has accepted the
+ * connections and read the data that arrived meanwhile.
+ */
+export function pauseAndRead(ms: number): Promise<void> {
+  return new Promise(resolve => startAnswerTimer(Math.max(0, ms), resolve))
+}
+
 /** Resolves to the first success. If all fail, rejects with the first attempt's error. */
 export async function firstSuccess<T>(attempts: readonly Promise<T>[]): Promise<T> {
   try {
--- a/test/stop-answers.test.ts
+++ b/test/stop-answers.test.ts
@@ -17,6 +17,9 @@
 /** Longer than a stopping box listens, and shorter than its grace period. */
 const UNREAD_MS = 3_500
 
+/** Longer than a stopping box listens. */
+const LISTEN_MS = 2_700
+
 /** A stream that lasts longer than the grace period. */
 const LONG_STREAM = {events: 800, gapMs: 20}
 
@@ -190,3 +193,20 @@
   await until("the box names it", () => /"event":274,"request":"left"/.test(bed.logs()))
   t.notMatch(bed.logs(), /"event":196/, "the core takes it for complete")
 })
+
+// The connection was reset: the box closed its port before it had accepted it.
+t.test(
+  "a box without a processor accepts connections before it closes its port",
+  async t => {
+    const bed = await startBed()
+    const [box] = bed.boxes as [BedBox]
+    await sleep(500)
+    box.child.signal("SIGTERM")
+    await until("the box is stopping", () => /"event":101/.test(bed.logs()))
+    box.child.signal("SIGSTOP")
+    const call = bed.call(box, "/safe/x", {id: "early"})
+    await sleep(LISTEN_MS)
+    box.child.signal("SIGCONT")
+    t.match(await call, {status: 503, headers: {connection: "close"}})
+  }
+)
