Uploads that are not whole when a stop ends are refused

Callers saw the connection of an upload closed without an answer at the end of a planned stop. Such a request did not run, but they could not know.

Change: when a stopping box answers its open requests, those whose body has not been read to its end get 503 with retry-after and connection: close. What arrives of them later is dropped.

Evidence: stop-answers "an upload that is not whole at the end of a stop is refused": before, no answer; after: 503, and no run.

--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -512,6 +512,7 @@
    * accepted these answers.
    */
   private async answerOpenRequests(until: number): Promise<void> {
+    this.relay_.refuseUnread()
     this.loop_.post({type: "exit"})
     while (this.callerAnswers_.hasUnsent && clockNow() < until) {
       await pause(EXIT_CHECK_MS)
--- a/src/adapters/routed-relay.ts
+++ b/src/adapters/routed-relay.ts
@@ -118,6 +118,8 @@
   readonly pools = new BackendPools()
   private readonly peerPools_ = new BackendPools()
   private readonly exchanges_ = new Map<string, RelayExchange>()
+  /** Answers to requests whose bodies have not been read to their end. */
+  private readonly unreadBodies_ = new Set<ServerResponse>()
 
   private readonly startup_ = new StartupWait({
     hasConfig: () => this.options_.serving().table !== undefined,
@@ -143,8 +145,10 @@
     req.url = path
     const facts = this.options_.dialect.readRequest(req.headers)
     const limit = table?.config.limits.maxBodyBytes ?? Infinity
+    this.unreadBodies_.add(res)
     const body = await readWholeBody(req, limit)
-    if (body === "gone") return
+    this.unreadBodies_.delete(res)
+    if (body === "gone" || res.writableEnded) return
     const waitedMs = await this.startup_.waitForConfig(facts.deadlineMs)
     await this.awaitFreshSnapshot()
     if (res.destroyed) return
@@ -255,6 +259,25 @@
     })
   }
 
+  /** Refuses all requests whose bodies have not been read to their end. */
+  refuseUnread(): void {
+    const {dialect, log} = this.options_
+    for (const res of this.unreadBodies_) {
+      const {requestId} = dialect.readRequest(res.req.headers)
+      log("route-none", {
+        request: requestId,
+        reason: "unread-at-exit",
+        config: this.options_.serving().table?.config.version ?? -1
+      })
+      sendError(res, 503, problem("not-run"), {
+        ...dialect.ownAnswerHeaders(requestId),
+        "retry-after": String(NO_CONFIG_RETRY_S),
+        connection: "close"
+      })
+    }
+    this.unreadBodies_.clear()
+  }
+
   /**
    * Waits for a fresh store snapshot. After a process pause, requests that arrived
    * meanwhile are handled before the store has been read again. Routing waits for that
--- a/test/stop-answers.test.ts
+++ b/test/stop-answers.test.ts
@@ -210,3 +210,26 @@
     t.match(await call, {status: 503, headers: {connection: "close"}})
   }
 )
+
+// The connections of uploads that never came to their end were closed without an answer.
+t.test("an upload that is not whole at the end of a stop is refused", async t => {
+  const bed = await startBed()
+  const [box] = bed.boxes as [BedBox]
+  const [hostname, port] = box.callers.split(":")
+  const socket = connect(Number(port), hostname)
+  t.teardown(() => socket.destroy())
+  let text = ""
+  socket.on("error", () => undefined)
+  socket.on("data", (part: Buffer) => (text += part.toString("latin1")))
+  socket.write(
+    `POST /unsafe/x HTTP/1.1\r\nhost: ${HOST}\r\nx-request-id: half\r\n` +
+      "x-request-deadline: 15000\r\ncontent-length: 8\r\n\r\nabcd"
+  )
+  await sleep(200)
+  box.child.signal("SIGTERM")
+  await until("the box has ended", () => box.child.ended)
+  await until("the connection has closed", () => socket.closed)
+  t.match(text, /^HTTP\/1.1 503/)
+  t.match(text.toLowerCase(), /connection: close/)
+  t.same(bed.judge.runsOf("half"), [])
+})
