The judge of stops counts a request to the process that took it

Cause: a stop counted until 1 s after its grace also where its process had ended before, so that the request was held against the first stop and not the second. Change: it counts until its process has ended. A stop of the next process counts as before.

--- a/test/support/soak-judge-stops.ts
+++ b/test/support/soak-judge-stops.ts
@@ -105,11 +105,13 @@
   }))
 }
 
+/** Whether the process that stopped took the request. A later one took what came later. */
 function isDuring(
-  {box, from, graceMs}: PlannedStop,
+  {box, from, until, graceMs}: PlannedStop,
   {box: asked, sentAt, answeredAt}: Request
 ): boolean {
-  return box === asked && answeredAt > from && sentAt < from + graceMs + AFTER_GRACE_MS
+  const end = Math.min(until, from + graceMs + AFTER_GRACE_MS)
+  return box === asked && answeredAt > from && sentAt < end
 }
 
 function isExcused(
