A connection that has ended keeps no other one from opening

Found by endless-answers (calls after an answer without end, 3 checks of two tests): the interval until the next connection went on although the one before had ended. Only connections that may still open are a reason to wait.

--- a/src/adapters/store-pool.ts
+++ b/src/adapters/store-pool.ts
@@ -89,6 +89,8 @@
   /** Returns a connection at the end of its call. */
   release(connection: StoreConnection): void {
     connection.isBusy = false
+    // Only connections that may still open are a reason to wait.
+    if (!connection.hasAnswered) this.mayOpenAt_ = -Infinity
     this.startWaiting()
     this.closeIfDone()
   }
