--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -18,7 +18,6 @@
 import {firstSuccess, pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
 import {parseLeaderRecord} from "./leader-key.js"
-import {lagStretch} from "./loop-lag.js"
 import {callAs, slownessOf} from "./store-counter.js"
 import type {StoreEras} from "./era-source.js"
 
@@ -262,8 +261,7 @@
 
   private lookIntervalMs(): number {
     const forAllMs = this.events_.boxCount() * LOOK_INTERVAL_PER_BOX_MS
-    const usualMs = Math.max(LOOK_INTERVAL_MS * slownessOf(this.kv_), forAllMs)
-    return usualMs * lagStretch()
+    return Math.max(LOOK_INTERVAL_MS * slownessOf(this.kv_), forAllMs)
   }
 
   /**
--- a/src/adapters/snapshot-source.ts
+++ b/src/adapters/snapshot-source.ts
@@ -35,7 +35,6 @@
 } from "./leader-backends.js"
 import {OperatorState, type OperatorStateOptions} from "./operator-state.js"
 import type {StoreEras} from "./era-source.js"
-import {lagStretch} from "./loop-lag.js"
 import type {SettledEra} from "./settled-era.js"
 import {listForPeers, type Listing, StoreFollower} from "./store-follower.js"
 import {pause} from "../utils/promises.js"
@@ -284,8 +283,7 @@
     this.recordOutage(now)
     if (this.trouble_ === "store") this.releaseRequests(now)
     if (now < this.nextPeerReadAt_ || this.readAgeMs(now) < LIST_INTERVAL_MS) return
-    const pauseMs = peerReadPauseMs(this.failedPeerReads_) * lagStretch()
-    this.nextPeerReadAt_ = now + pauseMs
+    this.nextPeerReadAt_ = now + peerReadPauseMs(this.failedPeerReads_)
     this.failedPeerReads_++
     void this.fetchPeerSnapshot(now)
   }
--- a/src/adapters/store-follower.ts
+++ b/src/adapters/store-follower.ts
@@ -11,7 +11,6 @@
 import {hedgeAfter, pause} from "../utils/promises.js"
 import {limitTime} from "../utils/time-limit.js"
 import {clockNow} from "./clock.js"
-import {lagStretch} from "./loop-lag.js"
 import {callAs, slownessOf} from "./store-counter.js"
 
 const MIN_RETRY_PAUSE_MS = 60
@@ -114,8 +113,7 @@
         failures++
         reason = "after-failure"
         const minPauseMs = MIN_RETRY_PAUSE_MS * slownessOf(this.kv_)
-        const pauseMs = backoffMs(failures, minPauseMs, this.maxRetryPauseMs())
-        await pause(pauseMs * lagStretch())
+        await pause(backoffMs(failures, minPauseMs, this.maxRetryPauseMs()))
       }
     }
   }
@@ -211,7 +209,7 @@
       return store.list(prefix, from)
     }
     const answer = await (retryLate
-      ? hedgeAfter(LATE_ANSWER_MS * slownessOf(kv) * lagStretch(), requestPage)
+      ? hedgeAfter(LATE_ANSWER_MS * slownessOf(kv), requestPage)
       : requestPage())
     // Pages aren't a consistent snapshot. A watch from the first page's position repeats
     // what changed since.
