--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -31,6 +31,15 @@
 /** How long an idle connection for requests of other boxes is kept open. */
 const REQUEST_KEEP_ALIVE_MS = 15_000
 
+/** How long a link is kept open without another request for a store snapshot. */
+const SNAPSHOT_KEEP_ALIVE_MS = 10_000
+
+/**
+ * A link on which an answer takes longer is closed: it may be dead without a reset. Allows
+ * for boxes that wait for a processor.
+ */
+const SNAPSHOT_SILENCE_MS = 3_000
+
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
   heardAt = clockNow()
@@ -225,6 +234,7 @@
 
   close(): void {
     this.closeLinks()
+    for (const socket of this.server_.clients) socket.terminate()
     this.server_.close()
     this.http_.close()
     this.http_.closeAllConnections()
@@ -232,19 +242,25 @@
 
   private accept(link: WebSocket, socket: Socket): void {
     let box: string | undefined
-    const firstMessageTimer = startAnswerTimer(HELLO_TIMEOUT_MS, () => follower.close())
+    let closeTimer = startAnswerTimer(HELLO_TIMEOUT_MS, () => follower.close())
     const handle = (message: ToLeader): void => {
-      if (message.t === "ask-news") return void this.answer(follower, message)
+      if (message.t === "ask-news") {
+        if (message.keepsLink === true && box === undefined) {
+          closeTimer.clear()
+          closeTimer = startAnswerTimer(REQUEST_KEEP_ALIVE_MS, () => follower.close())
+        }
+        return void this.answer(follower, message)
+      }
       if (message.t === "hello") {
         if (!this.events_.acceptsFollowers()) return follower.close()
-        firstMessageTimer.clear()
+        closeTimer.clear()
         box = message.incarnation
         return this.join(follower, socket, message)
       }
       if (box !== undefined) this.events_.message(box, message)
     }
     const follower: Follower = new BoxLink(link, parseToLeader, handle, () => {
-      firstMessageTimer.clear()
+      closeTimer.clear()
       if (box === undefined || this.followers_.get(box) !== follower) return
       this.followers_.delete(box)
       this.startedAt_.delete(box)
@@ -275,38 +291,11 @@
   private async answer(follower: Follower, request: StoreSnapshotRequest): Promise<void> {
     const snapshot = await this.events_.readSnapshot(request)
     if (snapshot) follower.send(snapshot)
+    else if (request.keepsLink === true) follower.send({t: "no-news"})
     else follower.close()
   }
 }
 
-/**
- * Requests a store snapshot from a box, which need not be the leader. Undefined if the
- * box has none or does not answer in time.
- */
-export function requestStoreSnapshot(
-  address: string,
-  ask: StoreSnapshotRequest,
-  limitMs: number
-): Promise<StoreSnapshot | undefined> {
-  return new Promise(resolve => {
-    const socket = openSocket(address)
-    const link = new BoxLink<ToLeader, FromLeader>(
-      socket,
-      acceptUnchecked,
-      message => {
-        if (message.t === "news") resolve(message)
-        link.close()
-      },
-      () => {
-        timer.clear()
-        resolve(undefined)
-      }
-    )
-    const timer = startAnswerTimer(limitMs, () => link.close())
-    socket.once("open", () => link.send(ask))
-  })
-}
-
 /** Opens a link. `connected` is called once the peer's system accepted the connection. */
 function openSocket(address: string, connected: () => void = () => undefined): WebSocket {
   return new WebSocket(`ws://${address}`, {
@@ -381,3 +370,61 @@
     this.link_.close()
   }
 }
+
+/**
+ * A link on which a box requests store snapshots from another box, which need not be the
+ * leader. Boxes of earlier versions close it after some answers.
+ */
+export class SnapshotLink {
+  private readonly socket_: WebSocket
+  private readonly link_: BoxLink<ToLeader, FromLeader>
+  private handleAnswer_: ((answer: StoreSnapshot | undefined) => void) | undefined
+  private timer_: Timer | undefined
+
+  /** `down` is called once when the link is closed, by either end. */
+  constructor(
+    readonly address: string,
+    down: () => void
+  ) {
+    this.socket_ = openSocket(address)
+    const handle = (message: FromLeader): void => {
+      if (message.t === "news") this.settle(message)
+      else if (message.t === "no-news") this.settle(undefined)
+      else this.close()
+    }
+    this.link_ = new BoxLink(this.socket_, acceptUnchecked, handle, () => {
+      down()
+      this.settle(undefined)
+      this.timer_?.clear()
+    })
+  }
+
+  /** Whether a request has no answer yet. There is one request at a time. */
+  get isAsked(): boolean {
+    return this.handleAnswer_ !== undefined
+  }
+
+  /** Returns the answer. Undefined if the box has no snapshot or the link is closed. */
+  request(ask: StoreSnapshotRequest): Promise<StoreSnapshot | undefined> {
+    this.closeAfter(SNAPSHOT_SILENCE_MS)
+    const send = (): void => this.link_.send({...ask, keepsLink: true})
+    if (this.socket_.readyState === WebSocket.CONNECTING) this.socket_.once("open", send)
+    else send()
+    return new Promise(resolve => (this.handleAnswer_ = resolve))
+  }
+
+  close(): void {
+    this.link_.close()
+  }
+
+  private settle(answer: StoreSnapshot | undefined): void {
+    this.closeAfter(SNAPSHOT_KEEP_ALIVE_MS)
+    this.handleAnswer_?.(answer)
+    this.handleAnswer_ = undefined
+  }
+
+  private closeAfter(ms: number): void {
+    this.timer_?.clear()
+    this.timer_ = startAnswerTimer(ms, () => this.close())
+  }
+}
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -34,7 +34,6 @@
 import {createRandom, uniformFloat64} from "../utils/random.js"
 import {clockNow, clockSuspendedMs} from "./clock.js"
 import {Carrier} from "./carrier.js"
-import {requestStoreSnapshot} from "./box-links.js"
 import {askServerState, type ServerState} from "./peer-probe.js"
 import {BoxHub, type BoxHubOptions} from "./box-hub.js"
 import {BoxOverload} from "./box-overload.js"
@@ -170,14 +169,10 @@
       incarnation: this.incarnation_,
       address: settings.boxes
     }
-    this.peerSnapshots_ = new PeerSnapshots(
-      settings.boxes,
-      requestStoreSnapshot,
-      addresses => {
-        this.loop_.post({type: "peers", addresses})
-        this.streamPeers_.addAddresses(addresses)
-      }
-    )
+    this.peerSnapshots_ = new PeerSnapshots(settings.boxes, addresses => {
+      this.loop_.post({type: "peers", addresses})
+      this.streamPeers_.addAddresses(addresses)
+    })
     const draw = (): number => {
       const [value, next] = uniformFloat64(this.random_)
       this.random_ = next
@@ -490,6 +485,7 @@
     log("stopped", {open: this.openAnswers})
     this.snapshotSource_.stopFollowing()
     this.session_.close()
+    this.peerSnapshots_.close()
     this.hub_?.close()
     this.streamPeers_.close()
     this.overload_.stop()
--- a/src/adapters/snapshot-source.ts
+++ b/src/adapters/snapshot-source.ts
@@ -283,7 +283,8 @@
     this.recordOutage(now)
     if (this.trouble_ === "store") this.releaseRequests(now)
     if (now < this.nextPeerReadAt_ || this.readAgeMs(now) < LIST_INTERVAL_MS) return
-    this.nextPeerReadAt_ = now + peerReadPauseMs(this.failedPeerReads_)
+    const boxCount = this.options_.boxCount?.() ?? 1
+    this.nextPeerReadAt_ = now + peerReadPauseMs(this.failedPeerReads_, boxCount)
     this.failedPeerReads_++
     void this.fetchPeerSnapshot(now)
   }
--- a/src/core/snapshot-age.ts
+++ b/src/core/snapshot-age.ts
@@ -45,13 +45,30 @@
  */
 export const LATE_ANSWER_MS = 150
 
-/** First and longest pause between two requests to other boxes for their snapshot. */
+/** First pause between two requests to other boxes, and the longest with few boxes. */
 const MIN_PEER_READ_PAUSE_MS = 250
 const MAX_PEER_READ_PAUSE_MS = 1_000
 
-/** Pause after failed requests in a row, since all boxes ask all others in an outage. */
-export function peerReadPauseMs(failedReads: number): number {
-  return Math.min(MAX_PEER_READ_PAUSE_MS, MIN_PEER_READ_PAUSE_MS * 2 ** failedReads)
+/**
+ * Longest pause per box where many boxes ask, so that they send some 50 requests a second
+ * together while none of them reads the store.
+ */
+const PEER_READ_PAUSE_PER_BOX_MS = 20
+
+/** Longest pause with any number of boxes; a box learns this late that others read again. */
+const MAX_LONG_PEER_READ_PAUSE_MS = 2_000
+
+/**
+ * Pause after failed requests in a row, since all boxes ask others in an outage. The first
+ * ones are short with any number of boxes, as others may read the store.
+ */
+export function peerReadPauseMs(failedReads: number, boxCount: number): number {
+  const forAllMs = boxCount * PEER_READ_PAUSE_PER_BOX_MS
+  const maxMs = Math.min(
+    MAX_LONG_PEER_READ_PAUSE_MS,
+    Math.max(MAX_PEER_READ_PAUSE_MS, forAllMs)
+  )
+  return Math.min(maxMs, MIN_PEER_READ_PAUSE_MS * 2 ** failedReads)
 }
 
 /**
--- a/src/types/box-frames.ts
+++ b/src/types/box-frames.ts
@@ -103,7 +103,8 @@
   z.object({
     t: z.literal("ask-news"),
     configVersion: z.number(),
-    ageMs: z.union([z.number().min(0), z.literal(Infinity)])
+    ageMs: z.union([z.number().min(0), z.literal(Infinity)]),
+    keepsLink: z.boolean().optional()
   }),
   z.object({t: z.literal("ask-config")}),
   z.object({t: z.literal("ask-all"), configVersion: z.number()}),
--- a/src/types/box-messages.ts
+++ b/src/types/box-messages.ts
@@ -223,6 +223,8 @@
       readonly ageMs: number
     } & SentTimestamp)
   | StoreSnapshot
+  /** The answer of a box that cannot read the store either. */
+  | {readonly t: "no-news"}
   | {
       readonly t: "versions"
       readonly versions: readonly (readonly [adapter: string, version: number])[]
@@ -317,6 +319,11 @@
   readonly configVersion: number
   /** Age of its own store snapshot. Infinity means that it has none. */
   readonly ageMs: number
+  /**
+   * Whether the sender keeps the link open for further requests and understands `no-news`.
+   * Boxes of earlier versions do neither.
+   */
+  readonly keepsLink?: boolean | undefined
 }
 
 /**
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -7,7 +7,7 @@
 import t, {type Test} from "tap"
 import {connectStore} from "../platform/store.js"
 import {StoreEras} from "../src/adapters/era-source.js"
-import {requestStoreSnapshot} from "../src/adapters/box-links.js"
+import {SnapshotLink} from "../src/adapters/box-links.js"
 import {askServerState} from "../src/adapters/peer-probe.js"
 import {postMessage} from "../src/adapters/stream-messages.js"
 import type {KvStore} from "../src/ports/ports.js"
@@ -282,6 +282,11 @@
   t.ok(mb < MAX_GROWTH_MB, `${mb} MB`)
 })
 
+function requestSnapshot(address: string): Promise<unknown> {
+  const ask = {t: "ask-news", configVersion: -1, ageMs: Infinity} as const
+  return new SnapshotLink(address, () => undefined).request(ask)
+}
+
 function connectTo(address: string): KvStore {
   return connectStore({
     address,
@@ -335,12 +340,11 @@
   const server = await EndlessServer.start()
   t.teardown(() => server.close())
   const {address} = server
-  const ask = {t: "ask-news"} as never
   const calls = [
     {limitMs: PROBE_TIMEOUT_MS, call: () => askServerState([address], "s")},
     {
       limitMs: SNAPSHOT_TIMEOUT_MS,
-      call: () => requestStoreSnapshot(address, ask, SNAPSHOT_TIMEOUT_MS)
+      call: () => requestSnapshot(address)
     },
     {
       limitMs: STREAM_MESSAGE_TIMEOUT_MS,
@@ -380,8 +384,7 @@
   for (const kind of ENDLESS_KINDS) {
     server.kind = kind
     const sent = server.sentBytes
-    const ask = {t: "ask-news"} as never
-    t.equal(await requestStoreSnapshot(server.address, ask, 400), undefined, kind)
+    t.equal(await requestSnapshot(server.address), undefined, kind)
     const state = await askServerState([server.address], "s")
     t.ok(state === "unknown", `${kind}: ${state}`)
     await checkClosed(t, [server], kind)
--- a/test/snapshot-source.test.ts
+++ b/test/snapshot-source.test.ts
@@ -87,6 +87,30 @@
   t.equal(asked, 2, "and again after the next return")
 })
 
+// RECOVER: in an outage the requests of many boxes to each other took the processors that
+// the store's calls waited for.
+t.test("a box of many asks others less often while that brings nothing", async t => {
+  const asked: number[] = []
+  let now = clockNow()
+  const news = createSource(SILENT, {
+    boxCount: () => 100,
+    fetchFromPeers: () => {
+      asked.push(now)
+      return Promise.resolve(undefined)
+    }
+  })
+  t.teardown(() => news.stopFollowing())
+  const end = now + 20_000
+  for (; now < end; now += 50) news.selectSource(false, now)
+  const gaps = asked.slice(1).map((at, i) => Math.round(at - (asked[i] ?? at)))
+  t.same(gaps.slice(0, 3), [250, 500, 1_000])
+  t.ok(
+    gaps.slice(3).every(gap => gap >= 2_000),
+    gaps.join(", ")
+  )
+  t.ok(asked.length > 8, `${asked.length} requests`)
+})
+
 /** Creates a source whose store calls are counted and never answered. */
 function createCountingSource(): {
   readonly news: SnapshotSource
