--- a/src/adapters/box-links.ts
+++ b/src/adapters/box-links.ts
@@ -38,7 +38,7 @@
  * A link on which an answer takes longer is closed: it may be dead without a reset. Allows
  * for boxes that wait for a processor.
  */
-const SNAPSHOT_SILENCE_MS = 3_000
+const SNAPSHOT_SILENCE_MS = 2_000
 
 /** One end of a link between boxes. */
 class BoxLink<Out extends BoxMessage, In extends BoxMessage> {
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -8,6 +8,7 @@
 import {connectStore} from "../platform/store.js"
 import {StoreEras} from "../src/adapters/era-source.js"
 import {SnapshotLink} from "../src/adapters/box-links.js"
+import {PeerSnapshots} from "../src/adapters/peer-snapshots.js"
 import {askServerState} from "../src/adapters/peer-probe.js"
 import {postMessage} from "../src/adapters/stream-messages.js"
 import type {KvStore} from "../src/ports/ports.js"
@@ -282,9 +283,10 @@
   t.ok(mb < MAX_GROWTH_MB, `${mb} MB`)
 })
 
+const ASK = {t: "ask-news", configVersion: -1, ageMs: Infinity} as const
+
 function requestSnapshot(address: string): Promise<unknown> {
-  const ask = {t: "ask-news", configVersion: -1, ageMs: Infinity} as const
-  return new SnapshotLink(address, () => undefined).request(ask)
+  return new SnapshotLink(address, () => undefined).request(ASK)
 }
 
 function connectTo(address: string): KvStore {
@@ -384,7 +386,9 @@
   for (const kind of ENDLESS_KINDS) {
     server.kind = kind
     const sent = server.sentBytes
-    t.equal(await requestSnapshot(server.address), undefined, kind)
+    const peers = new PeerSnapshots("own:1")
+    peers.addAddresses([server.address])
+    t.equal(await peers.fetch(ASK), undefined, kind)
     const state = await askServerState([server.address], "s")
     t.ok(state === "unknown", `${kind}: ${state}`)
     await checkClosed(t, [server], kind)
