Tests kill boxes once all streams have begun

Cause: a fault of the test. It sends twelve streams to a box and kills that box after 400 ms, whether or not the streams have begun; `beginStream` rejects if the box closes before the head of an answer. 187 bytes written are those of killed-10 or killed-11, the last of the twelve, at the box that the test had killed. No other box closed a connection, and a box that is killed cannot answer. Change: the box is killed 400 ms after the streams were sent, as before, and not within 150 ms of the first event of the last one, in which it tells other boxes of the begin (on the idle core 173 to 329 ms passed between them). The test now also checks that each stream was cut before its last event; its engines write an event each 100 ms instead of 40, so that the first streams still run when the last one begins. The checks of versions and of the share that goes on are the same, now for twelve streams that have begun, and the statuses are printed. killed-boxes kills in the same way (six streams at three boxes) and waits for the first events, too.

--- a/test/killed-boxes.test.ts
+++ b/test/killed-boxes.test.ts
@@ -15,8 +15,7 @@
 } from "./support/platform-bed.js"
 import {
   BASE_MODEL,
-  beginStream,
-  EVENTS,
+  openStream,
   SETTLING_MS,
   SLOW,
   startVersions,
@@ -41,18 +40,17 @@
 async function killAll(bed: PlatformBed, kills = 1): Promise<Begun[]> {
   const boxes = bed.boxes as BedBox[]
   const ids = Array.from({length: STREAMS}, (_, index) => `begun-${index}`)
-  const streams = ids.map((id, i) =>
-    beginStream(boxes[i % boxes.length] as BedBox, id, EVENTS)
+  const begun = Promise.all(
+    ids.map((id, i) => openStream(boxes[i % boxes.length] as BedBox, id))
   )
-  await sleep(400)
+  const [streams] = await Promise.all([begun, sleep(400)])
   for (let i = 0; i < kills; i++) {
     await Promise.all(boxes.map(({child}) => child.end("SIGKILL")))
     if (i === kills - 1) break
     for (const box of boxes) bed.restartBox(box)
     await sleep(300)
   }
-  const lasts = await Promise.all(streams)
-  return ids.map((id, index) => ({id, last: lasts[index] as string}))
+  return Promise.all(streams.map(async ({id, last}) => ({id, last: await last})))
 }
 
 /** Takes a stream up, with the name of its begin or without. */
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -10,6 +10,7 @@
   BASE_MODEL,
   beginStream,
   EVENTS,
+  openStream,
   SETTLING_MS,
   SLOW,
   startVersions,
@@ -22,6 +23,9 @@
 /** Twice the time limit of the routes: a stream that is resumed began within it. */
 const HISTORY_MS = 8_000
 
+/** A box tells others within it that a stream has begun, also on a slow machine. */
+const TELLING_MS = 150
+
 const sleep = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms))
 
@@ -62,14 +66,21 @@
 })
 
 t.test("also after the box that began it was killed", async t => {
-  const bed = await startVersions(["v1", "v2"], {boxes: 4, engine: SLOW})
+  // The first streams still run when the last one begins, also on a slow machine.
+  const engine = {...SLOW, gapMs: 100}
+  const bed = await startVersions(["v1", "v2"], {boxes: 4, engine})
   t.teardown(() => bed.stop())
   const [first, ...others] = bed.boxes as [BedBox, ...BedBox[]]
   const ids = Array.from({length: 12}, (_, index) => `killed-${index}`)
-  const streams = ids.map(id => beginStream(first, id, EVENTS))
-  await sleep(400)
+  const shortest = sleep(400)
+  const streams = await Promise.all(ids.map(id => openStream(first, id)))
+  await Promise.all([shortest, sleep(TELLING_MS)])
   await first.child.end("SIGKILL")
-  const lasts = await Promise.all(streams)
+  const lasts = await Promise.all(streams.map(({last}) => last))
+  t.ok(
+    lasts.every(last => Number(last) < EVENTS),
+    `streams were cut after ${lasts.join(", ")}`
+  )
   const outcomes = await Promise.all(
     ids.map((id, i) => takeUp(bed, others[i % 3] as BedBox, id, lasts[i] as string))
   )
@@ -77,6 +88,7 @@
     t.equal(versionsOf(bed, [ids[index] as string, outcome.id]).length, 1)
   }
   const wentOn = outcomes.filter(({status, broken}) => status === 200 && !broken)
+  t.comment(`statuses ${outcomes.map(({status}) => status).join(", ")}`)
   t.ok(wentOn.length * 2 >= ids.length, `${wentOn.length} of ${ids.length} went on`)
 })
 
--- a/test/support/versions.ts
+++ b/test/support/versions.ts
@@ -41,8 +41,28 @@
   return bed
 }
 
+/** A stream that has begun, whose caller reads it until it ends or breaks. */
+export interface OpenStream {
+  readonly id: string
+  /** The last id, once the stream has ended or broken. Never rejects. */
+  readonly last: Promise<string>
+}
+
 /** Begins a stream, and leaves it once `events` events have come. Returns the last id. */
 export async function beginStream(box: BedBox, id: string, events = 2): Promise<string> {
+  return readStream(await requestStream(box, id), events)
+}
+
+/** Begins a stream, and returns once its first event has come. */
+export async function openStream(box: BedBox, id: string): Promise<OpenStream> {
+  const chunks = await requestStream(box, id)
+  return new Promise((resolve, reject) => {
+    const last = readStream(chunks, EVENTS, () => resolve({id, last}))
+    void last.then(() => reject(new Error(`${id} ended before its first event`)))
+  })
+}
+
+async function requestStream(box: BedBox, id: string): Promise<AsyncIterable<unknown>> {
   const {body} = await request(`http://${box.callers}/stream/x`, {
     method: "POST",
     headers: {
@@ -54,15 +74,29 @@
     },
     body: "{}"
   })
+  return body
+}
+
+/** Reads a stream until `events` events have come, or it ends or breaks. */
+async function readStream(
+  chunks: AsyncIterable<unknown>,
+  events: number,
+  onEvent?: () => void
+): Promise<string> {
   let text = ""
   try {
-    for await (const chunk of body) {
+    for await (const chunk of chunks) {
       text += String(chunk)
+      if (lastIdOf(text) !== "") onEvent?.()
       if (text.split("\n\n").length > events) break
     }
   } catch {
     // The box was killed.
   }
+  return lastIdOf(text)
+}
+
+function lastIdOf(text: string): string {
   return [...text.matchAll(/id: (\d+)\n.*\n\n/g)].at(-1)?.[1] ?? ""
 }
 
