uneven-balancer prints who led and what boxes refused if it fails

Its output has statuses only, so that a limit that is reached, a limit that is unknown, a lost leader and a shortage cannot be told apart. Change: after a failed check the test prints the changes of the leadership and the refused requests by second, box, reason and what they waited for. No check is changed.

--- a/test/uneven-balancer.test.ts
+++ b/test/uneven-balancer.test.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from "node:timers/promises"
 import t, {type Test} from "tap"
 import {Agent, request} from "undici"
+import {summarizeRefusals} from "./support/box-logs.js"
 import {passIfKnownRed} from "./support/known-red.js"
 import {type BedBox, type BedOptions, HOST, PlatformBed} from "./support/platform-bed.js"
 
@@ -116,7 +117,7 @@
   prepare(bed)
   await send(bed, load, CONTACT_MS, spread)
   const before = await send(bed, load, SPAN_MS, spread)
-  t.comment(`on all boxes ${describe(before)}`)
+  t.comment(`on all boxes ${describe(before)}, led by ${bed.leader()?.name}`)
   const one = bed.boxes.find(box => box !== bed.leader()) as BedBox
   t.comment(`first ${describe(await send(bed, load, CONTACT_MS, () => one))}`)
   const after = await send(bed, load, SPAN_MS, () => one)
@@ -124,6 +125,7 @@
   const share = after.served / after.sent / (before.served / before.sent)
   t.ok(before.served > before.sent / 2, "the load is served on all boxes")
   t.ok(share >= LEAST_SHARE, `${share.toFixed(2)} as often`)
+  if (!t.passing()) for (const line of summarizeRefusals(bed.logs())) t.comment(line)
 }
 
 const adapters = ["a1", "a2", "a3", "a4"]
