Few lines without content are parsed of an answer

Cause: undici keeps two buffer objects for each header until the socket's close event, which comes only after all sockets of the same turn of the event loop have been read (read in the code). 32 KB of lines of 11 bytes became some 0.8 MB of heap for each connection, and V8 moved it to the old space. A trailer after data was worst, as the rest of the part in which the data ended was not counted.

Change: a connection fails after 1,000 lines without content, too. Until an answer has content, and after parts that are mostly none, parts are of 4 KB in place of 16 KB, so that lines are counted often. What follows data in its part counts as no content. Only bytes known to carry no content are searched for line feeds, after they were parsed. Heads and trailers of more than 1,000 lines in less than 32 KB were answers before and fail now.

Why it works: memory follows the number of headers, not their bytes.

--- a/src/adapters/backend-pools.ts
+++ b/src/adapters/backend-pools.ts
@@ -142,7 +142,7 @@
     },
     onResponseData(_controller, chunk) {
       if (!reading) return
-      reading.countContent()
+      reading.countContent(chunk)
       handler.data(chunk, reading)
     },
     onResponseEnd() {
--- a/src/adapters/read-control.ts
+++ b/src/adapters/read-control.ts
@@ -5,7 +5,12 @@
 import {channel} from "node:diagnostics_channel"
 import type {Socket} from "node:net"
 import type {Dispatcher} from "undici"
-import {type Overhead, overheadOf} from "./answer-overhead.js"
+import {
+  type Overhead,
+  overheadOf,
+  recordContent,
+  startOverhead
+} from "./answer-overhead.js"
 
 export interface ReadControl {
   /** Pauses reading. To be called from the callback that receives data. */
@@ -18,8 +23,8 @@
 
 /** What the one that receives the answer needs of its connection. */
 export interface AnswerControl extends ReadControl {
-  /** To be called at the final head and at all data of the answer. */
-  readonly countContent: () => void
+  /** To be called at the final head and, with the data, at all data of the answer. */
+  readonly countContent: (data?: Buffer) => void
 }
 
 interface Connection {
@@ -45,10 +50,7 @@
 channel("undici:client:sendHeaders").subscribe(message => {
   const {socket} = message as {readonly socket: Socket}
   const overhead = overheadOf(socket)
-  if (overhead) {
-    overhead.bytes = 0
-    overhead.isLimited = starting.isControlled
-  }
+  if (overhead) startOverhead(overhead, starting.isControlled)
   starting.socket = socket
   starting.overhead = overhead
   // Requests of other parts of the process are published, too.
@@ -63,8 +65,8 @@
   starting = connection
   return {
     readAheadBytes: () => connection.socket?.readableLength ?? 0,
-    countContent: () => {
-      if (connection.overhead) connection.overhead.bytes = 0
+    countContent: data => {
+      if (connection.overhead) recordContent(connection.overhead, data)
     },
     pause: () => {
       if (connection.socket) heldSockets.add(connection.socket)
@@ -109,9 +111,9 @@
         if (status >= 200) control?.countContent()
         handler.onResponseStart?.(controller, status, ...rest)
       },
-      onResponseData(...data) {
-        control?.countContent()
-        handler.onResponseData?.(...data)
+      onResponseData(controller, chunk) {
+        control?.countContent(chunk)
+        handler.onResponseData?.(controller, chunk)
       },
       onResponseEnd(...end) {
         handler.onResponseEnd?.(...end)
