--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -74,6 +74,9 @@
  */
 const HELP_AFTER_MS = 150
 
+/** Latest time of that, as a share of the time that the lease lasts. */
+const MAX_HELP_DELAY_SHARE = 0.25
+
 /** A claim renews its lease meanwhile if granting it took this share of its time. */
 const SLOW_GRANT_SHARE = 0.25
 
@@ -292,17 +295,22 @@
     const sentAt = clockNow()
     const lease = await kv.grantLease(ttlMs)
     const entry = await kv.get(key)
-    const isOwn = entry !== undefined && this.readRecord(entry)?.lease === earlier
-    const moved = isOwn
-      ? await this.claim(kv, lease, entry).catch(() => undefined)
-      : undefined
+    if (!entry || this.readRecord(entry)?.lease !== earlier) return this.endLease(lease)
+    const held: HeldLease = {lease, leaseMs: ttlMs, countsFrom: sentAt}
+    const move = this.claim(kv, lease, entry).then(
+      fence => (fence === undefined ? "unknown" : "moved"),
+      (cause: Error) => (cause instanceof KvUnavailable ? "unmoved" : "unknown")
+    )
+    await this.renewDuring(move, held)
+    const outcome = await move
     const isSame = earlier !== undefined && this.leadership.lease === earlier
-    if (moved !== undefined && isSame && this.leadership.confirmed) {
-      replaceLease(this.leadership, {lease, leaseMs: ttlMs, sentAt}, this.options_)
+    if (outcome === "moved" && isSame && this.leadership.confirmed) {
+      const claim = {lease, leaseMs: ttlMs, sentAt: held.countsFrom}
+      replaceLease(this.leadership, claim, this.options_)
       return this.endLease(earlier)
     }
     this.endLease(lease)
-    if (isOwn && isSame) this.resign("its lease could not be replaced")
+    if (outcome !== "unmoved" && isSame) this.resign("its lease could not be replaced")
   }
 
   private endLease(lease: string): void {
@@ -363,7 +371,11 @@
    * Asks other boxes to renew the lease if the service does not answer this box in time.
    */
   private async renewByOthers(own: Promise<Renewal>, lease: string): Promise<Renewal> {
-    const helpAfterMs = HELP_AFTER_MS * slownessOf(this.kv_)
+    const lateAfterMs = HELP_AFTER_MS * slownessOf(this.kv_)
+    const helpAfterMs = Math.min(
+      lateAfterMs,
+      this.leadership.leaseMs * MAX_HELP_DELAY_SHARE
+    )
     const answer = await Promise.race([
       own.catch(() => undefined),
       pauseAndRead(helpAfterMs)
@@ -545,7 +557,9 @@
       if (!(cause instanceof KvUnknown)) throw cause
       // The claim may have been stored although its answer was lost. Its lease tells it
       // from earlier claims, which may be carried out only now.
-      const entry = await kv.get(key)
+      const entry = await kv.get(key).catch((failure: Error) => {
+        throw new KvUnknown(failure.message)
+      })
       const taken = entry?.value === value && entry.era === era
       return taken ? toFence(entry) : undefined
     }
--- a/src/adapters/peer-snapshots.ts
+++ b/src/adapters/peer-snapshots.ts
@@ -116,7 +116,7 @@
     const room = MAX_LINKS - this.links_.size
     const opened = this.selectAddresses(ready)
       .slice(0, Math.min(BOXES_PER_REQUEST - selected.length, room))
-      .map(address => this.open(address))
+      .flatMap(address => this.open(address))
     return [...selected, ...opened, ...others].slice(0, BOXES_PER_REQUEST)
   }
 
@@ -134,10 +134,16 @@
     return [...turned.filter(a => !isLinked(a)), ...turned.filter(isLinked)]
   }
 
-  private open(address: string): OpenLink {
-    const link = this.connect_(address, () => this.links_.delete(open))
-    const open: OpenLink = {link, failures: 0}
-    this.links_.add(open)
-    return open
+  /** Returns no link if the address, which another box reported, is none. */
+  private open(address: string): [OpenLink] | [] {
+    try {
+      const link = this.connect_(address, () => this.links_.delete(open))
+      const open: OpenLink = {link, failures: 0}
+      this.links_.add(open)
+      return [open]
+    } catch {
+      this.addresses_.delete(address)
+      return []
+    }
   }
 }
--- a/src/adapters/routed-box.ts
+++ b/src/adapters/routed-box.ts
@@ -645,7 +645,7 @@
   private handleLeadershipEnded(reason: string): void {
     this.context_.log("lead-over", {
       reason,
-      overdueMs: Math.round(clockNow() - this.election_.leadership.validUntil),
+      overdueMs: Math.round(clockNow() - this.election_.leadership.heldUntil),
       gapMs: Math.round(this.tickGapMs_)
     })
     this.hub_?.closeLinks()
--- a/test/peer-snapshots.test.ts
+++ b/test/peer-snapshots.test.ts
@@ -222,3 +222,13 @@
   const ms = await closedAfter
   t.ok(ms > 5_000 && ms < 15_000, `${Math.round(ms)} ms`)
 })
+
+// Guards against a box that ends as another one reported what is no address.
+t.test("what is no address is not asked again", async t => {
+  const peers = new PeerSnapshots("own:1")
+  t.teardown(() => peers.close())
+  peers.addAddresses(["no address"])
+  const ask = {t: "ask-news", configVersion: -1, ageMs: Infinity} as const
+  t.equal(await peers.fetch(ask), undefined)
+  t.equal(await peers.fetch(ask), undefined)
+})
--- a/test/starved-leader.test.ts
+++ b/test/starved-leader.test.ts
@@ -14,7 +14,7 @@
 import {LeaderSession} from "../src/adapters/leader-session.js"
 import {LinkHub} from "../src/adapters/box-links.js"
 import {packPlain} from "../src/adapters/link-codec.js"
-import {KvUnknown} from "../src/errors.js"
+import {KvUnavailable, KvUnknown} from "../src/errors.js"
 import type {KvStore} from "../src/ports/ports.js"
 import type {FromLeader, LeaderRecord} from "../src/types/box-messages.js"
 import {passIfKnownRed} from "./support/known-red.js"
@@ -494,6 +494,29 @@
   t.equal(store.granted.length, 2, "it is replaced once")
 })
 
+// Guards against a leader that falls as the store refuses a call of no urgency.
+t.test("a leader stays if the store refuses to move its key", async t => {
+  const store = new DistantStore()
+  const {kv} = store
+  let refusals = 0
+  const {election, ends} = await startLeader(t, {
+    ...kv,
+    get slowness() {
+      return store.slowness
+    },
+    put: (...call: Parameters<KvStore["put"]>) => {
+      if (store.slowness > 1 || refusals === 1) return kv.put(...call)
+      refusals++
+      return Promise.reject(new KvUnavailable("503"))
+    }
+  } as KvStore)
+  const {lease: first} = election.leadership
+  store.slowness = 1
+  await until("the lease is replaced", () => election.leadership.lease !== first)
+  t.same([refusals, ends], [1, []])
+  t.equal(store.lease, election.leadership.lease)
+})
+
 // Guards against a second leader (ONE): the key moves to a lease that nobody renews.
 t.test("a leader resigns if it can't tell under which lease its key is", async t => {
   const store = new DistantStore()
