Revert: help with renewals that follows the slowness of answers

Cause: not traced. A leader whose renewals are late sends no orders until one is answered, and with the change the answers of other boxes came later; the review read that a leader with a lease of the usual length would be helped only as it ends.

--- a/src/adapters/leader-election.ts
+++ b/src/adapters/leader-election.ts
@@ -18,7 +18,7 @@
 import type {KvEntry, KvStore} from "../ports/ports.js"
 import type {LeaderRecord} from "../types/box-messages.js"
 import type {StoreCaller} from "../types/store-calls.js"
-import {firstSuccess, pause, pauseAndRead} from "../utils/promises.js"
+import {firstSuccess, pause} from "../utils/promises.js"
 import {clockNow} from "./clock.js"
 import {parseLeaderRecord} from "./leader-key.js"
 import {callAs, slownessOf} from "./store-counter.js"
@@ -70,13 +70,10 @@
 
 /**
  * Other boxes are asked to renew the lease, too, if the service has not answered after
- * this time; later if its answers take longer than usual.
+ * this time.
  */
 const HELP_AFTER_MS = 150
 
-/** Latest time of that, as a share of the time that the lease lasts. */
-const MAX_HELP_DELAY_SHARE = 0.25
-
 /** A claim renews its lease meanwhile if granting it took this share of its time. */
 const SLOW_GRANT_SHARE = 0.25
 
@@ -371,15 +368,7 @@
    * Asks other boxes to renew the lease if the service does not answer this box in time.
    */
   private async renewByOthers(own: Promise<Renewal>, lease: string): Promise<Renewal> {
-    const lateAfterMs = HELP_AFTER_MS * slownessOf(this.kv_)
-    const helpAfterMs = Math.min(
-      lateAfterMs,
-      this.leadership.leaseMs * MAX_HELP_DELAY_SHARE
-    )
-    const answer = await Promise.race([
-      own.catch(() => undefined),
-      pauseAndRead(helpAfterMs)
-    ])
+    const answer = await Promise.race([own.catch(() => undefined), pause(HELP_AFTER_MS)])
     if (answer) return answer
     const sentAt = clockNow()
     const known = await this.events_.renewByOthers(lease)
